--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,121 @@
+// Package admin serves the node's HTTP endpoint for its own VM and for operators: announcements of the backend
+// server, metrics, health, and a view of the node's state.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
+)
+
+const (
+	readHeaderTimeout = 2 * time.Second
+	maxHeaderBytes    = 16 << 10
+	// maxBodyBytes bounds announcements, the only bodies that this endpoint reads.
+	maxBodyBytes = 64 << 10
+)
+
+// State is what GET /v1/state tells an operator about the node.
+type State struct {
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Lifecycle        string `json:"lifecycle"`
+	BackendServer    string `json:"backendServer"`
+	Version          uint64 `json:"version"`
+	Hash             string `json:"hash"`
+	Relay            bool   `json:"relay"`
+}
+
+// Settings configure the endpoint.
+type Settings struct {
+	Listen string
+	// Operators may read; announcements have a narrower rule of their own.
+	Operators network.Set
+	State     func() State
+	// Ready reports whether the node takes calls.
+	Ready    func() bool
+	Announce http.Handler
+	Metrics  *metric.Set
+	Log      zerolog.Logger
+}
+
+// Server is the kernel service of the endpoint.
+type Server struct {
+	settings Settings
+	http     *http.Server
+	addr     string
+}
+
+// New returns a server that does not listen yet.
+func New(s Settings) *Server {
+	srv := &Server{settings: s}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/announce", s.Announce)
+	mux.Handle("GET /metrics", srv.operators(s.Metrics))
+	mux.Handle("GET /v1/state", srv.operators(http.HandlerFunc(srv.writeState)))
+	mux.Handle("GET /healthz", srv.operators(http.HandlerFunc(srv.writeHealth)))
+	srv.http = &http.Server{
+		Handler:           http.MaxBytesHandler(mux, maxBodyBytes),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return srv
+}
+
+// Name returns the service's name in the kernel.
+func (s *Server) Name() string { return "admin" }
+
+// Start listens and serves.
+func (s *Server) Start(context.Context) error {
+	l, err := net.Listen("tcp", s.settings.Listen)
+	if err != nil {
+		return err
+	}
+	s.addr = l.Addr().String()
+	go func() {
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Write(event.ListenerFailed.Log(&s.settings.Log).Err(err).Str("listener", "admin"))
+		}
+	}()
+	return nil
+}
+
+// Stop finishes the requests in progress.
+func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.addr }
+
+func (s *Server) operators(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.settings.Operators.Contains(r.RemoteAddr) {
+			s.settings.Metrics.Refused(metric.RefusedForbidden)
+			http.Error(w, "reads are accepted from --operator-networks only; add the source there", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) writeState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.settings.State())
+}
+
+func (s *Server) writeHealth(w http.ResponseWriter, _ *http.Request) {
+	if !s.settings.Ready() {
+		http.Error(w, "not ready: no configuration accepted yet, or draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
