Add the node's settings and a TCP forwarder for tests

Cause: the node needs checked settings, and tests under failure need a way to cut, delay and silence connections between real processes.

Change: kong settings with a check that names each bad flag and its remedy; internal/forwarder with modes pass, cut, silent and blackhole.

Ruled out: network namespaces, since cutting one connection is enough and needs no rights.

Conclusion: the node can be wired.

--- /dev/null
+++ b/cmd/monsoonlatchd/settings.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
+)
+
+// Settings are the node's flags; each has an environment variable of the same name with the prefix MONSOONLATCH_.
+type Settings struct {
+	ID               string `required:"" env:"MONSOONLATCH_ID" help:"Name of this instance, unique in the mesh."`
+	Service          string `required:"" env:"MONSOONLATCH_SERVICE" help:"Service of the backend server beside this node."`
+	AvailabilityZone string `required:"" env:"MONSOONLATCH_AVAILABILITY_ZONE" help:"Availability zone of this VM."`
+	Region           string `env:"MONSOONLATCH_REGION" default:"local" help:"Region of this VM."`
+
+	Callers string `env:"MONSOONLATCH_CALLERS" default:"127.0.0.1:8080" help:"Listen address for callers (HTTP)."`
+	Peers   string `env:"MONSOONLATCH_PEERS" default:"127.0.0.1:8081" help:"Listen address for other nodes' calls (HTTP); announced to them."`
+	Control string `env:"MONSOONLATCH_CONTROL" default:"127.0.0.1:8082" help:"Listen address for control messages (net/rpc); announced to other nodes."`
+	Admin   string `env:"MONSOONLATCH_ADMIN" default:"127.0.0.1:8083" help:"Listen address for announcements, metrics and state (HTTP)."`
+
+	BackendServer string `required:"" env:"MONSOONLATCH_BACKEND_SERVER" help:"Address of the backend server on this VM."`
+	Slots         int    `env:"MONSOONLATCH_SLOTS" default:"20" help:"Upper bound on requests in progress at the backend server."`
+
+	Platform         string        `required:"" env:"MONSOONLATCH_PLATFORM" help:"URL of the platform's object API."`
+	PlatformCallRate float64       `env:"MONSOONLATCH_PLATFORM_CALL_RATE" default:"10" help:"Calls a second that this node may make to the platform."`
+	PlatformTimeout  time.Duration `env:"MONSOONLATCH_PLATFORM_TIMEOUT" default:"2s" help:"Deadline of one platform call."`
+	Seeds            []string      `env:"MONSOONLATCH_SEEDS" help:"Control addresses of a few nodes to start from, best from several availability zones."`
+	PeerNetworks     []string      `env:"MONSOONLATCH_PEER_NETWORKS" default:"127.0.0.0/8" help:"Networks of the mesh's VMs (CIDR)."`
+	OperatorNetworks []string      `env:"MONSOONLATCH_OPERATOR_NETWORKS" default:"127.0.0.0/8" help:"Networks that may read metrics and state (CIDR)."`
+	StopGrace        time.Duration `env:"MONSOONLATCH_STOP_GRACE" default:"30s" help:"Longest time that a graceful stop may take."`
+	Admission        string        `env:"MONSOONLATCH_ADMISSION" enum:"ranked,fifo" default:"ranked" help:"Admission policy; fifo is the baseline for measurements."`
+	Choice           string        `env:"MONSOONLATCH_CHOICE" enum:"two-choices,random" default:"two-choices" help:"Choice of instance; random is the baseline for measurements."`
+	Retries          string        `env:"MONSOONLATCH_RETRIES" enum:"budget,unlimited" default:"budget" help:"Retry policy; unlimited is the baseline for measurements."`
+	LogLevel         string        `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
+}
+
+// Bounds of settings.
+const (
+	maxSlots     = 10_000
+	maxSeeds     = 32
+	maxNameBytes = 128
+	minStopGrace = time.Second
+)
+
+// check returns one line for each bad setting, naming the flag and the remedy.
+func (s *Settings) check() []string {
+	var bad []string
+	add := func(flag, detail, remedy string) {
+		bad = append(bad, fault.New(fault.Invalid, "--"+flag, detail, remedy).Error())
+	}
+	for flag, v := range map[string]string{"id": s.ID, "service": s.Service, "availability-zone": s.AvailabilityZone, "region": s.Region} {
+		if !validName(v) {
+			add(flag, fmt.Sprintf("%q is not a name", v), "use 1 to 128 letters, digits, dots, dashes or underscores")
+		}
+	}
+	for flag, v := range map[string]string{"callers": s.Callers, "peers": s.Peers, "control": s.Control, "admin": s.Admin, "backend-server": s.BackendServer} {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			add(flag, fmt.Sprintf("%q is not an address", v), "give an IP number and a port, such as 10.0.0.7:8080")
+		}
+	}
+	if s.Slots < 1 || s.Slots > maxSlots {
+		add("slots", fmt.Sprintf("%d is out of range", s.Slots), fmt.Sprintf("give 1 to %d", maxSlots))
+	}
+	if !strings.HasPrefix(s.Platform, "http://") && !strings.HasPrefix(s.Platform, "https://") {
+		add("platform", fmt.Sprintf("%q is not an HTTP URL", s.Platform), "give a URL such as http://10.0.0.2:7000")
+	}
+	if s.PlatformCallRate <= 0 {
+		add("platform-call-rate", "the rate must be positive", "give a number such as 10")
+	}
+	if s.PlatformTimeout <= 0 {
+		add("platform-timeout", "the deadline must be positive", "give a duration such as 2s")
+	}
+	if len(s.Seeds) > maxSeeds {
+		add("seeds", fmt.Sprintf("%d seeds", len(s.Seeds)), fmt.Sprintf("give at most %d", maxSeeds))
+	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			add("seeds", fmt.Sprintf("%q is not an address", seed), "give control addresses as IP number and port")
+		}
+	}
+	if s.StopGrace < minStopGrace {
+		add("stop-grace", s.StopGrace.String()+" is too short to finish requests", "give at least 1s")
+	}
+	if _, err := network.Parse(s.PeerNetworks); err != nil {
+		add("peer-networks", err.Error(), "correct the list")
+	}
+	if _, err := network.Parse(s.OperatorNetworks); err != nil {
+		add("operator-networks", err.Error(), "correct the list")
+	}
+	return bad
+}
+
+func validName(v string) bool {
+	if v == "" || len(v) > maxNameBytes {
+		return false
+	}
+	return strings.IndexFunc(v, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("._-", r))
+	}) < 0
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,158 @@
+// Package forwarder is a TCP forwarder for tests and the demo that can cut, delay or silence the connections that go
+// through it.
+package forwarder
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what the forwarder does with connections and bytes.
+type Mode int
+
+// Modes of a forwarder.
+const (
+	// Pass forwards both directions.
+	Pass Mode = iota
+	// Cut closes open connections and refuses new ones.
+	Cut
+	// Silent keeps open connections, swallows their bytes for good, and forwards new connections.
+	Silent
+	// Blackhole accepts connections and swallows all bytes.
+	Blackhole
+)
+
+const bufferBytes = 32 << 10
+
+// Forwarder forwards connections from its own address to a target.
+type Forwarder struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  Mode
+	delay time.Duration
+	links map[*link]struct{}
+}
+
+// link is one forwarded connection.
+type link struct {
+	client, server net.Conn
+	silent         bool
+}
+
+// New listens on a free loopback port and forwards to target.
+func New(target string) (*Forwarder, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &Forwarder{listener: l, target: target, links: make(map[*link]struct{})}
+	go f.serve()
+	return f, nil
+}
+
+// Addr returns the address to connect to.
+func (f *Forwarder) Addr() string { return f.listener.Addr().String() }
+
+// Close stops listening and closes all connections.
+func (f *Forwarder) Close() {
+	_ = f.listener.Close()
+	f.Set(Cut)
+}
+
+// SetDelay holds back each chunk of bytes for d.
+func (f *Forwarder) SetDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
+// Set changes the mode for open and new connections.
+func (f *Forwarder) Set(m Mode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mode = m
+	for l := range f.links {
+		switch m {
+		case Cut:
+			l.close()
+		case Silent, Blackhole:
+			l.silent = true
+		}
+	}
+}
+
+func (l *link) close() {
+	_ = l.client.Close()
+	if l.server != nil {
+		_ = l.server.Close()
+	}
+}
+
+func (f *Forwarder) serve() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.open(c)
+	}
+}
+
+func (f *Forwarder) open(client net.Conn) {
+	f.mu.Lock()
+	mode := f.mode
+	f.mu.Unlock()
+	if mode == Cut {
+		_ = client.Close()
+		return
+	}
+	server, err := net.Dial("tcp", f.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	l := &link{client: client, server: server, silent: mode == Blackhole}
+	f.mu.Lock()
+	f.links[l] = struct{}{}
+	f.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); f.copy(l, server, client) }()
+	go func() { defer both.Done(); f.copy(l, client, server) }()
+	both.Wait()
+	f.mu.Lock()
+	delete(f.links, l)
+	f.mu.Unlock()
+}
+
+// copy forwards one direction. A silent link keeps reading, so that the sender sees its bytes accepted.
+func (f *Forwarder) copy(l *link, dst, src net.Conn) {
+	defer l.close()
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 && !f.forward(l, dst, buf[:n]) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (f *Forwarder) forward(l *link, dst net.Conn, chunk []byte) bool {
+	f.mu.Lock()
+	silent, delay := l.silent, f.delay
+	f.mu.Unlock()
+	if silent {
+		return true
+	}
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	_, err := dst.Write(chunk)
+	return err == nil
+}
