--- /dev/null
+++ b/cmd/platform-standin/main.go
@@ -0,0 +1,65 @@
+// Command platform-standin serves a stand-in for the platform's object API.
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+)
+
+type settings struct {
+	Listen           string        `help:"Address to listen on." default:"127.0.0.1:8001" env:"PLATFORM_STANDIN_LISTEN"`
+	BookmarkInterval time.Duration `help:"Time between bookmarks on a watch." default:"1s" env:"PLATFORM_STANDIN_BOOKMARK_INTERVAL"`
+}
+
+func main() {
+	var cli settings
+	kong.Parse(&cli, kong.Name("platform-standin"),
+		kong.Description("Stand-in for the platform's object API. Counts: GET /_standin/counts. Faults: POST /_standin/faults."))
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	if err := run(cli, &log); err != nil {
+		log.Error().Err(err).Msg("the stand-in cannot run")
+		os.Exit(1)
+	}
+}
+
+func run(cli settings, log *zerolog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if cli.BookmarkInterval <= 0 {
+		return errors.New("bookmark interval is not above 0; remedy: set a time such as 1s")
+	}
+	standin := platform.NewServer()
+	standin.SetBookmarkInterval(cli.BookmarkInterval)
+	listener, err := net.Listen("tcp", cli.Listen)
+	if err != nil {
+		return err
+	}
+	// Closing the base context ends open watches, so that the stop does not wait for them.
+	server := &http.Server{Handler: standin, ReadHeaderTimeout: 5 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return ctx }}
+	log.Info().Stringer("address", listener.Addr()).Msg("the platform stand-in listens")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		grace, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.Shutdown(grace)
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-stopped
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,232 @@
+// Package platform is a stand-in for the platform's object API: versioned objects, conditional updates, watches, call
+// counts and fault switches. Its paths and objects follow custom resources of Kubernetes.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	maxObjectBytes = 1 << 20
+	// DefaultBookmarkInterval is the time between bookmarks on a watch.
+	DefaultBookmarkInterval = time.Second
+	root                    = "/apis/monsoonlatch.dev/v1/"
+)
+
+// Server is the stand-in. Use NewServer; it is an http.Handler for httptest.NewServer or http.Server.
+type Server struct {
+	bookmarks time.Duration
+	mux       *http.ServeMux
+
+	mu     sync.Mutex
+	state  *state
+	saved  *state
+	stale  *state
+	faults Faults
+	counts Counts
+	// epoch rises with each Restore; watches of an older epoch expire.
+	epoch int
+	// changed is closed and replaced when watches must look again.
+	changed chan struct{}
+}
+
+// NewServer returns an empty platform.
+func NewServer() *Server {
+	s := &Server{bookmarks: DefaultBookmarkInterval, state: newState(), changed: make(chan struct{}), mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET "+root+"{kind}", s.collection)
+	s.mux.HandleFunc("POST "+root+"{kind}", s.create)
+	s.mux.HandleFunc("GET "+root+"{kind}/{name}", s.get)
+	s.mux.HandleFunc("PUT "+root+"{kind}/{name}", s.update)
+	s.mux.HandleFunc("DELETE "+root+"{kind}/{name}", s.remove)
+	s.mux.HandleFunc("GET /_standin/counts", s.showCounts)
+	s.mux.HandleFunc("GET /_standin/faults", s.showFaults)
+	s.mux.HandleFunc("POST /_standin/faults", s.switchFaults)
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		s.count(&s.counts.Other)
+		fail(w, &failure{http.StatusNotFound, "no such path"})
+	})
+	return s
+}
+
+// SetBookmarkInterval changes the time between bookmarks. Call it before the first request.
+func (s *Server) SetBookmarkInterval(d time.Duration) { s.bookmarks = d }
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) count(n *int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*n++
+}
+
+// readState returns the state that reads see. The caller holds the lock.
+func (s *Server) readState() *state {
+	if s.stale != nil {
+		return s.stale
+	}
+	return s.state
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.count(&s.counts.Get)
+	s.delay()
+	s.mu.Lock()
+	obj, ok := s.readState().objects[requestKey(r)]
+	s.mu.Unlock()
+	if !ok {
+		fail(w, &failure{http.StatusNotFound, "object " + r.PathValue("name") + " not found"})
+		return
+	}
+	answer(w, http.StatusOK, obj)
+}
+
+func (s *Server) collection(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("watch") == "true" {
+		s.watch(w, r)
+		return
+	}
+	s.count(&s.counts.List)
+	s.delay()
+	s.mu.Lock()
+	items := s.readState().list(r.PathValue("kind"))
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"apiVersion": "monsoonlatch.dev/v1", "kind": "List", "items": items})
+}
+
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	s.count(&s.counts.Create)
+	var obj object
+	if bad := readBody(w, r, &obj); bad != nil {
+		fail(w, bad)
+		return
+	}
+	if obj.Metadata.Name == "" {
+		fail(w, &failure{http.StatusUnprocessableEntity, "metadata.name is missing"})
+		return
+	}
+	k := key{r.PathValue("kind"), obj.Metadata.Name}
+	s.write(w, http.StatusCreated, func() (object, *failure) { return s.state.create(k, obj) })
+}
+
+func (s *Server) update(w http.ResponseWriter, r *http.Request) {
+	s.count(&s.counts.Update)
+	var obj object
+	if bad := readBody(w, r, &obj); bad != nil {
+		fail(w, bad)
+		return
+	}
+	k := requestKey(r)
+	if obj.Metadata.Name != k.name {
+		fail(w, &failure{http.StatusBadRequest, "metadata.name differs from the path"})
+		return
+	}
+	s.write(w, http.StatusOK, func() (object, *failure) { return s.state.update(k, obj) })
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.count(&s.counts.Delete)
+	var condition struct {
+		Preconditions struct {
+			ResourceVersion string `json:"resourceVersion"`
+		} `json:"preconditions"`
+	}
+	if bad := readBody(w, r, &condition); bad != nil {
+		fail(w, bad)
+		return
+	}
+	k := requestKey(r)
+	s.write(w, http.StatusOK, func() (object, *failure) { return s.state.remove(k, condition.Preconditions.ResourceVersion) })
+}
+
+// write runs one change under the lock and answers, unless the answer is to be lost.
+func (s *Server) write(w http.ResponseWriter, code int, change func() (object, *failure)) {
+	s.delay()
+	s.mu.Lock()
+	obj, bad := change()
+	lost := false
+	if bad == nil {
+		lost = s.losesAnswer()
+		s.wake()
+	}
+	s.mu.Unlock()
+	switch {
+	case bad != nil:
+		fail(w, bad)
+	case lost:
+		cut()
+	default:
+		answer(w, code, obj)
+	}
+}
+
+func requestKey(r *http.Request) key { return key{r.PathValue("kind"), r.PathValue("name")} }
+
+func readBody(w http.ResponseWriter, r *http.Request, out any) *failure {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &failure{http.StatusRequestEntityTooLarge, "the object is larger than 1 MiB"}
+	}
+	if err != nil {
+		return &failure{http.StatusBadRequest, err.Error()}
+	}
+	if len(data) == 0 && r.Method == http.MethodDelete {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &failure{http.StatusBadRequest, "the body is not an object: " + err.Error()}
+	}
+	return nil
+}
+
+func answer(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v) // The client has gone; there is no one to tell.
+}
+
+func fail(w http.ResponseWriter, f *failure) { answer(w, f.code, status(f)) }
+
+func status(f *failure) map[string]any {
+	return map[string]any{"apiVersion": "v1", "kind": "Status", "status": "Failure", "code": f.code, "message": f.message}
+}
+
+func (s *Server) showCounts(w http.ResponseWriter, _ *http.Request) {
+	c := s.Counts()
+	answer(w, http.StatusOK, struct {
+		Counts
+		Total int64 `json:"total"`
+	}{c, c.Total()})
+}
+
+func (s *Server) showFaults(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Faults())
+}
+
+// switchFaults replaces the fault switches; save and restore are done once.
+func (s *Server) switchFaults(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Faults
+		Save    bool `json:"save"`
+		Restore bool `json:"restore"`
+	}
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&body); err != nil {
+		fail(w, &failure{http.StatusBadRequest, err.Error()})
+		return
+	}
+	if body.Save {
+		s.Save()
+	}
+	if body.Restore {
+		s.Restore()
+	}
+	s.SetFaults(body.Faults)
+	answer(w, http.StatusOK, s.Faults())
+}
--- /dev/null
+++ b/internal/standin/platform/state.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+// historyLength is how many changes a watch can start behind; an older start is answered with 410.
+const historyLength = 4096
+
+type meta struct {
+	Name            string `json:"name,omitempty"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+type object struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       string          `json:"kind"`
+	Metadata   meta            `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+}
+
+// key is the plural kind and the name of an object.
+type key struct{ kind, name string }
+
+type change struct {
+	revision uint64
+	verb     string
+	key      key
+	object   object
+}
+
+// state is the objects and the recent changes. Its owner locks it.
+type state struct {
+	revision uint64
+	objects  map[key]object
+	history  []change
+}
+
+func newState() *state { return &state{objects: make(map[key]object)} }
+
+// clone copies the state. Objects are replaced as a whole, never changed in place.
+func (s *state) clone() *state {
+	return &state{revision: s.revision, objects: maps.Clone(s.objects), history: slices.Clone(s.history)}
+}
+
+// failure is an answer that is not a success.
+type failure struct {
+	code    int
+	message string
+}
+
+func (s *state) create(k key, obj object) (object, *failure) {
+	if _, ok := s.objects[k]; ok {
+		return object{}, &failure{http.StatusConflict, "object " + k.name + " already exists"}
+	}
+	return s.put("ADDED", k, obj), nil
+}
+
+func (s *state) update(k key, obj object) (object, *failure) {
+	old, ok := s.objects[k]
+	switch {
+	case obj.Metadata.ResourceVersion == "":
+		return object{}, &failure{http.StatusUnprocessableEntity, "metadata.resourceVersion must be given for an update"}
+	case !ok:
+		return object{}, &failure{http.StatusNotFound, "object " + k.name + " not found"}
+	case old.Metadata.ResourceVersion != obj.Metadata.ResourceVersion:
+		return object{}, &failure{http.StatusConflict, "object " + k.name + " has been modified"}
+	}
+	return s.put("MODIFIED", k, obj), nil
+}
+
+func (s *state) remove(k key, version string) (object, *failure) {
+	old, ok := s.objects[k]
+	if !ok {
+		return object{}, &failure{http.StatusNotFound, "object " + k.name + " not found"}
+	}
+	if version != "" && old.Metadata.ResourceVersion != version {
+		return object{}, &failure{http.StatusConflict, "the precondition on resourceVersion does not hold"}
+	}
+	delete(s.objects, k)
+	s.record("DELETED", k, old)
+	return old, nil
+}
+
+func (s *state) put(verb string, k key, obj object) object {
+	obj.Metadata = meta{Name: k.name, ResourceVersion: strconv.FormatUint(s.revision+1, 10)}
+	s.objects[k] = obj
+	s.record(verb, k, obj)
+	return obj
+}
+
+func (s *state) record(verb string, k key, obj object) {
+	s.revision++
+	s.history = append(s.history, change{s.revision, verb, k, obj})
+	if len(s.history) > 2*historyLength {
+		s.history = slices.Clone(s.history[historyLength:])
+	}
+}
+
+func (s *state) list(kind string) []object {
+	var out []object
+	for k, obj := range s.objects {
+		if k.kind == kind {
+			out = append(out, obj)
+		}
+	}
+	slices.SortFunc(out, func(a, b object) int {
+		if a.Metadata.Name < b.Metadata.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// since returns the changes after a revision, or false when they are no longer known or lie in the future.
+func (s *state) since(revision uint64) ([]change, bool) {
+	oldest := s.revision - uint64(len(s.history))
+	if revision < oldest || revision > s.revision {
+		return nil, false
+	}
+	return s.history[revision-oldest:], true
+}
--- /dev/null
+++ b/internal/standin/platform/watch.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// defaultWatchTimeout ends a watch whose client names no time.
+const defaultWatchTimeout = 5 * time.Minute
+
+// watcher is one open watch.
+type watcher struct {
+	s        *Server
+	w        http.ResponseWriter
+	kind     string
+	name     string
+	revision uint64
+	epoch    int
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	s.count(&s.counts.Watch)
+	s.delay()
+	q := r.URL.Query()
+	v := &watcher{s: s, w: w, kind: r.PathValue("kind"), name: strings.TrimPrefix(q.Get("fieldSelector"), "metadata.name=")}
+	timeout := defaultWatchTimeout
+	if n, err := strconv.Atoi(q.Get("timeoutSeconds")); err == nil && n > 0 {
+		timeout = time.Duration(n) * time.Second
+	}
+	initial, bad := v.start(q.Get("resourceVersion"))
+	if bad != nil {
+		fail(w, bad)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	v.flush()
+	for _, obj := range initial {
+		v.send("ADDED", obj)
+	}
+	v.run(r, timeout)
+}
+
+// start sets the revision at which the watch begins. Without a version it begins with the present objects.
+func (v *watcher) start(version string) ([]object, *failure) {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	st := v.s.state
+	v.epoch = v.s.epoch
+	if v.s.faults.ExpireWatches {
+		return nil, &failure{http.StatusGone, "the watch has expired"}
+	}
+	if version == "" || version == "0" {
+		v.revision = st.revision
+		var initial []object
+		for _, obj := range st.list(v.kind) {
+			if v.s.faults.SilentWatches {
+				break
+			}
+			if v.name == "" || obj.Metadata.Name == v.name {
+				initial = append(initial, obj)
+			}
+		}
+		return initial, nil
+	}
+	n, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return nil, &failure{http.StatusBadRequest, "resourceVersion is not a number"}
+	}
+	if _, ok := st.since(n); !ok {
+		return nil, &failure{http.StatusGone, "resourceVersion " + version + " is not available"}
+	}
+	v.revision = n
+	return nil, nil
+}
+
+func (v *watcher) run(r *http.Request, timeout time.Duration) {
+	end := time.NewTimer(timeout)
+	defer end.Stop()
+	bookmark := time.NewTicker(v.s.bookmarks)
+	defer bookmark.Stop()
+	for {
+		changed, silent, ok := v.step()
+		if !ok {
+			return
+		}
+		ended, ticks := end.C, bookmark.C
+		if silent {
+			ended, ticks = nil, nil
+		}
+		select {
+		case <-changed:
+		case <-ticks:
+			v.send("BOOKMARK", object{APIVersion: "monsoonlatch.dev/v1", Kind: v.kind,
+				Metadata: meta{ResourceVersion: strconv.FormatUint(v.revision, 10)}})
+		case <-ended:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// step sends what is new and returns the channel that tells of the next change, or false when the watch is over.
+func (v *watcher) step() (changed <-chan struct{}, silent, ok bool) {
+	v.s.mu.Lock()
+	f, st := v.s.faults, v.s.state
+	changed = v.s.changed
+	var news []change
+	known := v.epoch == v.s.epoch && !f.ExpireWatches
+	if known && !f.SilentWatches {
+		news, known = st.since(v.revision)
+		v.revision = st.revision
+	}
+	v.s.mu.Unlock()
+	switch {
+	case f.Down:
+		cut()
+	case f.SilentWatches:
+		return changed, true, true
+	case !known:
+		v.send("ERROR", status(&failure{http.StatusGone, "the watch has expired"}))
+		return changed, false, false
+	}
+	for _, c := range news {
+		if c.key.kind == v.kind && (v.name == "" || c.key.name == v.name) {
+			v.send(c.verb, c.object)
+		}
+	}
+	return changed, false, true
+}
+
+func (v *watcher) send(verb string, obj any) {
+	_ = json.NewEncoder(v.w).Encode(map[string]any{"type": verb, "object": obj}) // A lost client ends run.
+	v.flush()
+}
+
+func (v *watcher) flush() {
+	_ = http.NewResponseController(v.w).Flush()
+}
--- /dev/null
+++ b/pkg/config/apply.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"unicode/utf8"
+)
+
+// Apply returns the configuration with the note applied, or all errors of the note and of the result, joined. The
+// receiver is unchanged.
+func (c Configuration) Apply(note ReleaseNote) (Configuration, error) {
+	errs := note.check()
+	out := c.Clone()
+	errs = append(errs, applyKind("service", out.Services, note.Add.Services, note.Change.Services, note.Withdraw.Services,
+		func(s Service) (string, Service) { return s.Name, s.canonical() })...)
+	errs = append(errs, applyKind("policy", out.Policies, note.Add.Policies, note.Change.Policies, note.Withdraw.Policies,
+		func(p Policy) (string, Policy) { return p.Name, p })...)
+	errs = append(errs, applyKind("route", out.Routes, note.Add.Routes, note.Change.Routes, note.Withdraw.Routes,
+		func(r Route) (string, Route) { return r.Name, r.canonical() })...)
+	errs = append(errs, out.Check())
+	if err := errors.Join(errs...); err != nil {
+		return Configuration{}, err
+	}
+	return out, nil
+}
+
+func applyKind[V any](kind string, m map[string]V, add, change []V, withdraw []string, prepare func(V) (string, V)) []error {
+	var errs []error
+	touched := make(map[string]bool, len(add)+len(change)+len(withdraw))
+	once := func(name string) bool {
+		if touched[name] {
+			errs = append(errs, invalid(kind+" "+name, "occurs more than once in the note", "state one add, change or withdrawal for each name"))
+			return false
+		}
+		touched[name] = true
+		return true
+	}
+	for _, v := range add {
+		name, v := prepare(v)
+		if _, ok := m[name]; ok && !touched[name] {
+			errs = append(errs, invalid(kind+" "+name, "cannot be added: it exists", "list it under change, or choose another name"))
+		}
+		if once(name) {
+			m[name] = v
+		}
+	}
+	for _, v := range change {
+		name, v := prepare(v)
+		if _, ok := m[name]; !ok {
+			errs = append(errs, invalid(kind+" "+name, "cannot be changed: it does not exist", "list it under add, or correct the name"))
+		}
+		if once(name) {
+			m[name] = v
+		}
+	}
+	for _, name := range withdraw {
+		if _, ok := m[name]; !ok {
+			errs = append(errs, invalid(kind+" "+name, "cannot be withdrawn: it does not exist", "correct the name or remove the line"))
+		}
+		if once(name) {
+			delete(m, name)
+		}
+	}
+	return errs
+}
+
+// check covers what can be said of a note without a configuration.
+func (n ReleaseNote) check() []error {
+	var errs []error
+	demand := func(ok bool, detail, remedy string) {
+		if !ok {
+			errs = append(errs, invalid("release note", detail, remedy))
+		}
+	}
+	bad := checkName(n.ID)
+	demand(bad == "", "id: "+bad, "set an id such as 2026-12-04-sealing-fees")
+	demand(n.Author != "", "author is missing", "set author to who answers for the change")
+	text := len(n.Author) <= MaxSummaryBytes && len(n.Summary) <= MaxSummaryBytes
+	demand(text, fmt.Sprintf("author or summary has more than %d bytes", MaxSummaryBytes), "shorten it")
+	demand(utf8.ValidString(n.Author) && utf8.ValidString(n.Summary), "author or summary is not UTF-8", "save the file as UTF-8")
+	demand(!n.Touched().Empty(), "changes nothing", "list at least one item under add, change or withdraw")
+	return errs
+}
+
+// Touched returns the names of all items that the note adds, changes or withdraws, in order.
+func (n ReleaseNote) Touched() Names {
+	t := Names{Services: n.Withdraw.Services, Policies: n.Withdraw.Policies, Routes: n.Withdraw.Routes}.clone()
+	for _, items := range []Items{n.Add, n.Change} {
+		for _, s := range items.Services {
+			t.Services = append(t.Services, s.Name)
+		}
+		for _, p := range items.Policies {
+			t.Policies = append(t.Policies, p.Name)
+		}
+		for _, r := range items.Routes {
+			t.Routes = append(t.Routes, r.Name)
+		}
+	}
+	return t.clone()
+}
+
+// clone returns a sorted copy.
+func (n Names) clone() Names {
+	return Names{Services: sorted(n.Services), Policies: sorted(n.Policies), Routes: sorted(n.Routes)}
+}
+
+// Empty reports whether no name is listed.
+func (n Names) Empty() bool { return len(n.Services)+len(n.Policies)+len(n.Routes) == 0 }
+
+// Overlap returns the names that both lists hold.
+func (n Names) Overlap(o Names) Names {
+	return Names{
+		Services: intersection(n.Services, o.Services),
+		Policies: intersection(n.Policies, o.Policies),
+		Routes:   intersection(n.Routes, o.Routes),
+	}
+}
+
+func intersection(a, b []string) []string {
+	in := make(map[string]bool, len(a))
+	for _, s := range a {
+		in[s] = true
+	}
+	var out []string
+	for _, s := range b {
+		if in[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -2,22 +2,170 @@
 
 import (
 	"errors"
-
-	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
 )
 
-// Check returns all errors of the configuration, joined.
+// shareTolerance absorbs rounding when shares such as 0.7, 0.2 and 0.1 are added up.
+const shareTolerance = 1e-9
+
+// Check returns all errors of the configuration, joined, in the order of names. Each is a fault.Error of kind Invalid
+// whose Op names the item, such as "route lookup".
 func (c Configuration) Check() error {
 	var errs []error
-	for _, r := range c.Routes {
+	errs = append(errs, c.checkCounts()...)
+	errs = append(errs, c.checkServices()...)
+	errs = append(errs, c.checkPolicies()...)
+	errs = append(errs, c.checkRoutes()...)
+	errs = append(errs, c.checkOverlaps()...)
+	return errors.Join(errs...)
+}
+
+func (c Configuration) checkCounts() []error {
+	var errs []error
+	count := func(what string, have, limit int) {
+		if have > limit {
+			errs = append(errs, invalid("configuration", fmt.Sprintf("has %d %s, more than %d", have, what, limit),
+				"withdraw "+what+" that are no longer used, or merge some"))
+		}
+	}
+	count("services", len(c.Services), MaxServices)
+	count("policies", len(c.Policies), MaxPolicies)
+	count("routes", len(c.Routes), MaxRoutes)
+	return errs
+}
+
+func checkKey(kind, key, name string) []error {
+	if key != name {
+		return []error{invalid(kind+" "+key, fmt.Sprintf("is stored under the name %q", name), "give both the same name")}
+	}
+	if bad := checkName(name); bad != "" {
+		return []error{invalid(kind+" "+name, bad,
+			"use letters, digits, '.', '-' and '_', with a letter or digit at both ends")}
+	}
+	return nil
+}
+
+func (c Configuration) checkServices() []error {
+	var errs []error
+	for _, key := range slices.Sorted(maps.Keys(c.Services)) {
+		s := c.Services[key]
+		errs = append(errs, checkKey("service", key, s.Name)...)
+		for i, from := range s.CallableFrom {
+			if _, ok := c.Services[from]; !ok {
+				errs = append(errs, invalid("service "+key, fmt.Sprintf("callableFrom names service %q, which does not exist", from),
+					"add the service in the same note or remove it from callableFrom"))
+			}
+			if slices.Contains(s.CallableFrom[:i], from) {
+				errs = append(errs, invalid("service "+key, "callableFrom names "+from+" twice", "remove one of them"))
+			}
+		}
+	}
+	return errs
+}
+
+func (c Configuration) checkPolicies() []error {
+	var errs []error
+	var shares [MaxRank + 1]float64
+	for _, key := range slices.Sorted(maps.Keys(c.Policies)) {
+		p := c.Policies[key]
+		errs = append(errs, checkKey("policy", key, p.Name)...)
+		errs = append(errs, p.check()...)
+		if p.Rank >= 0 && p.Rank <= MaxRank {
+			shares[p.Rank] = max(shares[p.Rank], p.GuaranteedShare)
+		}
+	}
+	var sum float64
+	for _, s := range shares {
+		sum += s
+	}
+	if sum > 1+shareTolerance {
+		errs = append(errs, invalid("configuration", fmt.Sprintf("the guaranteed shares of the ranks add up to %.3g, more than 1", sum),
+			"lower guaranteedShare in some policies; policies of one rank count once, with their largest share"))
+	}
+	return errs
+}
+
+func (p Policy) check() []error {
+	var errs []error
+	demand := func(ok bool, remedy, format string, args ...any) {
+		if !ok {
+			errs = append(errs, invalid("policy "+p.Name, fmt.Sprintf(format, args...), remedy))
+		}
+	}
+	demand(p.Rank >= 0 && p.Rank <= MaxRank, "use 0 for the most urgent work up to 7 for the least", "rank %d is not from 0 to %d", p.Rank, MaxRank)
+	demand(p.Deadline > 0 && p.Deadline <= MaxDeadline, "set a deadline such as 2s", "deadline %s is not above 0 and at most %s", p.Deadline.Std(), MaxDeadline.Std())
+	demand(p.Target > 0 && p.Target <= p.Deadline, "set a target such as 250ms that is not above the deadline", "target %s is not above 0 and at most the deadline %s", p.Target.Std(), p.Deadline.Std())
+	demand(p.Worth >= 0 && p.Worth <= MaxWorth, "set a worth such as 10", "worth %d is not from 0 to %d", p.Worth, MaxWorth)
+	demand(!math.IsNaN(p.GuaranteedShare) && p.GuaranteedShare >= 0 && p.GuaranteedShare <= 1, "set a share such as 0.2", "guaranteedShare %v is not from 0 to 1", p.GuaranteedShare)
+	demand(p.MaxRetries >= 0 && p.MaxRetries <= MaxMaxRetries, "set a number such as 1", "maxRetries %d is not from 0 to %d", p.MaxRetries, MaxMaxRetries)
+	// A record that is dropped before the deadline of its request would let a resend run the work again.
+	demand(p.IdempotencyWindow == 0 || p.IdempotencyWindow >= p.Deadline && p.IdempotencyWindow <= MaxIdempotencyWindow,
+		"set a window such as 10m, or leave it out for the default",
+		"idempotencyWindow %s is not from the deadline to %s", p.IdempotencyWindow.Std(), MaxIdempotencyWindow.Std())
+	return errs
+}
+
+func (c Configuration) checkRoutes() []error {
+	var errs []error
+	for _, key := range slices.Sorted(maps.Keys(c.Routes)) {
+		r := c.Routes[key]
+		errs = append(errs, checkKey("route", key, r.Name)...)
 		if _, ok := c.Services[r.Service]; !ok {
-			errs = append(errs, fault.New(fault.Invalid, "route "+r.Name, "service "+r.Service+" does not exist",
+			errs = append(errs, invalid("route "+key, fmt.Sprintf("service %q does not exist", r.Service),
 				"add the service in the same note or name an existing one"))
 		}
 		if _, ok := c.Policies[r.Policy]; !ok {
-			errs = append(errs, fault.New(fault.Invalid, "route "+r.Name, "policy "+r.Policy+" does not exist",
+			errs = append(errs, invalid("route "+key, fmt.Sprintf("policy %q does not exist", r.Policy),
 				"add the policy in the same note or name an existing one"))
 		}
+		if bad := checkPrefix(r.PathPrefix); bad != "" {
+			errs = append(errs, invalid("route "+key, bad, "write an absolute path such as /deposits"))
+		}
+		errs = append(errs, r.checkMethods()...)
 	}
-	return errors.Join(errs...)
+	return errs
+}
+
+// knownMethods are the methods of RFC 9110 and RFC 5789 that are forwarded; CONNECT and TRACE are not.
+var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+func (r Route) checkMethods() []error {
+	var errs []error
+	for i, m := range r.Methods {
+		if !slices.Contains(knownMethods, m) {
+			errs = append(errs, invalid("route "+r.Name, fmt.Sprintf("method %q is not known", m), "use one of "+strings.Join(knownMethods, ", ")))
+		}
+		if slices.Contains(r.Methods[:i], m) {
+			errs = append(errs, invalid("route "+r.Name, "method "+m+" is listed twice", "remove one of them"))
+		}
+	}
+	return errs
+}
+
+// checkOverlaps finds routes that take the same method at the same prefix; a route without methods takes all.
+func (c Configuration) checkOverlaps() []error {
+	type slot struct{ prefix, method string }
+	var errs []error
+	taken := make(map[slot]string, len(c.Routes))
+	for _, key := range slices.Sorted(maps.Keys(c.Routes)) {
+		r := c.Routes[key]
+		methods := r.Methods
+		if len(methods) == 0 {
+			methods = knownMethods
+		}
+		for _, m := range methods {
+			s := slot{r.PathPrefix, m}
+			if other, ok := taken[s]; ok && other != key {
+				errs = append(errs, invalid("route "+key, fmt.Sprintf("takes %s %s as route %s does", m, r.PathPrefix, other),
+					"change the prefix or the methods of one of them, or withdraw one"))
+				break
+			}
+			taken[s] = key
+		}
+	}
+	return errs
 }
--- /dev/null
+++ b/pkg/config/config_test.go
@@ -0,0 +1,143 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+const sample = `id: first
+author: ops
+summary: first routes
+add:
+  services:
+    - name: lookup
+  policies:
+    - {name: urgent, rank: 0, target: 250ms, deadline: 2s, worth: 10, guaranteedShare: 0.5, maxRetries: 1}
+  routes:
+    - name: search
+      pathPrefix: /capsules
+      methods: [POST, GET]
+      service: lookup
+      policy: urgent
+      idempotent: true
+`
+
+func sampleHead(t testing.TB) Head {
+	t.Helper()
+	note, err := ParseNote([]byte(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := NewHead()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h, err = h.Accept(note); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// Guards against files with typing errors being read as if the wrong field were absent, and against faults without a
+// line or remedy.
+func TestParseNamesLineAndRemedy(t *testing.T) {
+	for name, c := range map[string]struct {
+		edit func(string) string
+		line int
+	}{
+		"unknown field":  {func(s string) string { return strings.Replace(s, "idempotent:", "idempotnet:", 1) }, 15},
+		"repeated field": {func(s string) string { return strings.Replace(s, "author: ops", "author: ops\nauthor: me", 1) }, 3},
+		"bad duration":   {func(s string) string { return strings.Replace(s, "250ms", "250", 1) }, 8},
+		"bad type":       {func(s string) string { return strings.Replace(s, "rank: 0", "rank: first", 1) }, 8},
+		"alias": {func(s string) string {
+			return strings.Replace(s, "policy: urgent", "policy: &a urgent\n      extra: *a", 1)
+		}, 15},
+		"bad syntax": {func(s string) string { return strings.Replace(s, "add:", "add: [", 1) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseNote([]byte(c.edit(sample)))
+			if !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "remedy: ") {
+				t.Fatalf("got %v", err)
+			}
+			var line *LineError
+			if !errors.As(err, &line) || c.line != 0 && line.Line != c.line {
+				t.Fatalf("want line %d, got %v", c.line, err)
+			}
+		})
+	}
+	for _, data := range []string{"", sample + "---\n" + sample, "[]", "null", strings.Repeat("x", MaxNoteBytes+1)} {
+		note, err := ParseNote([]byte(data))
+		if err == nil {
+			_, err = Configuration{}.Apply(note)
+		}
+		if !fault.Is(err, fault.Invalid) {
+			t.Errorf("%.20q: got %v", data, err)
+		}
+	}
+}
+
+// Guards against a note that fails being applied in part, and against faults that name no line.
+func TestApplyRefusesAsAWhole(t *testing.T) {
+	h := sampleHead(t)
+	before := h.Hash
+	doc, err := ParseDocument([]byte(`id: second
+author: ops
+add:
+  services: [{name: office}]
+  routes:
+    - {name: search, pathPrefix: /other, service: office, policy: urgent}
+    - {name: twin, pathPrefix: /other, methods: [GET], service: office, policy: none}
+change:
+  policies:
+    - {name: urgent, rank: 9, target: 3s, deadline: 2s, guaranteedShare: 1.5, maxRetries: 99, worth: -1}
+withdraw:
+  services: [lookup, ghost]
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = h.Configuration.Apply(doc.Note)
+	text := fmt.Sprint(doc.Locate(err))
+	for _, want := range []string{
+		"line 6: route search: cannot be added: it exists", "line 7: route twin: takes GET /other as route search does",
+		"line 7: route twin: policy \"none\" does not exist", "line 10: policy urgent: rank 9", "line 10: policy urgent: target 3s",
+		"guaranteedShare 1.5", "maxRetries 99", "worth -1", "line 12: service ghost: cannot be withdrawn",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("lacks %q in:\n%s", want, strings.ReplaceAll(text, "; remedy", "\n  remedy"))
+		}
+	}
+	if after, _ := h.Configuration.Hash(); after != before {
+		t.Error("the input changed")
+	}
+}
+
+// Guards against a hash that depends on the order in which sets are written, and deltas that do not reproduce it.
+func TestDeltaGivesHashOfTarget(t *testing.T) {
+	a := sampleHead(t)
+	b, err := a.Accept(ReleaseNote{ID: "second", Author: "ops",
+		Add:      Items{Services: []Service{{Name: "office"}}, Routes: []Route{{Name: "lodge", PathPrefix: "/deposits", Service: "office", Policy: "urgent"}}},
+		Change:   Items{Routes: []Route{{Name: "search", PathPrefix: "/capsules", Methods: []string{"GET"}, Service: "office", Policy: "urgent"}}},
+		Withdraw: Names{Services: []string{"lookup"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := NewDelta(a.Version, a.Configuration, b.Version, b.Hash, b.Configuration)
+	got, err := d.Apply(a.Configuration)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if hash, _ := got.Hash(); hash != b.Hash {
+		t.Errorf("hash %s, want %s", hash, b.Hash)
+	}
+	if _, err := d.Apply(Configuration{}); err == nil {
+		t.Error("a delta to another base was accepted")
+	}
+	if a.Hash == b.Hash || b.Version != 2 || len(b.Notes) != 2 {
+		t.Errorf("head %+v", b)
+	}
+}
--- /dev/null
+++ b/pkg/config/delta.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// NewDelta returns what turns configuration a of version from into b of version to, whose hash is toHash.
+func NewDelta(from Version, a Configuration, to Version, toHash string, b Configuration) Delta {
+	d := Delta{From: from, To: to, ToHash: toHash}
+	d.Upsert.Services, d.Withdraw.Services = diff(a.Services, b.Services, Service.Equal)
+	d.Upsert.Policies, d.Withdraw.Policies = diff(a.Policies, b.Policies, func(x, y Policy) bool { return x == y })
+	d.Upsert.Routes, d.Withdraw.Routes = diff(a.Routes, b.Routes, Route.Equal)
+	return d
+}
+
+func diff[V any](a, b map[string]V, equal func(V, V) bool) (upsert []V, withdraw []string) {
+	for _, name := range slices.Sorted(maps.Keys(b)) {
+		if old, ok := a[name]; !ok || !equal(old, b[name]) {
+			upsert = append(upsert, b[name])
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(a)) {
+		if _, ok := b[name]; !ok {
+			withdraw = append(withdraw, name)
+		}
+	}
+	return upsert, withdraw
+}
+
+// Apply returns the configuration of version d.To. The result is refused with Stale unless its hash is d.ToHash; the
+// receiver of the delta then needs the whole configuration. The input is unchanged.
+func (d Delta) Apply(c Configuration) (Configuration, error) {
+	out := c.Clone()
+	merge(out.Services, d.Upsert.Services, d.Withdraw.Services, func(s Service) string { return s.Name })
+	merge(out.Policies, d.Upsert.Policies, d.Withdraw.Policies, func(p Policy) string { return p.Name })
+	merge(out.Routes, d.Upsert.Routes, d.Withdraw.Routes, func(r Route) string { return r.Name })
+	hash, err := out.Hash()
+	if err != nil {
+		return Configuration{}, err
+	}
+	if hash != d.ToHash {
+		return Configuration{}, fault.New(fault.Stale, fmt.Sprintf("delta from version %d to %d", d.From, d.To),
+			fmt.Sprintf("the result has hash %s, want %s", shortHash(hash), shortHash(d.ToHash)), "ask for the whole configuration")
+	}
+	return out, nil
+}
+
+func merge[V any](m map[string]V, upsert []V, withdraw []string, name func(V) string) {
+	for _, n := range withdraw {
+		delete(m, n)
+	}
+	for _, v := range upsert {
+		m[name(v)] = v
+	}
+}
--- a/pkg/config/duration.go
+++ b/pkg/config/duration.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"go.yaml.in/yaml/v3"
 )
 
 // Std returns d as a time.Duration.
@@ -22,3 +24,12 @@
 	*d = Duration(v)
 	return nil
 }
+
+// UnmarshalYAML reads a string such as "250ms". Its error carries the line, which the YAML library leaves out for
+// UnmarshalText.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	if err := d.UnmarshalText([]byte(node.Value)); err != nil {
+		return &yaml.TypeError{Errors: []string{fmt.Sprintf("line %d: %v", node.Line, err)}}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/config/hash.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// Hash returns the SHA-256 of the canonical JSON in hexadecimal. Canonical JSON has its map keys in order; a missing
+// and an empty map or list are the same, and lists that are sets are in order.
+func (c Configuration) Hash() (string, error) {
+	return digest("hash configuration", c.canonical())
+}
+
+// Digest returns the SHA-256 of the note's JSON in hexadecimal.
+func (n ReleaseNote) Digest() (string, error) {
+	return digest("digest of release note "+n.ID, n)
+}
+
+func digest(op string, v any) (string, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return "", fault.Wrap(fault.Invalid, op, err, "correct the value that cannot be written as JSON")
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+func (c Configuration) canonical() Configuration {
+	out := c.Clone()
+	for name, s := range out.Services {
+		if !slices.IsSorted(s.CallableFrom) {
+			out.Services[name] = s.canonical()
+		}
+	}
+	for name, r := range out.Routes {
+		if !slices.IsSorted(r.Methods) {
+			out.Routes[name] = r.canonical()
+		}
+	}
+	return out
+}
+
+func (s Service) canonical() Service {
+	s.CallableFrom = sorted(s.CallableFrom)
+	return s
+}
+
+func (r Route) canonical() Route {
+	r.Methods = sorted(r.Methods)
+	return r
+}
+
+// sorted returns a sorted copy, or nil for an empty list, so that a list survives gob and JSON unchanged.
+func sorted(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.Sorted(slices.Values(list))
+}
+
+// Clone returns a copy with maps of its own. The lists inside items are shared; nothing changes them in place.
+func (c Configuration) Clone() Configuration {
+	return Configuration{Services: cloneMap(c.Services), Policies: cloneMap(c.Policies), Routes: cloneMap(c.Routes)}
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
+
+// Equal reports whether two services have the same content.
+func (s Service) Equal(o Service) bool {
+	return s.Name == o.Name && slices.Equal(sorted(s.CallableFrom), sorted(o.CallableFrom))
+}
+
+// Equal reports whether two routes have the same content.
+func (r Route) Equal(o Route) bool {
+	return r.Name == o.Name && r.PathPrefix == o.PathPrefix && r.Service == o.Service && r.Policy == o.Policy &&
+		r.Idempotent == o.Idempotent && slices.Equal(sorted(r.Methods), sorted(o.Methods))
+}
+
+// shortHash shortens a hash for messages.
+func shortHash(h string) string {
+	return fmt.Sprintf("%.12s", h)
+}
--- /dev/null
+++ b/pkg/config/head.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// MaxNoteRecords is how many accepted notes the head remembers.
+const MaxNoteRecords = 256
+
+// NewHead returns the head before the first release note: version 0 and an empty configuration.
+func NewHead() (Head, error) {
+	c := Configuration{}.Clone()
+	hash, err := c.Hash()
+	return Head{Hash: hash, Configuration: c}, err
+}
+
+// Accept returns the head that follows when note is applied. The receiver is unchanged.
+func (h Head) Accept(note ReleaseNote) (Head, error) {
+	c, err := h.Configuration.Apply(note)
+	if err != nil {
+		return Head{}, err
+	}
+	hash, err := c.Hash()
+	if err != nil {
+		return Head{}, err
+	}
+	noteDigest, err := note.Digest()
+	if err != nil {
+		return Head{}, err
+	}
+	next := Head{Version: h.Version + 1, Hash: hash, Configuration: c}
+	keep := h.Notes[max(0, len(h.Notes)+1-MaxNoteRecords):]
+	next.Notes = append(slices.Clone(keep), NoteRecord{
+		ID: note.ID, Digest: noteDigest, Version: next.Version, Author: note.Author, Summary: note.Summary, Touched: note.Touched(),
+	})
+	return next, nil
+}
+
+// Note returns the record of the note with the given id.
+func (h Head) Note(id string) (NoteRecord, bool) {
+	i := slices.IndexFunc(h.Notes, func(r NoteRecord) bool { return r.ID == id })
+	if i < 0 {
+		return NoteRecord{}, false
+	}
+	return h.Notes[i], true
+}
+
+// ParseHead reads the content of a head object and checks that its hash is that of its configuration.
+func ParseHead(data []byte) (Head, error) {
+	const remedy = "restore the head object from the last good state; nodes keep the configuration that they serve"
+	var h Head
+	if err := json.Unmarshal(data, &h); err != nil {
+		return Head{}, fault.Wrap(fault.Invalid, "read the head", err, remedy)
+	}
+	h.Configuration = h.Configuration.Clone()
+	hash, err := h.Configuration.Hash()
+	if err != nil {
+		return Head{}, err
+	}
+	if hash != h.Hash {
+		return Head{}, fault.New(fault.Invalid, "read the head",
+			fmt.Sprintf("the configuration of version %d has hash %s, the head states %s", h.Version, shortHash(hash), shortHash(h.Hash)), remedy)
+	}
+	return h, nil
+}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -17,55 +17,57 @@
 	Hash          string
 	Configuration Configuration
 
-	table []Match
+	// table holds the routes by exact prefix, so that a request costs one look-up per path segment however many
+	// routes there are.
+	table map[string][]Match
+	// longest is the length of the longest prefix; longer parts of a path are not looked up.
+	longest int
 }
 
-// newSnapshot builds the routing table of a configuration that has passed its check. Longer prefixes come first, so
-// that the first match is the most specific one.
+// newSnapshot builds the routing table of a configuration that has passed its check.
 func newSnapshot(version Version, hash string, c Configuration) *Snapshot {
-	s := &Snapshot{Version: version, Hash: hash, Configuration: c}
+	s := &Snapshot{Version: version, Hash: hash, Configuration: c, table: make(map[string][]Match, len(c.Routes))}
 	for _, r := range c.Routes {
-		s.table = append(s.table, Match{Route: r, Policy: c.Policies[r.Policy]})
+		s.table[r.PathPrefix] = append(s.table[r.PathPrefix], Match{Route: r, Policy: c.Policies[r.Policy]})
+		s.longest = max(s.longest, len(r.PathPrefix))
 	}
-	sort.Slice(s.table, func(i, j int) bool {
-		a, b := s.table[i].Route, s.table[j].Route
-		if len(a.PathPrefix) != len(b.PathPrefix) {
-			return len(a.PathPrefix) > len(b.PathPrefix)
-		}
-		return a.Name < b.Name
-	})
 	return s
 }
 
-// Match returns the most specific route that takes the method and path.
+// Match returns the most specific route that takes the method and path. Prefixes match whole path segments, so that
+// "/deposits" does not take "/deposits-old". It does not allocate. The caller must not change the result.
 func (s *Snapshot) Match(method, path string) (*Match, bool) {
-	for i := range s.table {
-		m := &s.table[i]
-		if matchesPath(m.Route.PathPrefix, path) && matchesMethod(m.Route.Methods, method) {
+	if len(path) <= s.longest {
+		if m := s.lookup(method, path); m != nil {
 			return m, true
 		}
 	}
-	return nil, false
-}
-
-// matchesPath compares whole path segments, so that "/deposits" does not take "/deposits-old".
-func matchesPath(prefix, path string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
+	// Other candidates end with a slash or before one.
+	for end := min(len(path), s.longest+1); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			break
+		}
+		if m := s.lookup(method, path[:slash+1]); m != nil {
+			return m, true
+		}
+		if m := s.lookup(method, path[:slash]); m != nil {
+			return m, true
+		}
+		end = slash
 	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+	return nil, false
 }
 
-func matchesMethod(methods []string, method string) bool {
-	if len(methods) == 0 {
-		return true
-	}
-	for _, m := range methods {
-		if m == method {
-			return true
+// lookup returns the match with exactly this prefix.
+func (s *Snapshot) lookup(method, prefix string) *Match {
+	matches := s.table[prefix]
+	for i := range matches {
+		if methods := matches[i].Route.Methods; len(methods) == 0 || slices.Contains(methods, method) {
+			return &matches[i]
 		}
 	}
-	return false
+	return nil
 }
 
 // Build checks a configuration and returns its snapshot.
--- /dev/null
+++ b/pkg/platform/http_test.go
@@ -0,0 +1,193 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+func start(t *testing.T, h http.Handler) *platform.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	client, err := platform.NewClient(platform.Settings{BaseURL: server.URL, CallTimeout: 5 * time.Second, WatchSilence: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func lease(name, spec string) platform.Object {
+	return platform.Object{Kind: platform.KindRelayLease, Name: name, Spec: json.RawMessage(spec)}
+}
+
+// Guards against an update that overwrites another writer's, and against errors of the wrong kind.
+func TestConditionalUpdates(t *testing.T) {
+	ctx, client := t.Context(), start(t, standin.NewServer())
+	first, err := client.Create(ctx, lease("a", `{"n":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Create(ctx, lease("a", `{"n":1}`)); !fault.Is(err, fault.Conflict) {
+		t.Errorf("second create: %v", err)
+	}
+	second := first
+	second.Spec = json.RawMessage(`{"n":2}`)
+	if second, err = client.Update(ctx, second); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Update(ctx, first); !fault.Is(err, fault.Conflict) {
+		t.Errorf("update of an older version: %v", err)
+	}
+	if got, err := client.Get(ctx, platform.KindRelayLease, "a"); err != nil || string(got.Spec) != `{"n":2}` || got.Version != second.Version {
+		t.Errorf("get: %+v %v", got, err)
+	}
+	if all, err := client.List(ctx, platform.KindRelayLease); err != nil || len(all) != 1 {
+		t.Errorf("list: %+v %v", all, err)
+	}
+	if err := client.Delete(ctx, platform.KindRelayLease, "a", first.Version); !fault.Is(err, fault.Conflict) {
+		t.Errorf("delete of an older version: %v", err)
+	}
+	if err := client.Delete(ctx, platform.KindRelayLease, "a", second.Version); err != nil {
+		t.Error(err)
+	}
+	if _, err := client.Get(ctx, platform.KindRelayLease, "a"); !fault.Is(err, fault.NotFound) {
+		t.Errorf("get after delete: %v", err)
+	}
+	if _, err := client.Create(ctx, lease("b", `"`+strings.Repeat("x", platform.MaxObjectBytes)+`"`)); !fault.Is(err, fault.Invalid) {
+		t.Errorf("oversized create: %v", err)
+	}
+}
+
+// Guards against net/http sending a write a second time by itself: after a redirect, or on a kept connection that dies.
+// The transport sends again only on a connection that was used before, so each write must have its own.
+func TestWritesAreSentOnce(t *testing.T) {
+	for name, fail := range map[string]http.HandlerFunc{
+		"cut": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"redirect": func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
+		},
+		"retry later": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "0")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var writes atomic.Int64
+			var connections sync.Map
+			working := standin.NewServer()
+			client := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, used := connections.Swap(r.RemoteAddr, true); used && r.Method != http.MethodGet {
+					t.Errorf("%s came on a connection that was used before", r.Method)
+				}
+				if r.Method == http.MethodGet {
+					working.ServeHTTP(w, r)
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				writes.Add(1)
+				fail(w, r)
+			}))
+			ctx := t.Context()
+			calls := []func() error{
+				func() error { _, err := client.Create(ctx, lease("a", `{}`)); return err },
+				func() error { o := lease("a", `{}`); o.Version = "1"; _, err := client.Update(ctx, o); return err },
+				func() error { return client.Delete(ctx, platform.KindRelayLease, "a", "1") },
+			}
+			for i, call := range calls {
+				// A read first leaves a kept connection behind, on which net/http would send again.
+				if _, err := client.List(ctx, platform.KindRelayLease); err != nil {
+					t.Fatal(err)
+				}
+				if err := call(); !fault.Is(err, fault.Unavailable) {
+					t.Errorf("call %d: %v", i, err)
+				}
+				if got := writes.Load(); got != int64(i+1) {
+					t.Fatalf("call %d: %d writes arrived, want %d", i, got, i+1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a watch that waits for good on a connection or platform that went silent, or after it expired.
+func TestWatchEnds(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{
+		"silent": {SilentWatches: true}, "expired": {ExpireWatches: true}, "down": {Down: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := standin.NewServer()
+			server.SetBookmarkInterval(20 * time.Millisecond)
+			ctx, client := t.Context(), start(t, server)
+			obj, err := client.Create(ctx, lease("a", `{"n":1}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			seen := make(chan platform.Object, 1)
+			done := make(chan error, 1)
+			go func() {
+				done <- client.Watch(ctx, obj.Kind, "a", obj.Version, func(o platform.Object) error { seen <- o; return nil })
+			}()
+			if _, err := client.Create(ctx, lease("other", `{}`)); err != nil {
+				t.Fatal(err)
+			}
+			obj.Spec = json.RawMessage(`{"n":2}`)
+			if obj, err = client.Update(ctx, obj); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-seen; got.Version != obj.Version || string(got.Spec) != `{"n":2}` {
+				t.Errorf("watched %+v", got)
+			}
+			server.SetFaults(faults)
+			if err := <-done; !fault.Is(err, fault.Unavailable) {
+				t.Errorf("got %v", err)
+			}
+			if got := server.Counts().Watch; got != 1 {
+				t.Errorf("%d watches counted", got)
+			}
+		})
+	}
+}
+
+// Guards against bookmarks that do not keep a quiet watch alive, and a watch that outlives its caller.
+func TestQuietWatchLivesUntilCallerEnds(t *testing.T) {
+	server := standin.NewServer()
+	server.SetBookmarkInterval(20 * time.Millisecond)
+	client := start(t, server)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(600*time.Millisecond, cancel)
+	err := client.Watch(ctx, platform.KindRelayLease, "a", "0", func(platform.Object) error { return nil })
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against calls beyond the budget, and against calls that are not counted.
+func TestLimit(t *testing.T) {
+	server, metrics := standin.NewServer(), metric.NewSet()
+	store := platform.Limit(start(t, server), 0, 2, metrics)
+	for i := range 4 {
+		_, err := store.Get(t.Context(), platform.KindRelayLease, "a")
+		if want := []fault.Kind{fault.NotFound, fault.NotFound, fault.Limited, fault.Limited}[i]; !fault.Is(err, want) {
+			t.Errorf("call %d: %v", i, err)
+		}
+	}
+	counted := metrics.Snapshot()
+	if counted["platform.calls.get"] != 2 || counted["platform.limited.get"] != 2 || server.Counts().Total() != 2 {
+		t.Errorf("counted %v and %+v", counted, server.Counts())
+	}
+}
