Add upstream exchanges, instance choice, retry budget, backend stand-in

The data path needs exchanges that are never resent by a library, and the other lanes need a backend server to run against.

pkg/upstream pools HTTP/1.1 connections by address and runs one exchange in the caller's goroutine with http.Request.Write and http.ReadResponse. Its result tells whether any byte of the request left the process. pkg/balance and pkg/retry are pure; both have their baseline as a setting. internal/standin/backend and cmd/backend-standin run, count and misbehave.

Ruled out: http.Transport, which resends keyed POSTs when a pooled connection dies. Picker.Pick returns the whole record and not only its id, since every caller needs the peer address next.

Before: no data path code.

--- /dev/null
+++ b/cmd/backend-standin/main.go
@@ -0,0 +1,82 @@
+// Command backend-standin is a backend server for tests and measurements. It binds to loopback by default.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
+)
+
+type settings struct {
+	Listen           string        `help:"Address to listen on." default:"127.0.0.1:0" env:"STANDIN_LISTEN"`
+	Service          string        `help:"Service that is announced." required:"" env:"STANDIN_SERVICE"`
+	Slots            int           `help:"Requests that run at the same time." default:"20" env:"STANDIN_SLOTS"`
+	ServiceTime      time.Duration `help:"Time of one run." default:"5ms" env:"STANDIN_SERVICE_TIME"`
+	ColdStart        time.Duration `help:"Time after the start in which runs are slower." env:"STANDIN_COLD_START"`
+	ColdFactor       int           `help:"How many times slower cold runs are." default:"5" env:"STANDIN_COLD_FACTOR"`
+	Shed             bool          `help:"Answer 503 with Ml-Not-Run when no slot is free." env:"STANDIN_SHED"`
+	MisleadingHealth bool          `help:"Report good health in every state." env:"STANDIN_MISLEADING_HEALTH"`
+	NodeAdmin        string        `help:"Admin address of the own node, for announcements." env:"STANDIN_NODE_ADMIN"`
+	NodeCallers      string        `help:"Callers address of the own node, for nested calls." env:"STANDIN_NODE_CALLERS"`
+	Grace            time.Duration `help:"Longest time of a graceful shutdown." default:"10s" env:"STANDIN_GRACE"`
+	DrainDelay       time.Duration `help:"Time to go on answering after the drain was announced." default:"1s" env:"STANDIN_DRAIN_DELAY"`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Description("Backend server for tests and measurements."))
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, "backend-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(s settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := backend.New(backend.Settings{
+		Service: s.Service, Address: ln.Addr().String(), Slots: s.Slots, ServiceTime: s.ServiceTime,
+		ColdStart: s.ColdStart, ColdFactor: s.ColdFactor, Shed: s.Shed, MisleadingHealth: s.MisleadingHealth,
+		NodeAdmin: s.NodeAdmin, NodeCallers: s.NodeCallers,
+	})
+	web := &http.Server{Handler: srv, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+	failed := make(chan error, 1)
+	go func() { failed <- web.Serve(ln) }()
+	announceCtx, endAnnounce := context.WithCancel(context.Background())
+	defer endAnnounce()
+	go srv.Announce(announceCtx)
+	fmt.Println("listening on", ln.Addr())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	return shutdown(s, srv, web)
+}
+
+// shutdown announces the drain, goes on answering while the news spreads, and ends when no request is left.
+func shutdown(s settings, srv *backend.Server, web *http.Server) error {
+	srv.Drain()
+	time.Sleep(s.DrainDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Grace)
+	defer cancel()
+	if err := web.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shutdown: %w", err)
+	}
+	_ = srv.Depart(ctx)
+	srv.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend/announce.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// announcement is the body of POST /v1/announce at the node's admin address.
+type announcement struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// Announce sends the server's state to its node, repeated as a heartbeat, until ctx ends. A failed heartbeat is sent
+// again at the next beat.
+func (s *Server) Announce(ctx context.Context) {
+	if s.set.NodeAdmin == "" {
+		return
+	}
+	tick := time.NewTicker(s.set.Heartbeat)
+	defer tick.Stop()
+	drained := s.drained
+	for {
+		_ = s.announceOnce(ctx)
+		select {
+		case <-tick.C:
+		case <-drained:
+			drained = nil
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Depart tells the node that the server is gone.
+func (s *Server) Depart(ctx context.Context) error {
+	s.departed.Store(true)
+	if s.set.NodeAdmin == "" {
+		return nil
+	}
+	return s.announceOnce(ctx)
+}
+
+func (s *Server) state() string {
+	switch {
+	case s.departed.Load():
+		return "departed"
+	case s.draining.Load():
+		return "draining"
+	}
+	return "ready"
+}
+
+func (s *Server) announceOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Heartbeat)
+	defer cancel()
+	body, err := json.Marshal(announcement{Service: s.set.Service, Address: s.set.Address, Slots: s.set.Slots, State: s.state()})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.set.NodeAdmin+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("announce: the node answered %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend/server.go
@@ -0,0 +1,231 @@
+package backend
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Server is the backend server.
+type Server struct {
+	set      Settings
+	started  time.Time
+	slots    chan struct{}
+	tally    tally
+	draining atomic.Bool
+	departed atomic.Bool
+	drained  chan struct{}
+	once     sync.Once
+	client   *http.Client
+	late     chan struct{}
+
+	mu      sync.Mutex
+	faults  []Fault
+	silent  []net.Conn
+	stopped bool
+}
+
+// New returns a backend server that takes requests at once.
+func New(s Settings) *Server {
+	s = s.withDefaults()
+	return &Server{
+		set: s, started: time.Now(), slots: make(chan struct{}, s.Slots),
+		tally:   tally{c: Counts{Runs: map[string]int{}, Keys: map[string]int{}}},
+		drained: make(chan struct{}),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Slots}},
+		late:    make(chan struct{}, 1024),
+	}
+}
+
+// Counts returns what the server has seen so far.
+func (s *Server) Counts() Counts { return s.tally.copy() }
+
+// InjectFaults makes the next requests without a fault of their own meet the given faults, one each.
+func (s *Server) InjectFaults(f ...Fault) {
+	s.mu.Lock()
+	s.faults = append(s.faults, f...)
+	s.mu.Unlock()
+}
+
+// ReleaseLate lets one request with FaultLate answer.
+func (s *Server) ReleaseLate() { s.late <- struct{}{} }
+
+// Close closes the connections that were left silent.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for _, c := range s.silent {
+		c.Close()
+	}
+	s.silent = nil
+	s.client.CloseIdleConnections()
+}
+
+// Draining is closed when the server has been asked to drain.
+func (s *Server) Draining() <-chan struct{} { return s.drained }
+
+// Drain announces from now on that the server takes no new work. It goes on answering.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.once.Do(func() { close(s.drained) })
+}
+
+// Idle reports whether no request is running.
+func (s *Server) Idle() bool { return len(s.slots) == 0 }
+
+// ServeHTTP runs a request or answers an operator's call under /_standin/.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/_standin/counts":
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s.Counts())
+	case "/_standin/health":
+		if s.draining.Load() && !s.set.MisleadingHealth {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	case "/_standin/drain":
+		s.Drain()
+		w.WriteHeader(http.StatusNoContent)
+	case "/_standin/fault":
+		s.setFault(w, r)
+	default:
+		s.serve(w, r)
+	}
+}
+
+func (s *Server) setFault(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.FormValue("count"))
+	if err != nil || n < 1 || n > 100_000 {
+		http.Error(w, "count must be a number from 1 to 100000", http.StatusBadRequest)
+		return
+	}
+	for range n {
+		s.InjectFaults(Fault(r.FormValue("kind")))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) nextFault(r *http.Request) Fault {
+	if f := r.Header.Get(HeaderFault); f != "" {
+		return Fault(f)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) == 0 {
+		return FaultNone
+	}
+	f := s.faults[0]
+	s.faults = s.faults[1:]
+	return f
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	fault := s.nextFault(r)
+	if fault == FaultSilentUnread {
+		s.keepSilent(w)
+		return
+	}
+	if fault == FaultShed || !s.slot(r) {
+		s.tally.add(&s.tally.c.Shed)
+		w.Header().Set("Ml-Not-Run", "1")
+		s.echo(w, r)
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.tally.start(r.Header)
+	defer s.tally.end()
+	if !s.work(r) {
+		s.tally.add(&s.tally.c.Cancelled)
+		return
+	}
+	answer, status := s.nested(r, body)
+	s.answer(w, r, fault, status, answer)
+}
+
+// slot takes a slot; it reports false where the server sheds the request or the caller goes away first.
+func (s *Server) slot(r *http.Request) bool {
+	if s.set.Shed {
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		default:
+			return false
+		}
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// work spends the service time; it reports false if the caller cancelled.
+func (s *Server) work(r *http.Request) bool {
+	d := s.set.ServiceTime
+	if v, err := time.ParseDuration(r.Header.Get(HeaderWork)); err == nil {
+		d = v
+	}
+	if s.set.ColdStart > 0 && time.Since(s.started) < s.set.ColdStart {
+		d *= time.Duration(s.set.ColdFactor)
+	}
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// nested makes the next call of a chain through the own node, or returns the body of the answer.
+func (s *Server) nested(r *http.Request, body []byte) ([]byte, int) {
+	status := headerInt(r.Header, HeaderStatus, http.StatusOK)
+	depth := headerInt(r.Header, HeaderDepth, 0)
+	if depth == 0 || s.set.NodeCallers == "" {
+		if n := headerInt(r.Header, HeaderBytes, -1); n >= 0 {
+			return bytes.Repeat([]byte("x"), n), status
+		}
+		return fmt.Appendf(nil, "ran %s %s %s", r.Method, r.URL.Path, r.Header.Get("Ml-Request-Id")), status
+	}
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+s.set.NodeCallers+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return []byte(err.Error()), http.StatusInternalServerError
+	}
+	for _, h := range []string{"Ml-Call", HeaderWork, HeaderFault, HeaderBytes, HeaderStatus} {
+		if v := r.Header.Get(h); v != "" {
+			req.Header.Set(h, v)
+		}
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		req.Header.Set("Idempotency-Key", key+"/nested")
+	}
+	req.Header.Set(HeaderDepth, strconv.Itoa(depth-1))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return []byte(err.Error()), http.StatusBadGateway
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return []byte(err.Error()), http.StatusBadGateway
+	}
+	return answer, resp.StatusCode
+}
--- /dev/null
+++ b/pkg/balance/instance.go
@@ -0,0 +1,104 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// instance is what the ingress knows about one instance.
+type instance struct {
+	rec        membership.Instance
+	readySince time.Time
+	inFlight   int
+	// reported is the load of the last answer, reportedAt its time and reportedOwn the requests in flight from here
+	// at that time.
+	reported    Load
+	reportedAt  time.Time
+	reportedOwn int
+	latency     time.Duration
+
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+func (in *instance) update(now time.Time, rec membership.Instance, slow bool) {
+	restarted := in.rec.Incarnation != 0 && rec.Incarnation != in.rec.Incarnation
+	if restarted {
+		in.failures, in.ejections, in.ejectedUntil = 0, 0, time.Time{}
+		in.reportedAt = time.Time{}
+	}
+	if rec.State == membership.StateReady && (in.rec.State != membership.StateReady || restarted) {
+		in.readySince = time.Time{}
+		if slow {
+			in.readySince = now
+		}
+	}
+	in.rec = rec
+}
+
+func (in *instance) ready(exclude []membership.InstanceID) bool {
+	return in.rec.State == membership.StateReady && !slices.Contains(exclude, in.rec.ID)
+}
+
+func (in *instance) usable(now time.Time, exclude []membership.InstanceID) bool {
+	return in.ready(exclude) && !in.ejectedUntil.After(now)
+}
+
+// warmth rises from minWarmth to 1 during the slow start.
+func (in *instance) warmth(now time.Time, slowStart time.Duration) float64 {
+	age := now.Sub(in.readySince)
+	if in.readySince.IsZero() || age >= slowStart {
+		return 1
+	}
+	return max(minWarmth, float64(age)/float64(slowStart))
+}
+
+// score is the load after one more request, as a fraction of the capacity.
+func (in *instance) score(now time.Time, slowStart time.Duration) float64 {
+	load, capacity := in.inFlight, in.rec.Slots
+	if now.Sub(in.reportedAt) < loadAge {
+		load = max(load, in.reported.InUse+in.reported.Queued+in.inFlight-in.reportedOwn)
+		if in.reported.Limit > 0 {
+			capacity = in.reported.Limit
+		}
+	}
+	return float64(load+1) / (float64(max(1, capacity)) * in.warmth(now, slowStart))
+}
+
+func (in *instance) observe(now time.Time, o Observation) {
+	in.inFlight = max(0, in.inFlight-1)
+	if o.Load != nil {
+		in.reported, in.reportedAt, in.reportedOwn = *o.Load, now, in.inFlight
+	}
+	if o.Event != EventAnswered {
+		return
+	}
+	in.failures, in.ejections = 0, 0
+	if in.latency == 0 {
+		in.latency = o.Took
+	}
+	in.latency += (o.Took - in.latency) / 8
+}
+
+// suspect counts failures in a row and reports whether they are enough for an ejection.
+func (in *instance) suspect(e Event, limit int) bool {
+	switch e {
+	case EventFailed:
+		in.failures++
+	case EventUnreachable:
+		in.failures = max(limit, in.failures+1)
+	default:
+		return false
+	}
+	return in.failures >= limit
+}
+
+func (in *instance) eject(now time.Time, length time.Duration) {
+	in.ejectedUntil = now.Add(min(MaxEjection, length<<min(in.ejections, 8)))
+	in.ejections++
+	in.failures = 0
+	in.readySince = in.ejectedUntil
+}
--- /dev/null
+++ b/pkg/upstream/exchange.go
@@ -0,0 +1,226 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+)
+
+// HeaderRequestID identifies a request between nodes and is echoed in its answer.
+const HeaderRequestID = "Ml-Request-Id"
+
+// maxInformational bounds the 1xx answers before the final one.
+const maxInformational = 8
+
+// longAgo unblocks reads and writes in progress when it is set as a deadline.
+var longAgo = time.Unix(1, 0)
+
+// Exchange is one request. Its Request must carry a Host and a body of known length.
+type Exchange struct {
+	Request *http.Request
+	// RequestID is compared with the answer's.
+	RequestID string
+	// RequireEcho refuses an answer without a request id: peer nodes always echo it, backend servers may.
+	RequireEcho bool
+	// Idempotent work may use a connection that has been idle for longer.
+	Idempotent bool
+	// Deadline is when the exchange fails; zero means that only the context bounds it.
+	Deadline time.Time
+}
+
+// Do sends the request to addr and reads its answer. Cancelling ctx closes the connection.
+func (p *Pool) Do(ctx context.Context, addr string, ex *Exchange) Result {
+	if err := ctx.Err(); err != nil {
+		return failed(FailCancelled, 0, err)
+	}
+	now := p.set.Clock.Now()
+	if !ex.Deadline.IsZero() && !now.Before(ex.Deadline) {
+		return failed(FailDeadline, 0, os.ErrDeadlineExceeded)
+	}
+	c, res := p.connect(ctx, addr, ex, now)
+	if c == nil {
+		return res
+	}
+	c.attach()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+	res = c.run(ctx, ex)
+	if res.Answer != nil && res.Answer.Rest != nil {
+		res.Answer.Rest.(*rest).stop = stop
+		return res
+	}
+	if cancelled := !stop(); cancelled || res.Answer == nil || wantsClose(res.Answer.Header) {
+		c.host.drop(c)
+		return res
+	}
+	c.host.put(c, p.set.Clock.Now())
+	return res
+}
+
+func (p *Pool) connect(ctx context.Context, addr string, ex *Exchange, now time.Time) (*conn, Result) {
+	h, max := p.host(addr)
+	c := h.take(now, ex.Idempotent)
+	if c == nil {
+		var err error
+		if c, err = h.dial(ctx, max); err != nil {
+			return nil, failed(connectFailure(ctx, err), 0, err)
+		}
+	}
+	if err := c.SetDeadline(ex.Deadline); err != nil {
+		h.drop(c)
+		return nil, failed(FailConnect, 0, err)
+	}
+	return c, Result{}
+}
+
+func connectFailure(ctx context.Context, err error) Failure {
+	switch {
+	case errors.Is(err, errTooMany):
+		return FailConnections
+	case ctx.Err() != nil:
+		return FailCancelled
+	}
+	return FailConnect
+}
+
+func wantsClose(h http.Header) bool { return h.Get("Connection") == "close" }
+
+// run writes the request and reads the answer.
+func (c *conn) run(ctx context.Context, ex *Exchange) Result {
+	if err := ex.Request.Write(c.bw); err != nil {
+		return failed(c.classify(ctx, err, c.writeFailure(err)), c.sent, err)
+	}
+	if err := c.bw.Flush(); err != nil {
+		return failed(c.classify(ctx, err, FailWrite), c.sent, err)
+	}
+	resp, err := c.readHead(ex.Request)
+	if err != nil {
+		return failed(c.classify(ctx, err, FailMalformed), c.sent, err)
+	}
+	if err := verifyHead(resp, ex); err != nil {
+		f := FailCut
+		if errors.Is(err, ErrMismatch) {
+			f = FailMismatch
+		}
+		return failed(f, c.sent, err)
+	}
+	return c.readBody(ctx, resp, ex)
+}
+
+// writeFailure tells a request that cannot be encoded from a connection that failed.
+func (c *conn) writeFailure(err error) Failure {
+	var ne *net.OpError
+	if errors.As(err, &ne) {
+		return FailWrite
+	}
+	return FailRequest
+}
+
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	for range maxInformational {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, errors.New("unexpected informational answer")
+}
+
+// verifyHead checks that the answer belongs to the request and that its end can be recognised.
+func verifyHead(resp *http.Response, ex *Exchange) error {
+	id := resp.Header.Get(HeaderRequestID)
+	if id != ex.RequestID && (id != "" || ex.RequireEcho) {
+		return ErrMismatch
+	}
+	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
+		return ErrNoEnd
+	}
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
+	return nil
+}
+
+func (c *conn) readBody(ctx context.Context, resp *http.Response, ex *Exchange) Result {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	limit := c.host.pool.set.MaxWhole
+	body, whole, err := readUpTo(resp, limit)
+	if err != nil {
+		return failed(c.classify(ctx, err, FailCut), c.sent, err)
+	}
+	a.Body = body
+	if !whole {
+		a.Rest = &rest{Reader: resp.Body, conn: c, ctx: ctx, close: wantsClose(resp.Header)}
+	}
+	return Result{Outcome: idempotency.OutcomeAnswered, Answer: a}
+}
+
+// readUpTo reads at most limit bytes and reports whether they are the whole body.
+func readUpTo(resp *http.Response, limit int) ([]byte, bool, error) {
+	if resp.Body == http.NoBody || resp.ContentLength == 0 {
+		return nil, true, nil
+	}
+	if n := resp.ContentLength; n > 0 && n <= int64(limit) {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, true, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	return body, len(body) <= limit, err
+}
+
+// classify finds the cause of an I/O error: the context, the deadline, the end of the stream, or other.
+func (c *conn) classify(ctx context.Context, err error, other Failure) Failure {
+	var ne *net.OpError
+	switch {
+	case ctx.Err() != nil:
+		return FailCancelled
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return FailDeadline
+	case other == FailWrite || other == FailRequest:
+		return other
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+		return FailCut
+	}
+	return other
+}
+
+// rest streams the part of an answer beyond Settings.MaxWhole. It returns io.EOF only at the verified end.
+type rest struct {
+	io.Reader
+	conn  *conn
+	ctx   context.Context
+	stop  func() bool
+	close bool
+	ended bool
+}
+
+func (r *rest) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.ended = r.ended || err == io.EOF
+	return n, err
+}
+
+// Close keeps the connection if the answer was read to its end, and drops it otherwise.
+func (r *rest) Close() error {
+	if r.conn == nil {
+		return nil
+	}
+	c := r.conn
+	r.conn = nil
+	if cancelled := !r.stop(); cancelled || !r.ended || r.close {
+		c.host.drop(c)
+		return nil
+	}
+	c.host.put(c, c.host.pool.set.Clock.Now())
+	return nil
+}
--- /dev/null
+++ b/pkg/upstream/pool.go
@@ -0,0 +1,241 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+)
+
+// Defaults of Settings.
+const (
+	// DefaultLiveness bounds how long ago a connection must have answered to carry non-idempotent work: connections can
+	// go silent for good, and such work cannot be sent again on another one.
+	DefaultLiveness = time.Second
+	// DefaultIdle is shorter than the idle timeout of the servers, so that the client side closes first.
+	DefaultIdle        = 30 * time.Second
+	DefaultDialTimeout = time.Second
+	DefaultMaxWhole    = 64 << 10
+	// DefaultMaxIdle bounds idle connections to one address.
+	DefaultMaxIdle = 64
+)
+
+// Settings of a Pool. Zero values stand for the defaults.
+type Settings struct {
+	Liveness    time.Duration
+	Idle        time.Duration
+	DialTimeout time.Duration
+	// MaxWhole is the size up to which an answer is read whole before it is returned.
+	MaxWhole int
+	MaxIdle  int
+	// MaxOpen bounds the connections to one address; 0 means no bound.
+	MaxOpen int
+	Clock   clock.Clock
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+func (s Settings) withDefaults() Settings {
+	s.Liveness = orDefault(s.Liveness, DefaultLiveness)
+	s.Idle = orDefault(s.Idle, DefaultIdle)
+	s.DialTimeout = orDefault(s.DialTimeout, DefaultDialTimeout)
+	s.MaxWhole = orDefault(s.MaxWhole, DefaultMaxWhole)
+	s.MaxIdle = orDefault(s.MaxIdle, DefaultMaxIdle)
+	if s.Clock == nil {
+		s.Clock = clock.System{}
+	}
+	if s.Dial == nil {
+		var d net.Dialer
+		s.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+	}
+	return s
+}
+
+// Pool keeps connections by address.
+type Pool struct {
+	set     Settings
+	mu      sync.RWMutex
+	hosts   map[string]*host
+	maxOpen int
+}
+
+// host is the connections to one address. Idle connections are ordered by the time of their last answer.
+type host struct {
+	pool *Pool
+	addr string
+	mu   sync.Mutex
+	idle []*conn
+	open int
+}
+
+// NewPool returns an empty pool.
+func NewPool(s Settings) *Pool {
+	s = s.withDefaults()
+	return &Pool{set: s, hosts: make(map[string]*host), maxOpen: s.MaxOpen}
+}
+
+// SetMaxOpen changes the bound on connections to one address; it closes none that is in use.
+func (p *Pool) SetMaxOpen(n int) {
+	p.mu.Lock()
+	p.maxOpen = n
+	p.mu.Unlock()
+}
+
+// Run closes connections that have been idle for too long, until ctx ends; then it closes all idle ones.
+func (p *Pool) Run(ctx context.Context) {
+	tick := time.NewTicker(p.set.Idle / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.Sweep(p.set.Clock.Now())
+		case <-ctx.Done():
+			p.CloseIdle()
+			return
+		}
+	}
+}
+
+// Sweep closes connections that have been idle for longer than Settings.Idle.
+func (p *Pool) Sweep(now time.Time) { p.closeBefore(now.Add(-p.set.Idle)) }
+
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() { p.closeBefore(p.set.Clock.Now().Add(p.set.Idle)) }
+
+func (p *Pool) closeBefore(limit time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, h := range p.hosts {
+		if h.closeBefore(limit) {
+			delete(p.hosts, addr)
+		}
+	}
+}
+
+// closeBefore reports whether the host has no connection left.
+func (h *host) closeBefore(limit time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for n < len(h.idle) && h.idle[n].answeredAt.Before(limit) {
+		h.idle[n].Close()
+		n++
+	}
+	h.idle = append(h.idle[:0], h.idle[n:]...)
+	h.open -= n
+	return h.open == 0
+}
+
+func (p *Pool) host(addr string) (*host, int) {
+	p.mu.RLock()
+	h, max := p.hosts[addr], p.maxOpen
+	p.mu.RUnlock()
+	if h != nil {
+		return h, max
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h = p.hosts[addr]; h == nil {
+		h = &host{pool: p, addr: addr}
+		p.hosts[addr] = h
+	}
+	return h, p.maxOpen
+}
+
+// take returns a pooled connection that may carry the work, or nil. Non-idempotent work needs one that answered within
+// Settings.Liveness.
+func (h *host) take(now time.Time, idempotent bool) *conn {
+	for {
+		c := h.pop(now, idempotent)
+		if c == nil || c.usable() {
+			return c
+		}
+		h.drop(c)
+	}
+}
+
+func (h *host) pop(now time.Time, idempotent bool) *conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.idle) - 1
+	if n < 0 {
+		return nil
+	}
+	c := h.idle[n]
+	age := now.Sub(c.answeredAt)
+	if age > h.pool.set.Idle || (!idempotent && age > h.pool.set.Liveness) {
+		return nil
+	}
+	h.idle[n] = nil
+	h.idle = h.idle[:n]
+	return c
+}
+
+// dial opens a connection. Where the bound is reached, the connection that has been idle longest makes room.
+func (h *host) dial(ctx context.Context, max int) (*conn, error) {
+	if !h.reserve(max) {
+		return nil, errTooMany
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.pool.set.DialTimeout)
+	defer cancel()
+	nc, err := h.pool.set.Dial(ctx, h.addr)
+	if err != nil {
+		h.mu.Lock()
+		h.open--
+		h.mu.Unlock()
+		return nil, err
+	}
+	return newConn(nc, h), nil
+}
+
+func (h *host) reserve(max int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if max > 0 && h.open >= max {
+		if len(h.idle) == 0 {
+			return false
+		}
+		h.idle[0].Close()
+		h.idle = append(h.idle[:0], h.idle[1:]...)
+		h.open--
+	}
+	h.open++
+	return true
+}
+
+// drop closes a connection for good.
+func (h *host) drop(c *conn) {
+	c.detach()
+	c.Close()
+	h.mu.Lock()
+	h.open--
+	h.mu.Unlock()
+}
+
+// put keeps a connection whose last answer was whole.
+func (h *host) put(c *conn, now time.Time) {
+	if c.br.Buffered() > 0 {
+		h.drop(c)
+		return
+	}
+	c.detach()
+	c.answeredAt = now
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.idle) >= h.pool.set.MaxIdle {
+		c.Close()
+		h.open--
+		return
+	}
+	h.idle = append(h.idle, c)
+}
