--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,297 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// waiting is work in a rank's queue.
+type waiting struct {
+	ticket Ticket
+	work   Work
+}
+
+// Queue gives slots by rank: a rank that waits and has used less than its guaranteed share goes first, the most
+// urgent of them before the others; then the most urgent waiting rank. Work that can no longer finish in time is
+// refused before it takes a slot.
+type Queue struct {
+	settings  Settings
+	limit     slotLimit
+	estimates estimates
+	accounts  [Ranks]account
+	queues    [Ranks][]waiting
+	queued    int
+	inUse     int
+	lastID    Ticket
+	notices   []Notice
+}
+
+var _ Discipline = (*Queue)(nil)
+
+// New returns an empty queue.
+func New(s Settings) *Queue {
+	if s.HeadroomRanks <= 0 {
+		s.HeadroomRanks = DefaultHeadroomRanks
+	}
+	if !(s.QueueFactor > 0) {
+		s.QueueFactor = DefaultQueueFactor
+	}
+	q := &Queue{settings: s, limit: newSlotLimit(s.Slots, s.ColdSlots, s.Warm)}
+	q.estimates = estimates{deviations: max(s.Deviations, 0), policies: make(map[string]*average)}
+	q.SetShares(time.Time{}, s.Shares)
+	return q
+}
+
+// Offer asks for a slot.
+func (q *Queue) Offer(now time.Time, w Work) Decision {
+	w.Rank = clampRank(w.Rank)
+	switch {
+	case q.limit.announced == 0:
+		return q.refuse(metric.RefusedNotReady)
+	case q.estimates.tooSlow(now, w):
+		return q.refuse(metric.RefusedDeadline)
+	case len(q.queues[w.Rank]) == 0 && q.mayStart(w.Rank):
+		// Other ranks that wait here could not use the slot: every call that frees one hands it out at once.
+		q.start(now, w.Rank)
+		return Decision{Verdict: Run}
+	case q.tooLate(now, w):
+		return q.refuse(metric.RefusedDeadline)
+	}
+	displaced, ok := q.makeRoom(w.Rank)
+	if !ok {
+		return q.refuse(metric.RefusedQueueFull)
+	}
+	q.lastID++
+	q.queues[w.Rank] = append(q.queues[w.Rank], waiting{q.lastID, w})
+	q.queued++
+	return Decision{Verdict: Wait, Ticket: q.lastID, Displaced: displaced}
+}
+
+// Done returns the slot of work that ran and hands it on.
+func (q *Queue) Done(now time.Time, w Work, r Result) []Notice {
+	w.Rank = clampRank(w.Rank)
+	q.notices = q.notices[:0]
+	a := q.account(now, w.Rank)
+	if a.inUse == 0 {
+		return nil
+	}
+	q.limit.observe(r, q.inUse)
+	a.inUse--
+	q.inUse--
+	if r.Served {
+		q.estimates.add(w, r.Took)
+	}
+	q.dispatch(now)
+	return q.notices
+}
+
+// Cancel removes waiting work.
+func (q *Queue) Cancel(_ time.Time, t Ticket) bool {
+	for r := range q.queues {
+		for i, e := range q.queues[r] {
+			if e.ticket == t {
+				q.remove(r, i)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Expire refuses all waiting work that can no longer finish in time.
+func (q *Queue) Expire(now time.Time) []Notice {
+	q.notices = q.notices[:0]
+	for r := range q.queues {
+		for i := 0; i < len(q.queues[r]); {
+			if e := q.queues[r][i]; q.expired(now, e.work) {
+				q.remove(r, i)
+				q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline)})
+				continue
+			}
+			i++
+		}
+	}
+	return q.notices
+}
+
+// LatestStart returns the last instant at which w can start and is expected to finish in time.
+func (q *Queue) LatestStart(w Work) time.Time {
+	if w.Deadline.IsZero() {
+		return w.Deadline
+	}
+	w.Rank = clampRank(w.Rank)
+	return w.Deadline.Add(-q.estimates.service(w))
+}
+
+// SetSlots changes the announced slots. With none, all waiting work is refused.
+func (q *Queue) SetSlots(now time.Time, n int) []Notice {
+	q.notices = q.notices[:0]
+	q.limit.announce(n)
+	if q.limit.announced == 0 {
+		q.refuseAll(metric.RefusedNotReady)
+	}
+	q.dispatch(now)
+	return q.notices
+}
+
+// SetShares changes the guaranteed shares. Values outside 0 to 1 are clamped, and a sum over 1 is scaled down.
+func (q *Queue) SetShares(now time.Time, shares map[int]float64) {
+	for r, s := range cleanShares(shares) {
+		q.account(now, r).share = s
+	}
+}
+
+// Load returns the use of the slots.
+func (q *Queue) Load() Load { return Load{q.inUse, q.limit.slots(), q.queued} }
+
+func (q *Queue) account(now time.Time, rank int) *account {
+	a := &q.accounts[rank]
+	a.advance(now, q.limit.limit, q.estimates.ranks[rank].mean)
+	return a
+}
+
+func (q *Queue) start(now time.Time, rank int) {
+	q.account(now, rank).inUse++
+	q.inUse++
+}
+
+// mayStart reports whether a slot is free for the rank. Ranks below the top ones leave the headroom alone.
+func (q *Queue) mayStart(rank int) bool {
+	limit := q.limit.slots()
+	if q.inUse >= limit {
+		return false
+	}
+	if rank < q.settings.HeadroomRanks || q.settings.Headroom <= 0 {
+		return true
+	}
+	lower := 0
+	for _, a := range q.accounts[q.settings.HeadroomRanks:] {
+		lower += a.inUse
+	}
+	return lower < max(limit-q.settings.Headroom, 1)
+}
+
+// dispatch hands free slots to waiting work.
+func (q *Queue) dispatch(now time.Time) {
+	for q.queued > 0 {
+		rank, ok := q.next(now)
+		if !ok {
+			return
+		}
+		e := q.remove(rank, 0)
+		if q.expired(now, e.work) {
+			q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline)})
+			continue
+		}
+		q.start(now, rank)
+		q.notices = append(q.notices, Notice{Ticket: e.ticket})
+	}
+}
+
+// next returns the rank that gets the next slot.
+func (q *Queue) next(now time.Time) (int, bool) {
+	best := -1
+	for r := range q.queues {
+		if len(q.queues[r]) == 0 || !q.mayStart(r) {
+			continue
+		}
+		if q.account(now, r).owed(q.limit.limit) {
+			return r, true
+		}
+		if best < 0 {
+			best = r
+		}
+	}
+	return best, best >= 0
+}
+
+func (q *Queue) remove(rank, i int) waiting {
+	list := q.queues[rank]
+	e := list[i]
+	copy(list[i:], list[i+1:])
+	list[len(list)-1] = waiting{}
+	q.queues[rank] = list[:len(list)-1]
+	q.queued--
+	return e
+}
+
+// capacity is the number of places for waiting work.
+func (q *Queue) capacity() int {
+	return int(math.Ceil(q.settings.QueueFactor * float64(q.limit.announced)))
+}
+
+// places is the part of the queue that a rank with a share keeps.
+func (q *Queue) places(rank int) int {
+	return int(math.Ceil(q.accounts[rank].share * float64(q.capacity())))
+}
+
+// makeRoom finds a place for work of the rank. In a full queue it takes the newest place of the least urgent rank that
+// holds more than its own places: any such rank for a newcomer that is entitled to a place, otherwise a less urgent one.
+func (q *Queue) makeRoom(rank int) (Ticket, bool) {
+	if q.queued < q.capacity() {
+		return 0, true
+	}
+	entitled := len(q.queues[rank]) < q.places(rank)
+	for r := Ranks - 1; r >= 0; r-- {
+		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= q.places(r) {
+			continue
+		}
+		return q.remove(r, len(q.queues[r])-1).ticket, true
+	}
+	return 0, false
+}
+
+// expired reports whether w cannot finish in time if it starts now.
+func (q *Queue) expired(now time.Time, w Work) bool {
+	return !w.Deadline.IsZero() && !now.Before(q.LatestStart(w))
+}
+
+// tooLate reports whether w cannot finish in time behind the work that waits before it.
+func (q *Queue) tooLate(now time.Time, w Work) bool {
+	return !w.Deadline.IsZero() && !now.Add(q.wait(w.Rank)).Before(q.LatestStart(w))
+}
+
+// wait estimates how long new work of the rank waits: behind all work of its and more urgent ranks on all slots, or
+// behind its own rank on its share, whichever is shorter. The estimate is low when more urgent work arrives later;
+// Expire refuses what it lets in wrongly, before that work takes a slot.
+func (q *Queue) wait(rank int) time.Duration {
+	limit := max(q.limit.limit, 1)
+	var ahead float64
+	for r := 0; r <= rank; r++ {
+		ahead += float64(len(q.queues[r])) * q.estimates.ranks[r].mean
+	}
+	wait := ahead / limit
+	if share := q.accounts[rank].share * limit; share > 0 {
+		own := float64(len(q.queues[rank])) * q.estimates.ranks[rank].mean / share
+		wait = min(wait, own)
+	}
+	return seconds(wait)
+}
+
+func (q *Queue) refuse(reason metric.Refusal) Decision {
+	return Decision{Verdict: Refuse, Refusal: q.refusal(reason)}
+}
+
+func (q *Queue) refusal(reason metric.Refusal) Refusal {
+	return Refusal{reason, retryAfter(q.wait(Ranks - 1))}
+}
+
+func (q *Queue) refuseAll(reason metric.Refusal) {
+	for r := range q.queues {
+		for len(q.queues[r]) > 0 {
+			q.notices = append(q.notices, Notice{q.remove(r, 0).ticket, Refusal{Reason: reason}})
+		}
+	}
+}
+
+// Bounds of Refusal.RetryAfter: shorter ones repeat the refusal, longer ones leave slots idle after a flood.
+const (
+	minRetryAfter = 10 * time.Millisecond
+	maxRetryAfter = time.Second
+)
+
+func retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/pkg/admission/slots.go
@@ -0,0 +1,51 @@
+package admission
+
+// slotLimit follows what the backend server can take, between one slot and the announced slots.
+type slotLimit struct {
+	announced int
+	cold      int
+	limit     float64
+}
+
+func newSlotLimit(announced, cold int, warm bool) slotLimit {
+	l := slotLimit{cold: max(cold, 0)}
+	l.announce(announced)
+	if warm {
+		l.limit = float64(l.announced)
+	}
+	return l
+}
+
+// announce sets the announced slots. An instance without slots before starts cold.
+func (l *slotLimit) announce(n int) {
+	before := l.announced
+	l.announced = clampSlots(n)
+	if before == 0 {
+		l.limit = float64(l.coldSlots())
+	}
+	l.limit = min(l.limit, float64(l.announced))
+}
+
+func (l *slotLimit) coldSlots() int {
+	if l.cold > 0 {
+		return min(l.cold, l.announced)
+	}
+	return max(l.announced/coldFraction, 1)
+}
+
+func (l *slotLimit) slots() int { return int(l.limit) }
+
+// observe lowers the limit below the work that was in flight when the backend server shed some of it. A success adds
+// a fraction of a slot, so that the limit rises by about one in each round of full use; successes at low use prove
+// nothing about more slots.
+func (l *slotLimit) observe(r Result, inUse int) {
+	if l.announced == 0 {
+		return
+	}
+	switch {
+	case r.Shed:
+		l.limit = max(1, min(l.limit-1, float64(inUse-1)))
+	case r.Served && 2*inUse >= l.slots():
+		l.limit = min(l.limit+1/max(l.limit, 1), float64(l.announced))
+	}
+}
--- /dev/null
+++ b/pkg/admission/types.go
@@ -0,0 +1,119 @@
+// Package admission decides which work a backend server runs next. Queue and FIFO are pure: they take a clock reading
+// with every call and do no I/O. Gate wraps one of them for use by many goroutines.
+package admission
+
+import (
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// Ranks is the number of ranks; rank 0 is the most urgent.
+const Ranks = config.MaxRank + 1
+
+// Work is one call that needs a slot. A zero Deadline means none.
+type Work struct {
+	Rank     int
+	Policy   string
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// Refusal tells why work got no slot. Refused work has not been run.
+type Refusal struct {
+	Reason     metric.Refusal
+	RetryAfter time.Duration
+}
+
+// Load is the use of the slots: in use, the current limit, and the work that waits.
+type Load struct{ InUse, Limit, Queued int }
+
+// Ticket names work that waits; zero names none.
+type Ticket uint64
+
+// Verdict is the answer to an offer.
+type Verdict uint8
+
+// Verdicts on offered work.
+const (
+	// Refuse: the work gets no slot; Decision.Refusal tells why.
+	Refuse Verdict = iota
+	// Run: the work holds a slot until Done.
+	Run
+	// Wait: a later Notice for Decision.Ticket tells whether the work runs.
+	Wait
+)
+
+// Decision is the answer to an offer. Displaced is waiting work that lost its place to the offered work.
+type Decision struct {
+	Verdict   Verdict
+	Ticket    Ticket
+	Refusal   Refusal
+	Displaced Ticket
+}
+
+// Notice is the end of a wait: a slot if Refusal.Reason is empty, otherwise a refusal.
+type Notice struct {
+	Ticket  Ticket
+	Refusal Refusal
+}
+
+// Granted reports whether the work got a slot.
+func (n Notice) Granted() bool { return n.Refusal.Reason == "" }
+
+// Result is the end of work that held a slot. Neither Served nor Shed means that the outcome says nothing about the
+// backend server's capacity, such as a slot that was given back unused.
+type Result struct {
+	Served bool
+	Shed   bool
+	Took   time.Duration
+}
+
+// Discipline orders work for slots. It is not safe for concurrent use. A returned slice is valid until the next call.
+type Discipline interface {
+	Offer(now time.Time, w Work) Decision
+	Done(now time.Time, w Work, r Result) []Notice
+	// Cancel removes waiting work and reports whether it was still waiting.
+	Cancel(now time.Time, t Ticket) bool
+	// Expire refuses waiting work that can no longer finish in time.
+	Expire(now time.Time) []Notice
+	// LatestStart returns when Expire refuses the work; zero if it never does.
+	LatestStart(w Work) time.Time
+	SetSlots(now time.Time, n int) []Notice
+	SetShares(now time.Time, shares map[int]float64)
+	Load() Load
+}
+
+// Settings tune a discipline. Zero values mean the defaults.
+type Settings struct {
+	// Slots is the number of slots that the backend server announced.
+	Slots int
+	// Warm starts with all slots instead of ColdSlots.
+	Warm bool
+	// ColdSlots is the limit of a cold instance.
+	ColdSlots int
+	// Shares is the guaranteed share of slot time by rank.
+	Shares map[int]float64
+	// Headroom is the number of slots that ranks from HeadroomRanks on never hold together.
+	Headroom int
+	// HeadroomRanks is the number of top ranks that may use the headroom.
+	HeadroomRanks int
+	// QueueFactor bounds the waiting work to this many times the announced slots.
+	QueueFactor float64
+	// Deviations is how many mean deviations the estimate of service time adds to its mean.
+	Deviations float64
+}
+
+// Defaults of Settings.
+const (
+	DefaultHeadroomRanks = 2
+	DefaultQueueFactor   = 2
+	// coldFraction of the announced slots is the limit of a cold instance.
+	coldFraction = 5
+	maxSlots     = 1 << 16
+)
+
+func clampRank(r int) int { return min(max(r, 0), Ranks-1) }
+
+func clampSlots(n int) int { return min(max(n, 0), maxSlots) }
