Add the load generator mlload

Cause: service by rank has to be measured from the caller's side, with arrivals that do not wait for answers and without resends that would hide or cause double runs.

Change: internal/load draws Poisson arrivals from a seeded profile, sends each request once over http.Transport, judges each answer from status, headers and the echoed request id, and reports by rank as a table or JSON. Traces are JSON Lines and can be replayed. cmd/mlload wraps it; it exits with 1 if a request was cut, crossed or doubled.

Ruled out: http.Client, which follows redirects. A body that http.Transport can rewind: the transport then resends a GET or a keyed POST by itself when a pooled connection dies; TestNeverResends covers keyed POST with and without a body, and GET. A request id in an Ml- header: nodes remove those from callers, so the id travels in the path and in X-Request-Id.

Before/after: no generator before.

--- /dev/null
+++ b/cmd/mlload/main.go
@@ -0,0 +1,162 @@
+// Command mlload sends open-loop load to the ingresses of a mesh and reports the service by rank. It exits with 1 if a
+// request was cut, crossed or doubled, and with 2 on bad usage.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"iter"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/load"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+type commands struct {
+	Run    runCommand    `cmd:"" help:"Send the load of a profile."`
+	Replay replayCommand `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
+}
+
+type output struct {
+	Target []string `help:"Ingress addresses (host:port); requests go to them in turn." required:"" env:"MLLOAD_TARGET"`
+	Counts []string `help:"Backend stand-in addresses to ask for doubled runs at the end." env:"MLLOAD_COUNTS"`
+	Trace  string   `help:"Write the requests and their ends to this file (JSON Lines)." type:"path"`
+	JSON   bool     `help:"Report as JSON." name:"json"`
+}
+
+type runCommand struct {
+	output
+	Profile string  `help:"Load profile (YAML)." required:"" type:"existingfile" env:"MLLOAD_PROFILE"`
+	Seed    *uint64 `help:"Seed in place of the profile's." env:"MLLOAD_SEED"`
+}
+
+type replayCommand struct {
+	output
+	File        string `arg:"" help:"Trace to send." type:"existingfile"`
+	MaxInFlight int    `help:"Requests in flight at the same time at most." default:"1024" env:"MLLOAD_MAX_IN_FLIGHT"`
+}
+
+// errBroken reports requests that were cut, crossed or doubled.
+var errBroken = errors.New("requests were cut, crossed or doubled; remedy: look for the request ids in the trace (--trace)")
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("mlload"), kong.Description("Open-loop load generator for monsoonlatch."),
+		kong.UsageOnError(), kong.Exit(func(code int) { os.Exit(exitCode(code)) }))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	k.BindTo(ctx, (*context.Context)(nil))
+	err := k.Run()
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "mlload:", err)
+	if fault.Is(err, fault.Invalid) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
+
+// exitCode maps kong's usage errors to 2.
+func exitCode(code int) int {
+	if code == 0 {
+		return 0
+	}
+	return 2
+}
+
+// Run sends the profile's load.
+func (c *runCommand) Run(ctx context.Context) error {
+	data, err := os.ReadFile(c.Profile)
+	if err != nil {
+		return fmt.Errorf("read profile: %w", err)
+	}
+	p, err := load.ParseProfile(data)
+	if err != nil {
+		return err
+	}
+	if c.Seed != nil {
+		p.Seed = *c.Seed
+	}
+	return c.send(ctx, p.Arrivals(), p.MaxInFlight, load.NewReport(p.Name, p.Seed))
+}
+
+// Run sends the trace's requests.
+func (c *replayCommand) Run(ctx context.Context) error {
+	if c.MaxInFlight < 1 || c.MaxInFlight > load.MaxInFlight {
+		return fault.New(fault.Invalid, "max-in-flight", "out of range", fmt.Sprintf("use 1 to %d", load.MaxInFlight))
+	}
+	f, err := os.Open(c.File)
+	if err != nil {
+		return fmt.Errorf("open trace: %w", err)
+	}
+	defer f.Close()
+	records, err := load.ReadTrace(f)
+	if err != nil {
+		return err
+	}
+	return c.send(ctx, slices.Values(records), c.MaxInFlight, load.NewReport(c.File, 0))
+}
+
+func (o *output) send(ctx context.Context, arrivals iter.Seq[load.Record], inFlight int, report *load.Report) error {
+	run := "m" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	var ended []load.Record
+	load.Run(ctx, arrivals, load.Options{Targets: o.Target, MaxInFlight: inFlight, Run: run, Done: func(r load.Record) {
+		report.Add(r)
+		if o.Trace != "" {
+			ended = append(ended, r)
+		}
+	}})
+	report.Finish()
+	if len(o.Counts) > 0 {
+		doubled, err := load.Doubled(ctx, o.Counts, run)
+		if err != nil {
+			return err
+		}
+		report.Doubled = doubled
+	}
+	if err := o.writeTrace(ended); err != nil {
+		return err
+	}
+	if err := o.write(report); err != nil {
+		return err
+	}
+	if report.Broken() > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func (o *output) writeTrace(ended []load.Record) error {
+	if o.Trace == "" {
+		return nil
+	}
+	slices.SortStableFunc(ended, func(a, b load.Record) int { return int(a.AtUs - b.AtUs) })
+	f, err := os.Create(o.Trace)
+	if err != nil {
+		return fmt.Errorf("create trace: %w", err)
+	}
+	if err := load.WriteTrace(f, ended); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func (o *output) write(report *load.Report) error {
+	if !o.JSON {
+		return report.WriteTable(os.Stdout)
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(report)
+}
--- /dev/null
+++ b/internal/load/doubled.go
@@ -0,0 +1,55 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Doubled asks backend stand-ins for their run counts and returns how many keys of the run were run more than once,
+// on one of them or on several.
+func Doubled(ctx context.Context, addresses []string, run string) (int, error) {
+	runs := make(map[string]int)
+	for _, address := range addresses {
+		keys, err := fetchKeys(ctx, address)
+		if err != nil {
+			return 0, err
+		}
+		for key, n := range keys {
+			if strings.HasPrefix(key, run+"-") {
+				runs[key] += n
+			}
+		}
+	}
+	doubled := 0
+	for _, n := range runs {
+		if n > 1 {
+			doubled++
+		}
+	}
+	return doubled, nil
+}
+
+func fetchKeys(ctx context.Context, address string) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/_standin/counts", nil)
+	if err != nil {
+		return nil, fmt.Errorf("counts of %s: %w", address, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("counts of %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	var counts struct {
+		Keys map[string]int `json:"keys"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		return nil, fmt.Errorf("counts of %s: %w", address, err)
+	}
+	return counts.Keys, nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histograms, in microseconds, with three significant digits.
+const (
+	histogramMax    = 120_000_000
+	histogramDigits = 3
+)
+
+// Row is the service of one rank.
+type Row struct {
+	Rank    int             `json:"rank"`
+	Classes []string        `json:"classes"`
+	Offered int             `json:"offered"`
+	Ends    map[Outcome]int `json:"ends"`
+	// InTarget and Late split the answered requests.
+	InTarget int `json:"inTarget"`
+	Late     int `json:"late"`
+	// InTargetPart is the part of the offered requests that was answered correctly in target.
+	InTargetPart float64        `json:"inTargetPart"`
+	Reasons      map[string]int `json:"reasons,omitempty"`
+	// Worth is the worth of the requests answered in target; WorthOffered of all.
+	Worth        int `json:"worth"`
+	WorthOffered int `json:"worthOffered"`
+	// Latency of answered requests, in microseconds.
+	P50Us  int64 `json:"p50Us"`
+	P99Us  int64 `json:"p99Us"`
+	P999Us int64 `json:"p999Us"`
+	MaxUs  int64 `json:"maxUs"`
+
+	histogram *hdrhistogram.Histogram
+	classes   map[string]bool
+}
+
+// Report is the service of a run by rank.
+type Report struct {
+	Name  string `json:"name,omitempty"`
+	Seed  uint64 `json:"seed"`
+	Ranks []*Row `json:"ranks"`
+	// Doubled is the number of keys that backend servers ran more than once; -1 if it was not asked for.
+	Doubled int `json:"doubled"`
+}
+
+// NewReport returns an empty report.
+func NewReport(name string, seed uint64) *Report { return &Report{Name: name, Seed: seed, Doubled: -1} }
+
+// Add counts one ended request.
+func (p *Report) Add(r Record) {
+	row := p.row(r.Rank)
+	row.classes[r.Class] = true
+	row.Offered++
+	row.WorthOffered += r.Worth
+	row.Ends[r.Outcome]++
+	if r.Reason != "" {
+		row.Reasons[r.Reason]++
+	}
+	if r.Outcome != Answered {
+		return
+	}
+	_ = row.histogram.RecordValue(min(r.LatencyUs, histogramMax))
+	if r.LatencyUs > r.TargetUs {
+		row.Late++
+		return
+	}
+	row.InTarget++
+	row.Worth += r.Worth
+}
+
+func (p *Report) row(rank int) *Row {
+	for _, row := range p.Ranks {
+		if row.Rank == rank {
+			return row
+		}
+	}
+	row := &Row{Rank: rank, Ends: map[Outcome]int{}, Reasons: map[string]int{}, classes: map[string]bool{},
+		histogram: hdrhistogram.New(1, histogramMax, histogramDigits)}
+	p.Ranks = append(p.Ranks, row)
+	sort.Slice(p.Ranks, func(i, j int) bool { return p.Ranks[i].Rank < p.Ranks[j].Rank })
+	return row
+}
+
+// Finish computes the derived figures.
+func (p *Report) Finish() {
+	for _, row := range p.Ranks {
+		row.Classes = row.Classes[:0]
+		for c := range row.classes {
+			row.Classes = append(row.Classes, c)
+		}
+		sort.Strings(row.Classes)
+		row.InTargetPart = float64(row.InTarget) / float64(max(row.Offered, 1))
+		h := row.histogram
+		row.P50Us, row.P99Us = h.ValueAtQuantile(50), h.ValueAtQuantile(99)
+		row.P999Us, row.MaxUs = h.ValueAtQuantile(99.9), h.Max()
+	}
+}
+
+// Broken returns the number of requests that were cut, crossed or doubled.
+func (p *Report) Broken() int {
+	n := max(p.Doubled, 0)
+	for _, row := range p.Ranks {
+		n += row.Ends[Cut] + row.Ends[Crossed]
+	}
+	return n
+}
+
+// WriteTable writes the report as a table.
+func (p *Report) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "RANK\tCLASSES\tOFFERED\tIN TARGET\tPART\tLATE\tFAILED\tREFUSED\tUNKNOWN\tUNREACHABLE\tLOST\tCUT\tCROSSED\tDROPPED\tWORTH\tP50\tP99\tP99.9\tMAX")
+	for _, r := range p.Ranks {
+		e := r.Ends
+		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d/%d\t%s\t%s\t%s\t%s\n", r.Rank,
+			strings.Join(r.Classes, ","), r.Offered, r.InTarget, r.InTargetPart, r.Late, e[Failed], e[Refused], e[Unknown],
+			e[Unreachable], e[Lost], e[Cut], e[Crossed], e[Dropped], r.Worth, r.WorthOffered,
+			micros(r.P50Us), micros(r.P99Us), micros(r.P999Us), micros(r.MaxUs))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return p.writeReasons(out)
+}
+
+func (p *Report) writeReasons(out io.Writer) error {
+	for _, r := range p.Ranks {
+		names := make([]string, 0, len(r.Reasons))
+		for name := range r.Reasons {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			if _, err := fmt.Fprintf(out, "rank %d reason %s: %d\n", r.Rank, name, r.Reasons[name]); err != nil {
+				return fmt.Errorf("write report: %w", err)
+			}
+		}
+	}
+	if p.Doubled >= 0 {
+		if _, err := fmt.Fprintf(out, "keys run more than once: %d\n", p.Doubled); err != nil {
+			return fmt.Errorf("write report: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/trace.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// Record is one request of a trace: a line of JSON that states when it arrives and what it asks for, and, once it has
+// run, how it ended.
+type Record struct {
+	AtUs      int64             `json:"atUs"`
+	ID        string            `json:"id"`
+	Class     string            `json:"class"`
+	Method    string            `json:"method,omitempty"`
+	Path      string            `json:"path,omitempty"`
+	BodySize  int               `json:"bodySize,omitempty"`
+	Keyed     bool              `json:"keyed,omitempty"`
+	Opaque    bool              `json:"opaque,omitempty"`
+	Header    map[string]string `json:"header,omitempty"`
+	Rank      int               `json:"rank"`
+	Worth     int               `json:"worth,omitempty"`
+	TargetUs  int64             `json:"targetUs"`
+	TimeoutUs int64             `json:"timeoutUs"`
+	ServiceUs int64             `json:"serviceUs,omitempty"`
+
+	Outcome   Outcome `json:"outcome,omitempty"`
+	Reason    string  `json:"reason,omitempty"`
+	Status    int     `json:"status,omitempty"`
+	LatencyUs int64   `json:"latencyUs,omitempty"`
+}
+
+// At returns the time of arrival since the start of the run.
+func (r Record) At() time.Duration { return micros(r.AtUs) }
+
+// Target returns the time within which an answer is in target.
+func (r Record) Target() time.Duration { return micros(r.TargetUs) }
+
+// Timeout returns when the client gives up.
+func (r Record) Timeout() time.Duration { return micros(r.TimeoutUs) }
+
+// Service returns the service time that the request asks for.
+func (r Record) Service() time.Duration { return micros(r.ServiceUs) }
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func (r Record) check(previous time.Duration) error {
+	switch {
+	case r.At() < previous:
+		return fmt.Errorf("atUs %d is earlier than in the line before", r.AtUs)
+	case r.At() > MaxDuration:
+		return fmt.Errorf("atUs %d is later than %s", r.AtUs, MaxDuration)
+	case r.Rank < 0 || r.Rank > config.MaxRank:
+		return fmt.Errorf("rank %d is not from 0 to %d", r.Rank, config.MaxRank)
+	case r.BodySize < 0 || r.BodySize > maxBodySize:
+		return fmt.Errorf("bodySize %d is not from 0 to %d", r.BodySize, maxBodySize)
+	case r.TimeoutUs <= 0 || r.Timeout() > time.Minute || r.TargetUs <= 0 || r.ServiceUs < 0:
+		return fmt.Errorf("targetUs, timeoutUs or serviceUs is out of range")
+	}
+	return nil
+}
+
+// ReadTrace reads and checks a trace.
+func ReadTrace(in io.Reader) ([]Record, error) {
+	const remedy = "correct the line or record the trace again"
+	var out []Record
+	var previous time.Duration
+	lines := bufio.NewScanner(in)
+	for n := 1; lines.Scan(); n++ {
+		var r Record
+		err := json.Unmarshal(lines.Bytes(), &r)
+		if err == nil {
+			err = r.check(previous)
+		}
+		if err == nil && n > MaxRequests {
+			err = fmt.Errorf("more than %d lines", MaxRequests)
+		}
+		if err != nil {
+			return nil, fault.Wrap(fault.Invalid, fmt.Sprintf("trace line %d", n), err, remedy)
+		}
+		previous = r.At()
+		out = append(out, r)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fault.Wrap(fault.Invalid, "trace", err, remedy)
+	}
+	return out, nil
+}
+
+// WriteTrace writes records as JSON Lines.
+func WriteTrace(out io.Writer, records []Record) error {
+	w := bufio.NewWriter(out)
+	enc := json.NewEncoder(w)
+	for _, r := range records {
+		if err := enc.Encode(r); err != nil {
+			return fmt.Errorf("write trace: %w", err)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	return nil
+}
