Add the at-most-once guard for keyed requests

Cause: keyed, non-idempotent work (deposits, fees, wake-up orders) must run at most once while homes move.

Change: pkg/idempotency gets the plan of a key (Roster, Plan, Judge; pure), the record table (Table; pure), the guard (Node with Do, Home, HandOver), the net/rpc service Keys (Claim, Outcome, Withdraw, HandOver) and platform claims at a bounded rate with deletion after the window. The comment in pkg/metric counts answer_not_kept among the reasons that do not mean "not run": the work has run, its answer is gone.

Ruled out: pairs taken from one node's timeline in the order in which it learned of changes, because two nodes learn of changes in different orders; the plan covers every membership that any node may have seen at each moment instead.

--- /dev/null
+++ b/pkg/idempotency/cache.go
@@ -0,0 +1,46 @@
+package idempotency
+
+import (
+	"sync"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+type rosterKey struct {
+	service string
+	window  time.Duration
+	self    Claimant
+}
+
+// rosterCache prepares a roster once for each change of the membership, and again after Timing.Reuse because the
+// window moves on.
+type rosterCache struct {
+	view    membership.HistoryView
+	changed <-chan struct{}
+
+	mu        sync.RWMutex
+	byService map[rosterKey]*Roster
+}
+
+func (c *rosterCache) get(service string, self Claimant, now time.Time, t Timing) *Roster {
+	select {
+	case <-c.changed:
+		c.mu.Lock()
+		clear(c.byService)
+		c.mu.Unlock()
+	default:
+	}
+	key := rosterKey{service, t.Window, self}
+	c.mu.RLock()
+	r := c.byService[key]
+	c.mu.RUnlock()
+	if r != nil && now.Sub(r.builtAt) < t.Reuse {
+		return r
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r = NewRoster(c.view.History(service), self, now, t)
+	c.byService[key] = r
+	return r
+}
--- /dev/null
+++ b/pkg/idempotency/handover.go
@@ -0,0 +1,191 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+const (
+	// maxBatchEntries and maxBatchBytes keep a hand-over message far below the size limit of the control channel.
+	maxBatchEntries = 256
+	maxBatchBytes   = 256 << 10
+	// entryBytes is the size of a record without its answer in a message, rounded up.
+	entryBytes = 200
+	// handOverRounds bounds how often records that arrive from other leaving nodes are passed on.
+	handOverRounds = 3
+	// drainPoll spaces the checks for work in progress.
+	drainPoll = 10 * time.Millisecond
+)
+
+// HandOver gives all records to the members that hold them when this node is gone. It refuses new work from then on.
+// The node may depart as handed over only if HandOver returns nil.
+func (n *Node) HandOver(ctx context.Context) error {
+	n.setPhase(phaseDraining)
+	n.awaitFlights(ctx)
+	err := n.handOverRounds(ctx)
+	n.setPhase(phaseClosed)
+	if err != nil {
+		event.KeyHandOverIncomplete.Write(event.KeyHandOverIncomplete.Log(&n.o.Log).Err(err))
+		return fault.Wrap(fault.Unavailable, "idempotency: hand over", err,
+			"depart without HandedOver; keyed requests then need the platform's claim for the window")
+	}
+	event.KeyHandedOver.Write(event.KeyHandedOver.Log(&n.o.Log))
+	return nil
+}
+
+func (n *Node) setPhase(p phase) {
+	n.mu.Lock()
+	n.phase = p
+	n.mu.Unlock()
+}
+
+// awaitFlights waits for work in progress. What still runs when ctx ends is handed over as running, and becomes
+// unknown once this node has departed.
+func (n *Node) awaitFlights(ctx context.Context) {
+	for {
+		n.mu.Lock()
+		left := len(n.flights)
+		n.mu.Unlock()
+		if left == 0 && n.sending.Load() == 0 {
+			return
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// handOverRounds closes the table only when it holds nothing that was not handed over in the same state.
+func (n *Node) handOverRounds(ctx context.Context) error {
+	handed := make(map[Key]State)
+	for range handOverRounds {
+		entries := withTable(n, func(now time.Time, t *Table) []Entry { return t.Export(now) })
+		entries = slices.DeleteFunc(entries, func(e Entry) bool { return handed[e.Claim.Key] >= e.State })
+		if err := n.handOverEntries(ctx, entries); err != nil {
+			return err
+		}
+		for _, e := range entries {
+			handed[e.Claim.Key] = e.State
+		}
+		if n.closeIfHanded(handed) {
+			return nil
+		}
+	}
+	return fmt.Errorf("records kept arriving for %d rounds: %w", handOverRounds, errIncomplete)
+}
+
+func (n *Node) closeIfHanded(handed map[Key]State) bool {
+	return withTable(n, func(now time.Time, t *Table) bool {
+		for _, e := range t.Export(now) {
+			if handed[e.Claim.Key] < e.State {
+				return false
+			}
+		}
+		n.phase = phaseClosed
+		return true
+	})
+}
+
+// handOverEntries sends each record to the pairs of its key without this node. Both members of a pair must take it.
+func (n *Node) handOverEntries(ctx context.Context, entries []Entry) error {
+	claims := n.platform.release()
+	if len(entries) == 0 && len(claims) == 0 {
+		return nil
+	}
+	roster := n.rosterWithoutSelf()
+	if !roster.settled {
+		return fmt.Errorf("no other instance has been a member for %v: %w", n.o.Slack, errIncomplete)
+	}
+	byHolder, plans := make(map[int][]int), make([]Plan, len(entries))
+	for k, e := range entries {
+		plans[k] = roster.Plan(e.Claim.Key)
+		for _, h := range plans[k].Holders() {
+			byHolder[h] = append(byHolder[h], k)
+		}
+	}
+	held := make(map[int]map[int]bool, len(byHolder))
+	for h, indices := range byHolder {
+		held[h] = n.sendBatches(ctx, roster.members[h].instance, entries, indices, claims)
+		if len(held[h]) > 0 {
+			claims = nil
+		}
+	}
+	for _, c := range claims {
+		n.platform.adopt(c)
+	}
+	missing := 0
+	for k := range plans {
+		if plans[k].Judge(func(i int) Standing { return heldStanding(held[i][k], plans[k].standing(i)) }) != VerdictRun {
+			missing++
+		}
+	}
+	if missing > 0 {
+		return fmt.Errorf("%d of %d records: %w", missing, len(entries), errIncomplete)
+	}
+	return nil
+}
+
+func heldStanding(held bool, before Standing) Standing {
+	switch {
+	case held:
+		return StandingHeld
+	case before == StandingReachable:
+		return StandingUnreachable
+	}
+	return before
+}
+
+// rosterWithoutSelf is the membership after this node's departure. A later claimant's plan includes the membership
+// of Slack before the hand-over, so earlier pairs need not be covered again.
+func (n *Node) rosterWithoutSelf() *Roster {
+	self := n.o.Self()
+	spans := slices.Clone(n.o.View.History(n.o.Service))
+	spans = slices.DeleteFunc(spans, func(s membership.Span) bool { return s.Instance.ID == self.ID })
+	t := n.timing(0)
+	t.Slack, t.Window = n.o.Slack, -n.o.Slack
+	return NewRoster(spans, self, n.o.Clock.Now(), t)
+}
+
+// sendBatches returns the entries, by index, that the holder took.
+func (n *Node) sendBatches(ctx context.Context, to membership.Instance, entries []Entry, indices []int,
+	claims []PlatformClaim) map[int]bool {
+	held := make(map[int]bool, len(indices))
+	for len(indices) > 0 {
+		count, size := 0, 0
+		args := &HandOverArgs{Holder: to.Incarnation, Claims: claims}
+		for count < len(indices) && count < maxBatchEntries && size < maxBatchBytes {
+			e := entries[indices[count]]
+			args.Entries = append(args.Entries, e)
+			size += entryBytes
+			if e.Answer != nil {
+				size += e.Answer.size()
+			}
+			count++
+		}
+		ack, err := n.callHandOver(ctx, to, args)
+		if err != nil || !ack.OK {
+			return held
+		}
+		for k, ok := range ack.Held {
+			held[indices[k]] = ok
+		}
+		indices, claims = indices[count:], nil
+	}
+	return held
+}
+
+func (n *Node) callHandOver(ctx context.Context, to membership.Instance, args *HandOverArgs) (Ack, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.o.ClaimTimeout)
+	defer cancel()
+	var ack Ack
+	err := n.o.Caller.Call(ctx, to.ControlAddress, methodHandOver, args, &ack)
+	return ack, err
+}
--- /dev/null
+++ b/pkg/idempotency/platform.go
@@ -0,0 +1,256 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+const (
+	// maxPendingDeletes bounds the claims that wait for their deletion: at the default rate, the claims of more than one
+	// window. At the bound no claim is made, since its object would stay on the platform.
+	maxPendingDeletes = 8192
+	// deletePoll spaces the looks for claims whose deletion is due.
+	deletePoll = time.Second
+	// deleteTimeout bounds the calls of one deletion.
+	deleteTimeout = 2 * time.Second
+)
+
+// claimSpec is the content of a claim object.
+type claimSpec struct {
+	Claimant    string `json:"claimant"`
+	Incarnation uint64 `json:"incarnation"`
+	Attempt     uint64 `json:"attempt"`
+}
+
+func specOf(c Claim) claimSpec {
+	return claimSpec{Claimant: string(c.Claimant.ID), Incarnation: c.Claimant.Incarnation, Attempt: c.Attempt}
+}
+
+// PlatformClaim is a claim object that must be deleted. Version is empty if it is not known.
+type PlatformClaim struct {
+	Name    string
+	Version string
+	// Owner is the claim that the object must hold where Version is empty.
+	Owner ClaimOwner
+	// Left is the time until the deletion is due.
+	Left time.Duration
+}
+
+// ClaimOwner is an attempt, and with it all earlier ones of its claimant.
+type ClaimOwner struct {
+	Claimant Claimant
+	Attempt  uint64
+}
+
+type pendingDelete struct {
+	claim PlatformClaim
+	due   time.Time
+}
+
+// platformClaims makes claims on the platform and deletes them at a bounded rate.
+type platformClaims struct {
+	store platform.Store
+	clock clock.Clock
+	log   zerolog.Logger
+	// retain is how long the claim of another claimant is left alone.
+	retain  time.Duration
+	creates *rate.Limiter
+	deletes *rate.Limiter
+
+	mu      sync.Mutex // guards pending
+	pending map[pendingKey]pendingDelete
+}
+
+// pendingKey lets one node delete its own claim and one that another claimant left behind.
+type pendingKey struct {
+	name     string
+	claimant Claimant
+}
+
+func (c *PlatformClaim) key() pendingKey { return pendingKey{c.Name, c.Owner.Claimant} }
+
+func newPlatformClaims(o *Options) *platformClaims {
+	return &platformClaims{
+		store: o.Store, clock: o.Clock, log: o.Log, retain: o.MaxWindow + 2*o.Slack,
+		creates: rate.NewLimiter(o.PlatformRate, o.PlatformBurst),
+		deletes: rate.NewLimiter(o.PlatformRate, o.PlatformBurst), pending: make(map[pendingKey]pendingDelete),
+	}
+}
+
+// claim returns the claimant that holds the key's claim object. Only the claimant itself may run the work.
+func (p *platformClaims) claim(ctx context.Context, c Claim) (Claimant, error) {
+	const op = "idempotency: claim on the platform"
+	if !p.creates.AllowN(p.clock.Now(), 1) {
+		return Claimant{}, fault.New(fault.Limited, op, "the rate limit is reached", "send the request again later")
+	}
+	if !p.schedule(c) {
+		return Claimant{}, fault.New(fault.Limited, op, "too many claims wait for deletion", "send the request again later")
+	}
+	spec, err := json.Marshal(specOf(c))
+	if err != nil {
+		return Claimant{}, fault.Wrap(fault.Internal, op, err, "report this error")
+	}
+	obj, err := p.store.Create(ctx, platform.Object{Kind: platform.KindKeyClaim, Name: c.Key.String(), Spec: spec})
+	if err == nil {
+		p.remember(c, obj.Version)
+		return c.Claimant, nil
+	}
+	if !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Unavailable) {
+		return Claimant{}, err
+	}
+	return p.readBack(ctx, c, spec)
+}
+
+// readBack finds out whose claim exists after a conflict or a lost answer. A claim of an earlier attempt of the same
+// claimant is updated, so that a deletion of that attempt which is still under way fails.
+func (p *platformClaims) readBack(ctx context.Context, c Claim, spec []byte) (Claimant, error) {
+	obj, err := p.store.Get(ctx, platform.KindKeyClaim, c.Key.String())
+	if err != nil {
+		return Claimant{}, err
+	}
+	var found claimSpec
+	if err := json.Unmarshal(obj.Spec, &found); err != nil {
+		return Claimant{}, fault.Wrap(fault.Invalid, "idempotency: read claim "+obj.Name, err, "delete the object")
+	}
+	holder := claimantOf(found)
+	if holder != c.Claimant {
+		p.adopt(PlatformClaim{Name: obj.Name, Version: obj.Version, Owner: ClaimOwner{Claimant: holder}, Left: p.retain})
+		return holder, nil
+	}
+	if found.Attempt != c.Attempt {
+		obj.Spec = spec
+		if obj, err = p.store.Update(ctx, obj); err != nil {
+			return Claimant{}, err
+		}
+	}
+	p.remember(c, obj.Version)
+	return c.Claimant, nil
+}
+
+func claimantOf(s claimSpec) Claimant {
+	return Claimant{ID: membership.InstanceID(s.Claimant), Incarnation: s.Incarnation}
+}
+
+// schedule makes sure that the claim is deleted after the window, whatever its create answers.
+func (p *platformClaims) schedule(c Claim) bool {
+	return p.adopt(PlatformClaim{Name: c.Key.String(), Owner: ClaimOwner{c.Claimant, c.Attempt}, Left: c.Keep})
+}
+
+func (p *platformClaims) remember(c Claim, version string) {
+	p.adopt(PlatformClaim{
+		Name: c.Key.String(), Version: version, Owner: ClaimOwner{c.Claimant, c.Attempt}, Left: c.Keep,
+	})
+}
+
+// withdraw deletes the claim of an attempt that did not run the work.
+func (p *platformClaims) withdraw(c Claim) {
+	p.adopt(PlatformClaim{Name: c.Key.String(), Owner: ClaimOwner{c.Claimant, c.Attempt}})
+}
+
+// adopt takes over the deletion of a claim; false if there are too many.
+func (p *platformClaims) adopt(c PlatformClaim) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.pending[c.key()]; !ok && len(p.pending) >= maxPendingDeletes {
+		return false
+	}
+	p.pending[c.key()] = pendingDelete{claim: c, due: p.clock.Now().Add(c.Left)}
+	return true
+}
+
+// retry puts a failed deletion back, unless a newer claim has taken its place.
+func (p *platformClaims) retry(c PlatformClaim) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.pending[c.key()]; !ok {
+		p.pending[c.key()] = pendingDelete{claim: c, due: p.clock.Now().Add(deleteTimeout)}
+	}
+}
+
+// release gives up all pending deletions, for a hand-over.
+func (p *platformClaims) release() []PlatformClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	out := make([]PlatformClaim, 0, len(p.pending))
+	for _, d := range p.pending {
+		d.claim.Left = max(0, d.due.Sub(now))
+		out = append(out, d.claim)
+	}
+	clear(p.pending)
+	return out
+}
+
+// takeDue removes and returns the deletions that are due.
+func (p *platformClaims) takeDue() []PlatformClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var out []PlatformClaim
+	for key, d := range p.pending {
+		if !d.due.After(now) {
+			out = append(out, d.claim)
+			delete(p.pending, key)
+		}
+	}
+	return out
+}
+
+// cleanUp deletes due claims until ctx ends.
+func (p *platformClaims) cleanUp(ctx context.Context) {
+	tick := time.NewTicker(deletePoll)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, c := range p.takeDue() {
+			if p.deletes.Wait(ctx) != nil {
+				return
+			}
+			if err := p.delete(ctx, c); err != nil {
+				event.KeyClaimDeleteFailed.Write(event.KeyClaimDeleteFailed.Log(&p.log).Err(err))
+				p.retry(c)
+			}
+		}
+	}
+}
+
+// delete removes the object if it is still the claim that was meant.
+func (p *platformClaims) delete(ctx context.Context, c PlatformClaim) error {
+	ctx, cancel := context.WithTimeout(ctx, deleteTimeout)
+	defer cancel()
+	if c.Version == "" {
+		obj, err := p.store.Get(ctx, platform.KindKeyClaim, c.Name)
+		if err != nil {
+			return ignore(err, fault.NotFound)
+		}
+		var found claimSpec
+		if json.Unmarshal(obj.Spec, &found) != nil || claimantOf(found) != c.Owner.Claimant || found.Attempt > c.Owner.Attempt {
+			return nil
+		}
+		c.Version = obj.Version
+	}
+	err := p.store.Delete(ctx, platform.KindKeyClaim, c.Name, c.Version)
+	return ignore(ignore(err, fault.NotFound), fault.Conflict)
+}
+
+func ignore(err error, kind fault.Kind) error {
+	if fault.Is(err, kind) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/idempotency/table.go
@@ -0,0 +1,309 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// State is the state of a record.
+type State uint8
+
+// States of a record; a higher state never falls back to a lower one.
+const (
+	// StateNone: there is no record.
+	StateNone State = iota
+	// StateRunning: a claimant may be running the work.
+	StateRunning
+	// StateUnknown: the work may have been run; its answer is not known.
+	StateUnknown
+	// StateDone: the work was run and answered.
+	StateDone
+)
+
+// Claimant is the incarnation of an instance that claims keys.
+type Claimant struct {
+	ID          membership.InstanceID
+	Incarnation uint64
+}
+
+// Digest is the part of a request's digest that a record keeps.
+type Digest [16]byte
+
+// Claim asks for the right to run the work of a key.
+type Claim struct {
+	Key      Key
+	Digest   Digest
+	Claimant Claimant
+	// Attempt rises with each claim of a claimant, so that a late withdrawal does not undo a newer claim.
+	Attempt uint64
+	// Keep is how long the record is kept after it was last changed.
+	Keep time.Duration
+}
+
+// ClaimStatus is the answer to a claim.
+type ClaimStatus uint8
+
+// Answers to a claim.
+const (
+	// ClaimNoAnswer: the claim may have been granted or not.
+	ClaimNoAnswer ClaimStatus = iota
+	ClaimGranted
+	// ClaimConflict: another record exists.
+	ClaimConflict
+	// ClaimMismatch: the key was used with another digest.
+	ClaimMismatch
+	// ClaimFull: the table takes no new key.
+	ClaimFull
+	// ClaimRefused: the holder stops, or is another incarnation than the claimant expects.
+	ClaimRefused
+	// ClaimNone: a read found no record.
+	ClaimNone
+)
+
+// Found is a record as told to a claimant.
+type Found struct {
+	Status   ClaimStatus
+	State    State
+	Claimant Claimant
+	// Answer is nil if the record is not done or the answer is not kept.
+	Answer *Answer
+	// Ended comes with ClaimNone: all attempts of the holder up to it have ended without a run.
+	Ended uint64
+}
+
+// Limits of a table.
+const (
+	// MaxRecords bounds the memory of records to about 16 MB at the measured size of a record.
+	MaxRecords = 100_000
+	// MaxAnswerBytes is the largest answer that is kept.
+	MaxAnswerBytes = 4 << 10
+	// MaxAnswersBytes is the largest size of all kept answers.
+	MaxAnswersBytes = 8 << 20
+	// sweepInterval spaces the removal of expired records.
+	sweepInterval = 10 * time.Second
+)
+
+// record is kept small: a node may hold tens of thousands.
+type record struct {
+	answer   *Answer
+	attempt  uint64
+	expires  int64
+	digest   Digest
+	claimant uint32
+	state    State
+}
+
+// Table holds the records of one node. It is not locked and reads no clock.
+type Table struct {
+	maxRecords, maxAnswersBytes int
+	records                     map[Key]record
+	epoch                       time.Time
+	nextSweep                   int64
+	claimants                   []Claimant
+	claimantIDs                 map[Claimant]uint32
+	// answers lists the keys of kept answers, oldest first; it may name keys whose answer is gone.
+	answers     []Key
+	answerBytes int
+}
+
+// NewTable returns an empty table. epoch is any reading of the clock that later calls use.
+func NewTable(epoch time.Time, maxRecords, maxAnswersBytes int) *Table {
+	return &Table{
+		maxRecords: maxRecords, maxAnswersBytes: maxAnswersBytes, epoch: epoch,
+		records: make(map[Key]record), claimantIDs: make(map[Claimant]uint32),
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.records) }
+
+// Claim grants the claim, or returns the record that stands against it. A claim by the claimant of a running record
+// is granted again: its withdrawal was lost, and it runs one attempt at a time.
+func (t *Table) Claim(now time.Time, c Claim) Found {
+	t.sweep(now)
+	r, ok := t.live(now, c.Key)
+	switch {
+	case !ok && len(t.records) >= t.maxRecords:
+		return Found{Status: ClaimFull}
+	case !ok:
+		t.put(now, c.Key, record{state: StateRunning, digest: c.Digest, attempt: c.Attempt, claimant: t.intern(c.Claimant)}, c.Keep)
+		return Found{Status: ClaimGranted}
+	case r.state == StateRunning && t.claimants[r.claimant] == c.Claimant:
+		r.digest, r.attempt = c.Digest, max(r.attempt, c.Attempt)
+		t.put(now, c.Key, r, c.Keep)
+		return Found{Status: ClaimGranted}
+	case r.digest != c.Digest:
+		return Found{Status: ClaimMismatch, State: r.state, Claimant: t.claimants[r.claimant]}
+	}
+	return Found{Status: ClaimConflict, State: r.state, Claimant: t.claimants[r.claimant], Answer: r.answer}
+}
+
+// Read returns the record of a key.
+func (t *Table) Read(now time.Time, key Key) Found {
+	r, ok := t.live(now, key)
+	if !ok {
+		return Found{Status: ClaimNone}
+	}
+	return Found{Status: ClaimConflict, State: r.state, Claimant: t.claimants[r.claimant], Answer: r.answer}
+}
+
+// Withdraw removes the running record of an attempt, or of an earlier one, that did not run the work.
+func (t *Table) Withdraw(now time.Time, c Claim) bool {
+	r, ok := t.live(now, c.Key)
+	if !ok || r.state != StateRunning || t.claimants[r.claimant] != c.Claimant || r.attempt > c.Attempt {
+		return false
+	}
+	t.remove(c.Key, r)
+	return true
+}
+
+// Settle stores the end of the work. A record in a higher state is kept; a record of another claimant that is still
+// running is not touched, except by an answer, which proves that the work was run.
+func (t *Table) Settle(now time.Time, c Claim, state State, answer *Answer) bool {
+	r, ok := t.live(now, c.Key)
+	if !ok && len(t.records) >= t.maxRecords {
+		return false
+	}
+	if ok && (r.digest != c.Digest || r.state >= state) {
+		return false
+	}
+	if ok && r.state == StateRunning && state != StateDone && t.claimants[r.claimant] != c.Claimant {
+		return false
+	}
+	next := record{state: state, digest: c.Digest, attempt: c.Attempt, claimant: t.intern(c.Claimant)}
+	if answer != nil && t.keepAnswer(c.Key, answer) {
+		next.answer = answer
+	}
+	t.put(now, c.Key, next, c.Keep)
+	return true
+}
+
+// Import takes over a record from a holder that leaves, and reports whether the table now holds it.
+func (t *Table) Import(now time.Time, c Claim, state State, answer *Answer) bool {
+	t.sweep(now)
+	r, ok := t.live(now, c.Key)
+	if ok && r.digest == c.Digest && r.state >= state {
+		return true
+	}
+	if state != StateRunning {
+		return t.Settle(now, c, state, answer)
+	}
+	return !ok && t.Claim(now, c).Status == ClaimGranted
+}
+
+// Entry is a record as it is handed over. Claim.Keep is the time that it has left.
+type Entry struct {
+	Claim  Claim
+	State  State
+	Answer *Answer
+}
+
+// Export returns all records.
+func (t *Table) Export(now time.Time) []Entry {
+	out := make([]Entry, 0, len(t.records))
+	for k, r := range t.records {
+		left := time.Duration(r.expires) - now.Sub(t.epoch)
+		if left <= 0 {
+			continue
+		}
+		c := Claim{Key: k, Digest: r.digest, Claimant: t.claimants[r.claimant], Attempt: r.attempt, Keep: left}
+		out = append(out, Entry{Claim: c, State: r.state, Answer: r.answer})
+	}
+	return out
+}
+
+// Abandon turns the running record of a departed claimant into an unknown outcome.
+func (t *Table) Abandon(now time.Time, key Key, departed Claimant) bool {
+	r, ok := t.live(now, key)
+	if !ok || r.state != StateRunning || t.claimants[r.claimant] != departed {
+		return false
+	}
+	r.state = StateUnknown
+	t.records[key] = r
+	return true
+}
+
+func (t *Table) live(now time.Time, key Key) (record, bool) {
+	r, ok := t.records[key]
+	return r, ok && r.expires > int64(now.Sub(t.epoch))
+}
+
+func (t *Table) put(now time.Time, key Key, r record, keep time.Duration) {
+	if old, ok := t.records[key]; ok && old.answer != nil && old.answer != r.answer {
+		t.answerBytes -= old.answer.size()
+	}
+	r.expires = int64(now.Sub(t.epoch) + keep)
+	t.records[key] = r
+}
+
+func (t *Table) remove(key Key, r record) {
+	if r.answer != nil {
+		t.answerBytes -= r.answer.size()
+	}
+	delete(t.records, key)
+}
+
+// sweep removes expired records. The whole table is read at long intervals, which costs less memory than an order
+// of expiry and less time than a look-up per request.
+func (t *Table) sweep(now time.Time) {
+	at := int64(now.Sub(t.epoch))
+	if at < t.nextSweep {
+		return
+	}
+	t.nextSweep = at + int64(sweepInterval)
+	for k, r := range t.records {
+		if r.expires <= at {
+			t.remove(k, r)
+		}
+	}
+	for len(t.answers) > 0 && t.records[t.answers[0]].answer == nil {
+		t.answers = t.answers[1:]
+	}
+}
+
+func (t *Table) intern(c Claimant) uint32 {
+	id, ok := t.claimantIDs[c]
+	if !ok {
+		id = uint32(len(t.claimants))
+		t.claimants = append(t.claimants, c)
+		t.claimantIDs[c] = id
+	}
+	return id
+}
+
+// keepAnswer makes room for an answer by dropping the oldest ones; their records stay.
+func (t *Table) keepAnswer(key Key, a *Answer) bool {
+	size := a.size()
+	if size > MaxAnswerBytes || size > t.maxAnswersBytes {
+		return false
+	}
+	for t.answerBytes+size > t.maxAnswersBytes && len(t.answers) > 0 {
+		t.dropOldestAnswer()
+	}
+	t.answers = append(t.answers, key)
+	t.answerBytes += size
+	return true
+}
+
+func (t *Table) dropOldestAnswer() {
+	key := t.answers[0]
+	t.answers = t.answers[1:]
+	if r, ok := t.records[key]; ok && r.answer != nil {
+		t.answerBytes -= r.answer.size()
+		r.answer = nil
+		t.records[key] = r
+	}
+}
+
+// size is the number of bytes of an answer that a record keeps.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/idempotency/table_test.go
@@ -0,0 +1,94 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+func claimOf(id string, attempt uint64, key byte) Claim {
+	return Claim{Key: Key{key}, Claimant: Claimant{ID: membership.InstanceID(id), Incarnation: 1}, Attempt: attempt, Keep: time.Minute}
+}
+
+// Guards against a withdrawal that arrives late and removes a newer claim, which would let a second home run the key.
+func TestLateWithdrawalKeepsNewerClaim(t *testing.T) {
+	now := time.Now()
+	tab := NewTable(now, 10, 100)
+	tab.Claim(now, claimOf("a", 1, 1))
+	if f := tab.Claim(now, claimOf("a", 2, 1)); f.Status != ClaimGranted {
+		t.Fatalf("claim by the same claimant: %+v", f)
+	}
+	if tab.Withdraw(now, claimOf("a", 1, 1)) || tab.Claim(now, claimOf("b", 1, 1)).Status != ClaimConflict {
+		t.Error("the withdrawal of attempt 1 removed the claim of attempt 2")
+	}
+	if !tab.Withdraw(now, claimOf("a", 2, 1)) || tab.Claim(now, claimOf("b", 1, 1)).Status != ClaimGranted {
+		t.Error("the withdrawal of attempt 2 did not free the key")
+	}
+}
+
+// Guards against a record that falls back: an answer must stay an answer, and an unknown outcome must not be withdrawn.
+func TestRecordNeverFallsBack(t *testing.T) {
+	now := time.Now()
+	tab := NewTable(now, 10, 100)
+	a, b := claimOf("a", 1, 1), claimOf("b", 1, 1)
+	tab.Claim(now, a)
+	if tab.Settle(now, b, StateUnknown, nil) {
+		t.Error("another claimant settled a running record without an answer")
+	}
+	if !tab.Abandon(now, a.Key, a.Claimant) || tab.Withdraw(now, a) || tab.Claim(now, a).State != StateUnknown {
+		t.Error("the abandoned record is not unknown for its claimant")
+	}
+	if !tab.Settle(now, a, StateDone, &Answer{Body: []byte("x")}) || tab.Settle(now, a, StateUnknown, nil) {
+		t.Error("a late answer must replace an unknown outcome, and stay")
+	}
+	mismatch := b
+	mismatch.Digest[0] = 1
+	if f := tab.Claim(now, mismatch); f.Status != ClaimMismatch {
+		t.Errorf("another digest: %+v", f)
+	}
+}
+
+// Guards against records that outlive the window or end before it, also where a later change renewed them.
+func TestRecordExpires(t *testing.T) {
+	now := time.Now()
+	tab := NewTable(now, 10, 100)
+	c := claimOf("a", 1, 1)
+	tab.Claim(now, c)
+	tab.Settle(now.Add(50*time.Second), c, StateDone, nil)
+	if f := tab.Read(now.Add(100*time.Second), c.Key); f.State != StateDone {
+		t.Errorf("record ended before its window: %+v", f)
+	}
+	if f := tab.Read(now.Add(110*time.Second), c.Key); f.Status != ClaimNone {
+		t.Errorf("record outlived its window: %+v", f)
+	}
+	tab.Claim(now.Add(111*time.Second), claimOf("a", 2, 2))
+	if tab.Len() != 1 {
+		t.Errorf("%d records, want the new one alone", tab.Len())
+	}
+}
+
+// Guards against unbounded memory: a full table refuses new keys, and old answers go while their records stay.
+func TestTableIsBounded(t *testing.T) {
+	now := time.Now()
+	tab := NewTable(now, 3, 10)
+	for k := byte(0); k < 3; k++ {
+		tab.Claim(now, claimOf("a", 1, k))
+		tab.Settle(now, claimOf("a", 1, k), StateDone, &Answer{Body: []byte("12345")})
+	}
+	if f := tab.Claim(now, claimOf("a", 1, 3)); f.Status != ClaimFull {
+		t.Errorf("a full table: %+v", f)
+	}
+	for k, kept := range []bool{false, true, true} {
+		if f := tab.Read(now, Key{byte(k)}); f.State != StateDone || (f.Answer != nil) != kept {
+			t.Errorf("key %d: state %d, answer kept %v, want done, %v", k, f.State, f.Answer != nil, kept)
+		}
+	}
+	if tab.answerBytes != 10 {
+		t.Errorf("%d bytes of answers, want 10", tab.answerBytes)
+	}
+	tab.Claim(now.Add(2*time.Minute), claimOf("a", 1, 9))
+	if tab.answerBytes != 0 || len(tab.answers) != 0 || tab.Len() != 1 {
+		t.Errorf("after the window: %d bytes, %d answers, %d records", tab.answerBytes, len(tab.answers), tab.Len())
+	}
+}
--- /dev/null
+++ b/pkg/idempotency/world_test.go
@@ -0,0 +1,308 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+const testService = "deposits"
+
+// change is a join or a departure and the moment at which it happened.
+type change struct {
+	instance   membership.Instance
+	at         time.Time
+	departure  bool
+	handedOver bool
+}
+
+// host is one process of the model: a node, its view and its connections.
+type host struct {
+	world   *world
+	node    *Node
+	self    Claimant
+	zone    string
+	started time.Time
+	dead    bool
+	// isolated cuts the host off from the relays and from other hosts since then.
+	isolated time.Time
+	// staleFrom is the last moment at which the host's zone could reach most zones.
+	staleFrom time.Time
+	changed   chan struct{}
+}
+
+// world is a service with its platform under virtual or manual time.
+type world struct {
+	mu      sync.Mutex
+	now     func() time.Time
+	hosts   map[string]*host
+	changes []change
+	// side maps zones to a partition; zones on different sides cannot reach each other.
+	side map[string]int
+	// lag gives the time after which a host learns of a change.
+	lag func(h *host, c change) time.Duration
+	// fault decides the fate of a call: the request lost, the answer lost, the latency.
+	fault   func(from *host, to, method string) (lostRequest, lostAnswer bool, delay time.Duration)
+	store   *fakeStore
+	timing  Options
+	stale   time.Duration
+	nextInc uint64
+}
+
+func newWorld(now func() time.Time) *world {
+	w := &world{
+		now: now, hosts: make(map[string]*host), side: make(map[string]int), stale: 10 * time.Second,
+		lag:   func(*host, change) time.Duration { return 0 },
+		fault: func(*host, string, string) (bool, bool, time.Duration) { return false, false, 0 },
+	}
+	w.store = &fakeStore{objects: make(map[string]platform.Object)}
+	return w
+}
+
+func (w *world) instance(id, zone string, incarnation uint64) membership.Instance {
+	return membership.Instance{
+		ID: membership.InstanceID(id), Service: testService, AvailabilityZone: zone, ControlAddress: id,
+		Incarnation: incarnation, State: membership.StateReady,
+	}
+}
+
+// join starts a process that has been a member since joined.
+func (w *world) join(id, zone string, joined time.Time) *host {
+	w.mu.Lock()
+	w.nextInc++
+	h := &host{world: w, zone: zone, self: Claimant{membership.InstanceID(id), w.nextInc}, started: joined,
+		changed: make(chan struct{}, 1)}
+	if old := w.hosts[id]; old != nil && !old.dead {
+		panic("the instance is live")
+	}
+	w.hosts[id] = h
+	w.changes = append(w.changes, change{instance: w.instance(id, zone, w.nextInc), at: joined})
+	w.mu.Unlock()
+	o := w.timing
+	o.Self, o.Service, o.View, o.Caller, o.Clock = func() Claimant { return h.self }, testService, h, h, worldClock{w}
+	o.Store = hostStore{h, w.store}
+	h.node = New(o)
+	w.notify()
+	return h
+}
+
+// depart ends a process.
+func (w *world) depart(h *host, handedOver bool, at time.Time) {
+	w.mu.Lock()
+	h.dead = true
+	w.changes = append(w.changes, change{
+		instance: w.instance(string(h.self.ID), h.zone, h.self.Incarnation), at: at, departure: true, handedOver: handedOver,
+	})
+	w.mu.Unlock()
+	w.notify()
+}
+
+func (w *world) notify() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.hosts {
+		select {
+		case h.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+type worldClock struct{ w *world }
+
+func (c worldClock) Now() time.Time { return c.w.now() }
+
+// Instances, Subscribe, History and Synchronised are the view of a host.
+func (h *host) Instances(string) []membership.Instance { return nil }
+func (h *host) Subscribe() <-chan struct{}             { return h.changed }
+
+func (h *host) Synchronised() (time.Time, bool) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	now := h.world.now()
+	for _, since := range []time.Time{h.isolated, h.staleFrom} {
+		if !since.IsZero() && now.Sub(since) >= h.world.stale {
+			return time.Time{}, false
+		}
+	}
+	return h.started, true
+}
+
+func (h *host) History(string) []membership.Span {
+	w := h.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	spans := make(map[Claimant]*membership.Span)
+	for _, c := range w.changes {
+		learned := c.at
+		if c.instance.ID != h.self.ID {
+			learned = learned.Add(w.lag(h, c))
+		}
+		if learned.After(w.now()) || h.cutOff(c) {
+			continue
+		}
+		id := Claimant{c.instance.ID, c.instance.Incarnation}
+		if spans[id] == nil {
+			spans[id] = &membership.Span{Instance: c.instance, Joined: learned}
+		}
+		s := spans[id]
+		s.Unreachable = w.side[c.instance.AvailabilityZone] != w.side[h.zone]
+		if c.departure {
+			s.Departed, s.Instance.State, s.Instance.HandedOver = learned, membership.StateDeparted, c.handedOver
+		}
+	}
+	out := make([]membership.Span, 0, len(spans))
+	for _, s := range spans {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b membership.Span) int {
+		return int(a.Instance.Incarnation) - int(b.Instance.Incarnation)
+	})
+	return out
+}
+
+// cutOff reports whether news of the change cannot have reached the host.
+func (h *host) cutOff(c change) bool {
+	return c.instance.ID != h.self.ID && (!h.isolated.IsZero() && c.at.After(h.isolated) ||
+		!h.staleFrom.IsZero() && c.at.After(h.staleFrom) && h.world.side[c.instance.AvailabilityZone] != h.world.side[h.zone])
+}
+
+var errLost = fault.New(fault.Unavailable, "call", "no answer", "try again")
+
+// Call carries a call to the process that is live at the address now.
+func (h *host) Call(ctx context.Context, addr, method string, args, reply any) error {
+	w := h.world
+	w.mu.Lock()
+	lostRequest, lostAnswer, delay := w.fault(h, addr, method)
+	to := w.hosts[addr]
+	if to == nil || to.dead || h.dead || !to.isolated.IsZero() || !h.isolated.IsZero() || w.side[to.zone] != w.side[h.zone] {
+		lostRequest = true
+	}
+	w.mu.Unlock()
+	if lostRequest {
+		return waitLost(ctx)
+	}
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	if err := to.node.Keys().dispatch(method, args, reply); err != nil {
+		return err
+	}
+	if lostAnswer || ctx.Err() != nil {
+		return waitLost(ctx)
+	}
+	return nil
+}
+
+// waitLost waits for the deadline under virtual time only: with a manual clock it would be a real wait.
+func waitLost(ctx context.Context) error {
+	if ctx.Value(virtualTime{}) != nil {
+		<-ctx.Done()
+	}
+	return errLost
+}
+
+type virtualTime struct{}
+
+func (k *Keys) dispatch(method string, args, reply any) error {
+	switch method {
+	case methodClaim:
+		return k.Claim(args.(*ClaimArgs), reply.(*Found))
+	case methodOutcome:
+		return k.Outcome(args.(*OutcomeArgs), reply.(*Ack))
+	case methodWithdraw:
+		return k.Withdraw(args.(*WithdrawArgs), reply.(*Ack))
+	case methodHandOver:
+		return k.HandOver(args.(*HandOverArgs), reply.(*Ack))
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+// fakeStore is a platform with conditional writes.
+type fakeStore struct {
+	platform.Store
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	version int
+	creates int
+	down    bool
+	// lostAnswer tells whether a write takes effect but its answer is lost.
+	lostAnswer func() bool
+}
+
+// hostStore is the platform as one host reaches it.
+type hostStore struct {
+	h *host
+	*fakeStore
+}
+
+func (s hostStore) write(f func() (platform.Object, error)) (platform.Object, error) {
+	s.h.world.mu.Lock()
+	cut := s.h.dead || s.h.world.side["platform"] != s.h.world.side[s.h.zone]
+	s.h.world.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || cut {
+		return platform.Object{}, errLost
+	}
+	obj, err := f()
+	if s.lostAnswer != nil && s.lostAnswer() {
+		return platform.Object{}, errLost
+	}
+	return obj, err
+}
+
+func (s hostStore) put(obj platform.Object) (platform.Object, error) {
+	s.version++
+	obj.Version = fmt.Sprint(s.version)
+	obj.Spec = append(json.RawMessage(nil), obj.Spec...)
+	s.objects[obj.Name] = obj
+	return obj, nil
+}
+
+func (s hostStore) Get(_ context.Context, _ platform.ObjectKind, name string) (platform.Object, error) {
+	return s.write(func() (platform.Object, error) {
+		obj, ok := s.objects[name]
+		if !ok {
+			return obj, fault.New(fault.NotFound, "get", name, "")
+		}
+		return obj, nil
+	})
+}
+
+func (s hostStore) Create(_ context.Context, obj platform.Object) (platform.Object, error) {
+	return s.write(func() (platform.Object, error) {
+		s.creates++
+		if _, ok := s.objects[obj.Name]; ok {
+			return platform.Object{}, fault.New(fault.Conflict, "create", obj.Name, "")
+		}
+		return s.put(obj)
+	})
+}
+
+func (s hostStore) Update(_ context.Context, obj platform.Object) (platform.Object, error) {
+	return s.write(func() (platform.Object, error) {
+		if s.objects[obj.Name].Version != obj.Version {
+			return platform.Object{}, fault.New(fault.Conflict, "update", obj.Name, "")
+		}
+		return s.put(obj)
+	})
+}
+
+func (s hostStore) Delete(_ context.Context, _ platform.ObjectKind, name, version string) error {
+	_, err := s.write(func() (platform.Object, error) {
+		if s.objects[name].Version != version {
+			return platform.Object{}, fault.New(fault.Conflict, "delete", name, "")
+		}
+		delete(s.objects, name)
+		return platform.Object{}, nil
+	})
+	return err
+}
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -12,7 +12,8 @@
 // Refusal is the reason why a request was refused.
 type Refusal string
 
-// Reasons of refusals. All but RefusedOutcomeUnknown, RefusedKeyRunning and RefusedAnswerBroken mean "not run".
+// Reasons of refusals. All but RefusedOutcomeUnknown, RefusedKeyRunning, RefusedAnswerNotKept and RefusedAnswerBroken
+// mean "not run".
 const (
 	RefusedNotReady         Refusal = "not_ready"
 	RefusedNoRoute          Refusal = "no_route"
