Submit release notes and judge where they are in force

Cause: operators race, answers of platform writes get lost, and the platform can be restored to an older state; a note must still be applied once and as a whole.

Change: pkg/release submits a note by conditional update of the head, finds its own id and digest after a lost answer, rebases on notes that touch other names and names the winner otherwise. It refuses a head over one megabyte, and a head below the version that nodes report until the operator raises it. pkg/status holds the zone status objects and classifies nodes as in force, lagging or cut off.

Ruled out: remembering submits outside the head, because a second object cannot be updated together with it; comparing WrittenAt exactly, because clocks of VMs differ.

--- a/pkg/config/apply.go
+++ b/pkg/config/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -129,3 +130,17 @@
 	}
 	return out
 }
+
+// String lists the names for messages, such as "service office, route lodge".
+func (n Names) String() string {
+	var parts []string
+	for _, group := range []struct {
+		kind  string
+		names []string
+	}{{"service ", n.Services}, {"policy ", n.Policies}, {"route ", n.Routes}} {
+		for _, name := range group.names {
+			parts = append(parts, group.kind+name)
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/pkg/release/head.go
@@ -0,0 +1,78 @@
+// Package release submits release notes to the platform and reads back where they are in force.
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/status"
+)
+
+// envelopeBytes is room for the metadata that stands around the head in its object.
+const envelopeBytes = 1 << 10
+
+// base is a head as it was read. Version is empty when the object does not exist yet.
+type base struct {
+	head    config.Head
+	version string
+}
+
+// ReadHead returns the head, or the empty head of version 0 when no note has been accepted yet.
+func ReadHead(ctx context.Context, store platform.Store) (config.Head, error) {
+	b, err := readBase(ctx, store)
+	return b.head, err
+}
+
+func readBase(ctx context.Context, store platform.Store) (base, error) {
+	obj, err := store.Get(ctx, platform.KindConfiguration, platform.HeadName)
+	if fault.Is(err, fault.NotFound) {
+		head, err := config.NewHead()
+		return base{head: head}, err
+	}
+	if err != nil {
+		return base{}, err
+	}
+	head, err := config.ParseHead(obj.Spec)
+	return base{head: head, version: obj.Version}, err
+}
+
+// write stores the head that follows b.
+func (b base) write(ctx context.Context, store platform.Store, next config.Head) error {
+	spec, err := json.Marshal(next)
+	if err != nil {
+		return fault.Wrap(fault.Invalid, "write the head", err, "correct the value that cannot be written as JSON")
+	}
+	if size := len(spec) + envelopeBytes; size > platform.MaxObjectBytes {
+		return fault.New(fault.Invalid, "write the head",
+			fmt.Sprintf("the head would have %d bytes, more than the platform's %d", size, platform.MaxObjectBytes),
+			"withdraw routes that are no longer used, or merge routes under common prefixes; about 4,000 routes fit")
+	}
+	obj := platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Version: b.version, Spec: spec}
+	if b.version == "" {
+		_, err = store.Create(ctx, obj)
+	} else {
+		_, err = store.Update(ctx, obj)
+	}
+	return err
+}
+
+// readZones returns the status objects that can be read, and the errors of the others.
+func readZones(ctx context.Context, store platform.Store) (zones []status.ZoneStatus, bad []error, err error) {
+	objects, err := store.List(ctx, platform.KindZoneStatus)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, obj := range objects {
+		z, err := status.Parse(obj.Name, obj.Spec)
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		zones = append(zones, z)
+	}
+	return zones, bad, nil
+}
--- /dev/null
+++ b/pkg/status/status_test.go
@@ -0,0 +1,47 @@
+package status
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// Guards against a note that is reported in force where it is not, and against nodes that left or moved being counted
+// in two places.
+func TestClassify(t *testing.T) {
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	node := func(id string, version config.Version, hash string, age time.Duration) NodeStatus {
+		return NodeStatus{ID: id, Version: version, Hash: hash, State: StateReady, LastPollAgeMillis: age.Milliseconds()}
+	}
+	left := node("left", 1, "", 0)
+	left.State = StateDeparted
+	zones := []ZoneStatus{
+		{Zone: "kasarani", Slot: "0", WrittenAt: now.Add(-5 * time.Second), Nodes: []NodeStatus{
+			node("same", 7, "good", time.Second), node("newer", 8, "other", 0), node("older", 6, "", 0),
+			node("diverged", 7, "bad", 0), node("missed", 7, "good", CutOffPollAge+time.Second), left,
+			node("moved", 6, "", 9*time.Second)}},
+		{Zone: "kasarani", Slot: "1", WrittenAt: now.Add(-4 * time.Second), Nodes: []NodeStatus{node("moved", 7, "good", time.Second)}},
+		{Zone: "langata", Slot: "0", WrittenAt: now.Add(-StaleObjectAge - time.Second), Nodes: []NodeStatus{node("silent", 7, "good", 0)}},
+	}
+	want := map[string]Place{"same": InForce, "newer": InForce, "older": Lagging, "diverged": Lagging, "missed": CutOff,
+		"moved": InForce, "silent": CutOff}
+	nodes := Classify(7, "good", zones, now)
+	if len(nodes) != len(want) {
+		t.Errorf("%d nodes, want %d", len(nodes), len(want))
+	}
+	for _, n := range nodes {
+		if n.Place != want[n.ID] {
+			t.Errorf("%s is %s, want %s", n.ID, n.Place, want[n.ID])
+		}
+	}
+	if tally := Count(nodes); tally != (Tally{InForce: 3, Lagging: 2, CutOff: 2}) || tally.Everywhere() {
+		t.Errorf("tally %+v", tally)
+	}
+	if (Tally{}).Everywhere() || !(Tally{InForce: 1}).Everywhere() {
+		t.Error("Everywhere is wrong for no node or one node")
+	}
+	if HighestVersion(zones) != 8 {
+		t.Error("HighestVersion is wrong")
+	}
+}
