Add the operators' command line tool

Cause: operators need to check and submit notes and read back where they are in force, by hand and from scripts.

An accepted note whose status cannot be read ends with 3.

Ruled out: exit code 0 when no node is reported, because nothing is then known to be in force.

Conclusion: a note can be followed from file to fleet.

--- /dev/null
+++ b/cmd/monsoonlatch/main.go
@@ -0,0 +1,170 @@
+// Command monsoonlatch is the operators' tool: it checks and submits release notes and reads back where they are in
+// force.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+// Exit codes.
+const (
+	exitOK            = 0
+	exitFailed        = 1
+	exitUsage         = 2
+	exitNotEverywhere = 3
+)
+
+var (
+	// errNotEverywhere ends a command whose output shows nodes without the version.
+	errNotEverywhere = errors.New("the release note is not in force everywhere")
+	// errReported ends a command that has written its faults.
+	errReported = errors.New("the release note has faults")
+)
+
+// usageError is an error of the flags, the environment or the files that they name.
+type usageError struct{ err error }
+
+func (e usageError) Error() string { return e.err.Error() }
+
+func (e usageError) Unwrap() error { return e.err }
+
+type globals struct {
+	Platform      string        `help:"Address of the platform's object API, such as http://10.0.0.5:8001." env:"MONSOONLATCH_PLATFORM" placeholder:"URL"`
+	PlatformToken string        `help:"Bearer token for the platform." env:"MONSOONLATCH_PLATFORM_TOKEN" placeholder:"TOKEN"`
+	CallTimeout   time.Duration `help:"Deadline of one platform call." default:"2s" env:"MONSOONLATCH_CALL_TIMEOUT"`
+	Timeout       time.Duration `help:"Deadline of the command, without the time of --wait." default:"30s" env:"MONSOONLATCH_TIMEOUT"`
+	JSON          bool          `help:"Write JSON for scripts." env:"MONSOONLATCH_JSON"`
+	LogLevel      string        `help:"Least level of log entries on standard error (${enum})." enum:"debug,info,warn,error" default:"warn" env:"MONSOONLATCH_LOG_LEVEL"`
+}
+
+type cli struct {
+	globals
+
+	Note struct {
+		Check  noteCheck  `cmd:"" help:"Check a release note and name each fault with its line and remedy."`
+		Submit noteSubmit `cmd:"" help:"Submit a release note."`
+		Status noteStatus `cmd:"" help:"Show where a release note is in force."`
+		List   noteList   `cmd:"" help:"List accepted release notes, latest first."`
+	} `cmd:"" help:"Work with release notes."`
+	Nodes    nodes    `cmd:"" help:"List nodes with the version that they serve."`
+	Services services `cmd:"" help:"List services with their routes and nodes."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command and returns its exit code.
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	var c cli
+	helped := false
+	parser, err := kong.New(&c, kong.Name("monsoonlatch"), kong.Writers(stdout, stderr),
+		kong.Description("Checks and submits release notes and shows where they are in force. "+
+			"Exit codes: 0 ok, 1 failed or refused, 2 usage or bad settings, 3 in force not everywhere."),
+		kong.Exit(func(int) { helped = true }))
+	if err != nil {
+		return report(stderr, err)
+	}
+	parsed, err := parser.Parse(args)
+	if helped {
+		return exitOK
+	}
+	if err == nil {
+		err = c.check()
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "monsoonlatch: %v; see monsoonlatch --help\n", err)
+		return exitUsage
+	}
+	e := &env{ctx: ctx, globals: c.globals, in: stdin, out: stdout, errOut: stderr, log: newLog(c.globals, stderr)}
+	err = parsed.Run(e)
+	if err != nil && c.JSON && !quiet(err) {
+		_ = e.writeJSON(map[string]any{"error": map[string]any{"kind": fault.KindOf(err), "message": err.Error()}})
+	}
+	return report(stderr, err)
+}
+
+// check covers what the flag library does not.
+func (g globals) check() error {
+	if g.CallTimeout <= 0 || g.Timeout <= 0 {
+		return errors.New("--call-timeout and --timeout must be above 0")
+	}
+	return nil
+}
+
+func newLog(g globals, stderr io.Writer) *zerolog.Logger {
+	if !g.JSON {
+		stderr = zerolog.ConsoleWriter{Out: stderr, TimeFormat: time.TimeOnly, NoColor: true}
+	}
+	level, err := zerolog.ParseLevel(g.LogLevel)
+	if err != nil {
+		level = zerolog.WarnLevel // The flag library admits only known levels.
+	}
+	log := zerolog.New(stderr).Level(level).With().Timestamp().Logger()
+	return &log
+}
+
+// quiet reports whether the command's output has shown the error already.
+func quiet(err error) bool { return errors.Is(err, errNotEverywhere) || errors.Is(err, errReported) }
+
+// report writes an error for people and returns the exit code that stands for it.
+func report(stderr io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	if !quiet(err) {
+		_, _ = fmt.Fprintf(stderr, "monsoonlatch: %v\n", err)
+	}
+	var usage usageError
+	switch {
+	case errors.Is(err, errNotEverywhere):
+		return exitNotEverywhere
+	case errors.As(err, &usage):
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// env is what commands run with.
+type env struct {
+	globals
+	ctx context.Context
+	in  io.Reader
+	out io.Writer
+	// errOut takes messages that are not the command's output.
+	errOut io.Writer
+	log    *zerolog.Logger
+}
+
+// deadline returns the context of a command's platform calls.
+func (e *env) deadline() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(e.ctx, e.Timeout)
+}
+
+// store returns the client of the platform that the settings name.
+func (e *env) store() (*platform.Client, error) {
+	if e.Platform == "" {
+		return nil, usageError{errors.New("no platform is set; remedy: set --platform or MONSOONLATCH_PLATFORM")}
+	}
+	client, err := platform.NewClient(platform.Settings{BaseURL: e.Platform, Token: e.PlatformToken, CallTimeout: e.CallTimeout})
+	if err != nil {
+		return nil, usageError{err}
+	}
+	return client, nil
+}
--- /dev/null
+++ b/cmd/monsoonlatch/nodes.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+	"github.com/monsoonlatch/monsoonlatch/pkg/status"
+)
+
+type nodes struct {
+	Zone    string `help:"Only nodes of this availability zone."`
+	Service string `help:"Only nodes of this service."`
+}
+
+// Run implements the command.
+func (c *nodes) Run(e *env) error {
+	store, err := e.store()
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := e.deadline()
+	defer cancel()
+	o, err := release.Status(ctx, store)
+	if err != nil {
+		return err
+	}
+	for _, bad := range o.Unreadable {
+		_ = report(e.errOut, bad)
+	}
+	list := []status.Node{}
+	for _, n := range o.Nodes(o.Head.Version) {
+		if (c.Zone == "" || n.Zone == c.Zone) && (c.Service == "" || n.Service == c.Service) {
+			list = append(list, n)
+		}
+	}
+	if e.JSON {
+		return e.writeJSON(list)
+	}
+	return e.nodeTable(list)
+}
+
+func (e *env) nodeTable(list []status.Node) error {
+	var rows [][]any
+	for _, n := range list {
+		rows = append(rows, []any{n.Zone, n.ID, n.Service, n.State, n.Version, n.Place, n.LastPoll.UTC().Format(time.RFC3339)})
+	}
+	return e.table("ZONE NODE SERVICE STATE VERSION PLACE LAST-POLL", rows)
+}
--- /dev/null
+++ b/cmd/monsoonlatch/note_list.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"slices"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+type noteList struct {
+	Limit int `help:"Show at most this many notes; 0 shows all that the head remembers." default:"20"`
+}
+
+// Run implements the command.
+func (c *noteList) Run(e *env) error {
+	store, err := e.store()
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := e.deadline()
+	defer cancel()
+	head, err := release.ReadHead(ctx, store)
+	if err != nil {
+		return err
+	}
+	notes := slices.Clone(head.Notes)
+	slices.Reverse(notes)
+	if c.Limit > 0 && len(notes) > c.Limit {
+		notes = notes[:c.Limit]
+	}
+	if e.JSON {
+		return e.writeJSON(notes)
+	}
+	var rows [][]any
+	for _, n := range notes {
+		rows = append(rows, []any{n.Version, n.ID, n.Author, n.Summary})
+	}
+	return e.table("VERSION ID AUTHOR SUMMARY", rows)
+}
--- /dev/null
+++ b/cmd/monsoonlatch/note_status.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+	"github.com/monsoonlatch/monsoonlatch/pkg/status"
+)
+
+// waitInterval is the time between two looks while --wait runs; relays write their status once a second.
+const waitInterval = 500 * time.Millisecond
+
+type noteStatus struct {
+	ID string `arg:"" optional:"" help:"Id of the release note; the latest one if left out."`
+}
+
+// noteReport says where one note is in force.
+type noteReport struct {
+	Note        config.NoteRecord `json:"note"`
+	HeadVersion config.Version    `json:"headVersion"`
+	Everywhere  bool              `json:"everywhere"`
+	Tally       status.Tally      `json:"tally"`
+	Zones       []zoneTally       `json:"zones"`
+	// Missing are the nodes where the note is not known to be in force.
+	Missing    []status.Node `json:"missing"`
+	Unreadable []string      `json:"unreadable,omitempty"`
+}
+
+type zoneTally struct {
+	Zone string `json:"zone"`
+	status.Tally
+}
+
+// Run implements the command.
+func (c *noteStatus) Run(e *env) error {
+	store, err := e.store()
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := e.deadline()
+	defer cancel()
+	r, err := readReport(ctx, store, c.ID)
+	if err != nil {
+		return err
+	}
+	if !e.JSON {
+		return r.print(e)
+	}
+	if err := e.writeJSON(r); err != nil {
+		return err
+	}
+	return r.verdict()
+}
+
+func readReport(ctx context.Context, store platform.Store, id string) (noteReport, error) {
+	o, err := release.Status(ctx, store)
+	if err != nil {
+		return noteReport{}, err
+	}
+	record, err := o.Record(id)
+	if err != nil {
+		return noteReport{}, err
+	}
+	all := o.Nodes(record.Version)
+	r := noteReport{Note: record, HeadVersion: o.Head.Version, Tally: status.Count(all), Zones: tallyZones(all), Missing: []status.Node{}}
+	for _, n := range all {
+		if n.Place != status.InForce {
+			r.Missing = append(r.Missing, n)
+		}
+	}
+	for _, bad := range o.Unreadable {
+		r.Unreadable = append(r.Unreadable, bad.Error())
+	}
+	// An object that cannot be read may hide a node.
+	r.Everywhere = r.Tally.Everywhere() && len(r.Unreadable) == 0
+	return r, nil
+}
+
+// tallyZones counts nodes by zone; the nodes are ordered by zone.
+func tallyZones(nodes []status.Node) []zoneTally {
+	out := []zoneTally{}
+	for from := 0; from < len(nodes); {
+		to := from
+		for to < len(nodes) && nodes[to].Zone == nodes[from].Zone {
+			to++
+		}
+		out = append(out, zoneTally{nodes[from].Zone, status.Count(nodes[from:to])})
+		from = to
+	}
+	return out
+}
+
+func (r noteReport) verdict() error {
+	if r.Everywhere {
+		return nil
+	}
+	return errNotEverywhere
+}
+
+func (r noteReport) print(e *env) error {
+	e.printf("release note %s: version %d by %s: %s\n", r.Note.ID, r.Note.Version, oneLine(r.Note.Author), oneLine(r.Note.Summary))
+	switch {
+	case r.Everywhere:
+		e.printf("in force at all %d nodes\n", r.Tally.InForce)
+	case r.Tally == status.Tally{}:
+		e.printf("no node is reported; remedy: check that relays run and reach the platform\n")
+	default:
+		e.printf("in force at %d nodes, lagging at %d, cut off %d\n", r.Tally.InForce, r.Tally.Lagging, r.Tally.CutOff)
+	}
+	for _, bad := range r.Unreadable {
+		e.printf("%s\n", oneLine(bad))
+	}
+	var rows [][]any
+	for _, z := range r.Zones {
+		rows = append(rows, []any{z.Zone, z.InForce, z.Lagging, z.CutOff})
+	}
+	if err := e.table("ZONE IN-FORCE LAGGING CUT-OFF", rows); err != nil {
+		return err
+	}
+	if len(r.Missing) > 0 {
+		e.printf("\n")
+		if err := e.nodeTable(r.Missing); err != nil {
+			return err
+		}
+	}
+	return r.verdict()
+}
+
+// awaitEverywhere reads the report until the note is in force everywhere or the time is over, at least once. Platform
+// outages in between are waited out.
+func (e *env) awaitEverywhere(store platform.Store, id string, limit time.Duration) (noteReport, error) {
+	wait, cancel := context.WithTimeout(e.ctx, limit)
+	defer cancel()
+	tick := time.NewTicker(waitInterval)
+	defer tick.Stop()
+	for {
+		// Each call has its own deadline; the limit ends only the pauses, so that the last look is a whole one.
+		r, err := readReport(e.ctx, store, id)
+		if err == nil && r.Everywhere || err != nil && !fault.Is(err, fault.Unavailable) {
+			return r, err
+		}
+		if err != nil {
+			event.WaitInterrupted.Write(event.WaitInterrupted.Log(e.log).Str("note", id).Err(err))
+		}
+		select {
+		case <-tick.C:
+		case <-wait.Done():
+			return r, err
+		}
+	}
+}
--- /dev/null
+++ b/cmd/monsoonlatch/note_submit.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+type noteSubmit struct {
+	File       string        `arg:"" type:"existingfile" help:"Release note in YAML or JSON; - reads standard input."`
+	Wait       time.Duration `help:"Wait until the note is in force everywhere, at most this long." env:"MONSOONLATCH_WAIT" placeholder:"DURATION"`
+	RaiseAbove uint64        `help:"Give the note a version above this one. For a platform that was restored to an older state than nodes serve." placeholder:"VERSION"`
+}
+
+// submitReport is the JSON output.
+type submitReport struct {
+	release.Result
+	// Status and StatusError are the end of --wait.
+	Status      *noteReport `json:"status,omitempty"`
+	StatusError string      `json:"statusError,omitempty"`
+}
+
+// Run implements the command.
+func (c *noteSubmit) Run(e *env) error {
+	if c.Wait < 0 {
+		return usageError{errors.New("--wait is below 0; remedy: set a time such as 30s")}
+	}
+	doc, err := e.readNote(c.File)
+	if err != nil {
+		return c.refuse(e, doc, err)
+	}
+	store, err := e.store()
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := e.deadline()
+	defer cancel()
+	result, err := release.Submit(ctx, store, doc.Note, release.WithLog(e.log), release.RaiseAbove(config.Version(c.RaiseAbove)))
+	if err != nil {
+		return c.refuse(e, doc, err)
+	}
+	if !e.JSON {
+		c.print(e, result)
+	}
+	if c.Wait == 0 {
+		return e.jsonOnly(submitReport{Result: result})
+	}
+	return c.wait(e, store, result)
+}
+
+// wait ends the command with the place of the accepted note. A status that cannot be read leaves its place unknown, so
+// that it is not in force everywhere as far as the operator can tell.
+func (c *noteSubmit) wait(e *env, store platform.Store, result release.Result) error {
+	r, err := e.awaitEverywhere(store, result.Record.ID, c.Wait)
+	out := submitReport{Result: result}
+	if err != nil {
+		out.StatusError = err.Error()
+		_ = report(e.errOut, err)
+		return errors.Join(e.jsonOnly(out), errNotEverywhere)
+	}
+	if !e.JSON {
+		return r.print(e)
+	}
+	out.Status = &r
+	return errors.Join(e.writeJSON(out), r.verdict())
+}
+
+// refuse writes the faults of the note, each with its line.
+func (c *noteSubmit) refuse(e *env, doc config.Document, err error) error {
+	var usage usageError
+	if errors.As(err, &usage) {
+		return err
+	}
+	list := problems(doc, err)
+	if e.JSON {
+		return errors.Join(e.writeJSON(map[string]any{"ok": false, "problems": list}), errReported)
+	}
+	e.printProblems(c.File, list)
+	return errReported
+}
+
+func (c *noteSubmit) print(e *env, r release.Result) {
+	switch {
+	case r.Recognised:
+		e.printf("release note %s was accepted before as version %d\n", r.Record.ID, r.Record.Version)
+	case r.Rebased > 0:
+		e.printf("release note %s is accepted as version %d, after %d lost races\n", r.Record.ID, r.Record.Version, r.Rebased)
+	default:
+		e.printf("release note %s is accepted as version %d\n", r.Record.ID, r.Record.Version)
+	}
+}
+
+// jsonOnly writes v if the output is JSON.
+func (e *env) jsonOnly(v any) error {
+	if !e.JSON {
+		return nil
+	}
+	return e.writeJSON(v)
+}
--- /dev/null
+++ b/cmd/monsoonlatch/output.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// problem is one fault of a release note.
+type problem struct {
+	Line   int    `json:"line,omitempty"`
+	Item   string `json:"item"`
+	Detail string `json:"detail"`
+	Remedy string `json:"remedy"`
+}
+
+// problems splits an error into its parts, each with its line where the note shows one.
+func problems(doc config.Document, err error) []problem {
+	var out []problem
+	for _, e := range doc.Locate(err) {
+		p := problem{Item: "release note", Detail: e.Error()}
+		var line *config.LineError
+		if errors.As(e, &line) {
+			p.Line = line.Line
+		}
+		var f *fault.Error
+		if errors.As(e, &f) {
+			p.Item, p.Detail, p.Remedy = f.Op, f.Detail, f.Remedy
+			if f.Err != nil {
+				p.Detail = strings.TrimPrefix(f.Detail+": "+f.Err.Error(), ": ")
+			}
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// printProblems writes one fault a line, in the form that editors recognise.
+func (e *env) printProblems(file string, list []problem) {
+	for _, p := range list {
+		place := file
+		if p.Line > 0 {
+			place = fmt.Sprintf("%s:%d", file, p.Line)
+		}
+		e.printf("%s: %s: %s; remedy: %s\n", place, p.Item, p.Detail, p.Remedy)
+	}
+}
+
+// readNote reads a release note file, or standard input for "-". A document is returned with faults of form too.
+func (e *env) readNote(file string) (config.Document, error) {
+	in := e.in
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return config.Document{}, usageError{err}
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, config.MaxNoteBytes+1))
+	if err != nil {
+		return config.Document{}, usageError{err}
+	}
+	return config.ParseDocument(data)
+}
+
+func (e *env) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.out, format, args...)
+}
+
+func (e *env) writeJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// table writes rows in columns.
+func (e *env) table(header string, rows [][]any) error {
+	w := tabwriter.NewWriter(e.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = oneLine(fmt.Sprint(cell))
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
+
+// oneLine replaces control characters, which could forge rows or drive the terminal.
+func oneLine(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, s)
+}
--- a/pkg/event/cli.go
+++ b/pkg/event/cli.go
@@ -8,4 +8,5 @@
 	NoteRace       = define(1701, "note_race", zerolog.InfoLevel, "another release note was accepted first; this one is checked again", "")
 	AnswerLost     = define(1702, "answer_lost", zerolog.WarnLevel, "the platform did not answer a write; the head is read again",
 		"If the submit fails, submit the same note again; it is applied at most once.")
+	WaitInterrupted = define(1703, "wait_interrupted", zerolog.WarnLevel, "the status cannot be read while a submit waits; it is read again", "")
 )
--- a/pkg/release/head.go
+++ b/pkg/release/head.go
@@ -40,17 +40,41 @@
 	return base{head: head, version: obj.Version}, err
 }
 
-// write stores the head that follows b.
-func (b base) write(ctx context.Context, store platform.Store, next config.Head) error {
-	spec, err := json.Marshal(next)
+// Preview returns the head that would follow if the note were submitted now, without writing anything. It makes the
+// checks of Submit that need no platform.
+func Preview(head config.Head, note config.ReleaseNote) (config.Head, error) {
+	if r, ok := head.Note(note.ID); ok {
+		return config.Head{}, fault.New(fault.Conflict, "release note",
+			fmt.Sprintf("the id %s was accepted as version %d from %s", r.ID, r.Version, r.Author), "choose another id")
+	}
+	next, err := head.Accept(note)
+	if err != nil {
+		return config.Head{}, err
+	}
+	_, err = encode(next)
+	return next, err
+}
+
+// encode returns the content of the head object.
+func encode(head config.Head) (json.RawMessage, error) {
+	spec, err := json.Marshal(head)
 	if err != nil {
-		return fault.Wrap(fault.Invalid, "write the head", err, "correct the value that cannot be written as JSON")
+		return nil, fault.Wrap(fault.Invalid, "write the head", err, "correct the value that cannot be written as JSON")
 	}
 	if size := len(spec) + envelopeBytes; size > platform.MaxObjectBytes {
-		return fault.New(fault.Invalid, "write the head",
+		return nil, fault.New(fault.Invalid, "write the head",
 			fmt.Sprintf("the head would have %d bytes, more than the platform's %d", size, platform.MaxObjectBytes),
 			"withdraw routes that are no longer used, or merge routes under common prefixes; about 4,000 routes fit")
 	}
+	return spec, nil
+}
+
+// write stores the head that follows b.
+func (b base) write(ctx context.Context, store platform.Store, next config.Head) error {
+	spec, err := encode(next)
+	if err != nil {
+		return err
+	}
 	obj := platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Version: b.version, Spec: spec}
 	if b.version == "" {
 		_, err = store.Create(ctx, obj)
