Add example notes and tests of watches on virtual time

Cause: both deployments need a first configuration, and tests of silent watches and deadlines must not depend on the speed of the machine.

Change: examples/nairobi and examples/galway with two notes each, checked in order by a test that also guards work that must run once. The platform stand-in serves over connections in memory, so that watches, bookmarks and call deadlines are tested under testing/synctest. platform.Observe logs the start and end of an outage and counts failures.

Ruled out: wall-clock bounds for watches, because a stalled machine breaks them.

Conclusion: other packages can test against the platform in a synctest bubble.

--- a/cmd/monsoonlatch/note_check.go
+++ b/cmd/monsoonlatch/note_check.go
@@ -9,8 +9,8 @@
 )
 
 type noteCheck struct {
-	File    string   `arg:"" type:"existingfile" help:"Release note in YAML or JSON; - reads standard input."`
-	After   []string `type:"existingfile" sep:"none" help:"Check on top of these release notes, in order, instead of the platform's head." placeholder:"FILE"`
+	File    string   `arg:"" help:"Release note in YAML or JSON; - reads standard input."`
+	After   []string `sep:"none" help:"Check on top of these release notes, in order, instead of the platform's head." placeholder:"FILE"`
 	Offline bool     `help:"Check on top of an empty configuration and the notes of --after; ask no platform."`
 }
 
--- a/cmd/monsoonlatch/note_submit.go
+++ b/cmd/monsoonlatch/note_submit.go
@@ -10,7 +10,7 @@
 )
 
 type noteSubmit struct {
-	File       string        `arg:"" type:"existingfile" help:"Release note in YAML or JSON; - reads standard input."`
+	File       string        `arg:"" help:"Release note in YAML or JSON; - reads standard input."`
 	Wait       time.Duration `help:"Wait until the note is in force everywhere, at most this long." env:"MONSOONLATCH_WAIT" placeholder:"DURATION"`
 	RaiseAbove uint64        `help:"Give the note a version above this one. For a platform that was restored to an older state than nodes serve." placeholder:"VERSION"`
 }
--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,69 @@
+// Package examples holds the release notes of the deployments.
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+// mustBeOnce are the routes whose work harms someone when it runs twice.
+var mustBeOnce = map[string][]string{
+	"nairobi": {"lodge-deposit", "pay-sealing-fee"},
+	"galway":  {"book-intake", "settle-account", "order-wake-up"},
+}
+
+// leastUrgent are the routes that may wait for all others.
+var leastUrgent = map[string]string{"nairobi": "archive-listings", "galway": "boarding-reports"}
+
+// Guards against example notes that are refused in their order, and against work that must run once being marked as
+// idempotent.
+func TestNotesPassInOrder(t *testing.T) {
+	for site, routes := range mustBeOnce {
+		files, err := filepath.Glob(filepath.Join(site, "*.yaml"))
+		if err != nil || len(files) < 2 {
+			t.Fatalf("%s: %v %v", site, files, err)
+		}
+		head, err := config.NewHead()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			note, err := config.ParseNote(data)
+			if err != nil {
+				t.Fatalf("%s: %v", file, err)
+			}
+			if head, err = release.Preview(head, note); err != nil {
+				t.Fatalf("%s: %v", file, err)
+			}
+			checkOnce(t, file, head.Configuration, routes)
+			checkLeastUrgent(t, file, head.Configuration, leastUrgent[site])
+		}
+	}
+}
+
+func checkOnce(t *testing.T, file string, c config.Configuration, routes []string) {
+	t.Helper()
+	for _, name := range routes {
+		if r, ok := c.Routes[name]; !ok || r.Idempotent {
+			t.Errorf("%s: route %s: %+v", file, name, r)
+		}
+	}
+}
+
+func checkLeastUrgent(t *testing.T, file string, c config.Configuration, route string) {
+	t.Helper()
+	low := c.Policies[c.Routes[route].Policy]
+	for name, p := range c.Policies {
+		if name != low.Name && p.Rank >= low.Rank {
+			t.Errorf("%s: policy %s of rank %d is not more urgent than %s", file, name, p.Rank, route)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/memory.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// Memory serves a Server over connections in memory, which also work in a testing/synctest bubble.
+type Memory struct {
+	server   *http.Server
+	listener *memoryListener
+	done     sync.WaitGroup
+}
+
+// InMemory starts to serve in memory. Use Dial as the dial function of a client, and Close at the end.
+func (s *Server) InMemory() *Memory {
+	m := &Memory{
+		server:   &http.Server{Handler: s},
+		listener: &memoryListener{conns: make(chan net.Conn), closed: make(chan struct{})},
+	}
+	m.done.Go(func() { _ = m.server.Serve(m.listener) })
+	return m
+}
+
+// Dial opens a connection to the server.
+func (m *Memory) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	select {
+	case m.listener.conns <- theirs:
+		return ours, nil
+	case <-m.listener.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Close ends the server and its connections.
+func (m *Memory) Close() {
+	_ = m.server.Close()
+	m.done.Wait()
+}
+
+// memoryListener hands over the server's ends of the connections. conns holds none: Dial waits for Accept.
+type memoryListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddress{} }
+
+type memoryAddress struct{}
+
+func (memoryAddress) Network() string { return "memory" }
+
+func (memoryAddress) String() string { return "memory" }
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -55,15 +55,16 @@
 		return nil, fault.New(fault.Invalid, "platform address", fmt.Sprintf("%q is not an HTTP address", settings.BaseURL),
 			"set an address such as http://10.0.0.5:8001")
 	}
-	return &Client{settings: settings, reads: newHTTPClient(true), single: newHTTPClient(false)}, nil
+	return &Client{settings: settings, reads: newHTTPClient(settings, true), single: newHTTPClient(settings, false)}, nil
 }
 
-func newHTTPClient(keep bool) *http.Client {
+func newHTTPClient(settings Settings, keep bool) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true) // The HTTP/2 transport has further rules for sending requests again.
 	return &http.Client{
 		Transport: &http.Transport{
 			Proxy:               http.ProxyFromEnvironment,
+			DialContext:         settings.Dial,
 			DisableKeepAlives:   !keep,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     10 * time.Second,
--- a/pkg/platform/http_test.go
+++ b/pkg/platform/http_test.go
@@ -1,9 +1,7 @@
 package platform_test
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -23,7 +21,7 @@
 	t.Helper()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.Settings{BaseURL: server.URL, CallTimeout: 5 * time.Second, WatchSilence: 200 * time.Millisecond})
+	client, err := platform.NewClient(platform.Settings{BaseURL: server.URL, CallTimeout: 5 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,58 +122,6 @@
 	}
 }
 
-// Guards against a watch that waits for good on a connection or platform that went silent, or after it expired.
-func TestWatchEnds(t *testing.T) {
-	for name, faults := range map[string]standin.Faults{
-		"silent": {SilentWatches: true}, "expired": {ExpireWatches: true}, "down": {Down: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			server := standin.NewServer()
-			server.SetBookmarkInterval(20 * time.Millisecond)
-			ctx, client := t.Context(), start(t, server)
-			obj, err := client.Create(ctx, lease("a", `{"n":1}`))
-			if err != nil {
-				t.Fatal(err)
-			}
-			seen := make(chan platform.Object, 1)
-			done := make(chan error, 1)
-			go func() {
-				done <- client.Watch(ctx, obj.Kind, "a", obj.Version, func(o platform.Object) error { seen <- o; return nil })
-			}()
-			if _, err := client.Create(ctx, lease("other", `{}`)); err != nil {
-				t.Fatal(err)
-			}
-			obj.Spec = json.RawMessage(`{"n":2}`)
-			if obj, err = client.Update(ctx, obj); err != nil {
-				t.Fatal(err)
-			}
-			if got := <-seen; got.Version != obj.Version || string(got.Spec) != `{"n":2}` {
-				t.Errorf("watched %+v", got)
-			}
-			server.SetFaults(faults)
-			if err := <-done; !fault.Is(err, fault.Unavailable) {
-				t.Errorf("got %v", err)
-			}
-			if got := server.Counts().Watch; got != 1 {
-				t.Errorf("%d watches counted", got)
-			}
-		})
-	}
-}
-
-// Guards against bookmarks that do not keep a quiet watch alive, and a watch that outlives its caller.
-func TestQuietWatchLivesUntilCallerEnds(t *testing.T) {
-	server := standin.NewServer()
-	server.SetBookmarkInterval(20 * time.Millisecond)
-	client := start(t, server)
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(600*time.Millisecond, cancel)
-	err := client.Watch(ctx, platform.KindRelayLease, "a", "0", func(platform.Object) error { return nil })
-	if !errors.Is(err, context.Canceled) {
-		t.Errorf("got %v", err)
-	}
-}
-
 // Guards against calls beyond the budget, and against calls that are not counted.
 func TestLimit(t *testing.T) {
 	server, metrics := standin.NewServer(), metric.NewSet()
--- /dev/null
+++ b/pkg/platform/observe.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// observed logs when the platform stops and starts answering, and counts failed calls by kind of error.
+type observed struct {
+	next    Store
+	log     *zerolog.Logger
+	metrics *metric.Set
+	down    atomic.Bool
+}
+
+// Observe returns a store that logs outages of next and counts failures as platform.failed.KIND. Conflicts and missing
+// objects are answers, not failures. Put it below Limit, so that calls refused by the local budget are not seen.
+func Observe(next Store, log *zerolog.Logger, metrics *metric.Set) Store {
+	return &observed{next: next, log: log, metrics: metrics}
+}
+
+// call records the outcome of one call but a watch.
+func (o *observed) call(err error) {
+	if errors.Is(err, context.Canceled) {
+		return // The caller has gone; nothing is known about the platform.
+	}
+	kind := fault.KindOf(err)
+	if err == nil || kind == fault.Conflict || kind == fault.NotFound {
+		if o.down.Swap(false) {
+			event.PlatformAnswers.Write(event.PlatformAnswers.Log(o.log))
+		}
+		return
+	}
+	o.metrics.Counter("platform.failed." + string(kind)).Inc(1)
+	switch kind {
+	case fault.Unavailable:
+		if !o.down.Swap(true) {
+			event.PlatformUnavailable.Write(event.PlatformUnavailable.Log(o.log).Err(err))
+		}
+	case fault.Forbidden:
+		event.PlatformRefuses.Write(event.PlatformRefuses.Log(o.log).Err(err))
+	}
+}
+
+func (o *observed) Get(ctx context.Context, kind ObjectKind, name string) (Object, error) {
+	obj, err := o.next.Get(ctx, kind, name)
+	o.call(err)
+	return obj, err
+}
+
+func (o *observed) List(ctx context.Context, kind ObjectKind) ([]Object, error) {
+	list, err := o.next.List(ctx, kind)
+	o.call(err)
+	return list, err
+}
+
+func (o *observed) Create(ctx context.Context, obj Object) (Object, error) {
+	out, err := o.next.Create(ctx, obj)
+	o.call(err)
+	return out, err
+}
+
+func (o *observed) Update(ctx context.Context, obj Object) (Object, error) {
+	out, err := o.next.Update(ctx, obj)
+	o.call(err)
+	return out, err
+}
+
+func (o *observed) Delete(ctx context.Context, kind ObjectKind, name, version string) error {
+	err := o.next.Delete(ctx, kind, name, version)
+	o.call(err)
+	return err
+}
+
+// Watch counts a broken watch, but does not take it for an outage: one connection may go silent while others work.
+func (o *observed) Watch(ctx context.Context, kind ObjectKind, name, version string, handle func(Object) error) error {
+	err := o.next.Watch(ctx, kind, name, version, handle)
+	if fault.Is(err, fault.Unavailable) && ctx.Err() == nil {
+		o.metrics.Counter("platform.watch_broken").Inc(1)
+		event.WatchBroken.Write(event.WatchBroken.Log(o.log).Str("object", string(kind)+"/"+name).Err(err))
+	}
+	return err
+}
--- a/pkg/platform/settings.go
+++ b/pkg/platform/settings.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"context"
+	"net"
 	"strings"
 	"time"
 )
@@ -17,6 +19,8 @@
 	WatchSilence time.Duration
 	// WatchDuration is how long the platform is asked to keep one watch open.
 	WatchDuration time.Duration
+	// Dial opens connections; nil stands for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Defaults of Settings.
--- /dev/null
+++ b/pkg/platform/watch_test.go
@@ -0,0 +1,176 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+// virtual runs f with a client and a platform on virtual time.
+func virtual(t *testing.T, f func(t *testing.T, server *standin.Server, client *platform.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.NewServer()
+		memory := server.InMemory()
+		client, err := platform.NewClient(platform.Settings{BaseURL: "http://platform", Dial: memory.Dial})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f(t, server, client)
+		client.Close()
+		memory.Close()
+	})
+}
+
+// Guards against a watch that waits for good on a connection or platform that went silent, or after it expired.
+func TestWatchEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults standin.Faults
+		within time.Duration
+	}{
+		"silent":  {standin.Faults{SilentWatches: true}, platform.DefaultWatchSilence},
+		"expired": {standin.Faults{ExpireWatches: true}, 0},
+		"down":    {standin.Faults{Down: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, func(t *testing.T, server *standin.Server, client *platform.Client) {
+				ctx := t.Context()
+				obj, err := client.Create(ctx, lease("a", `{"n":1}`))
+				if err != nil {
+					t.Fatal(err)
+				}
+				seen := make(chan platform.Object, 1)
+				done := make(chan error, 1)
+				go func() {
+					done <- client.Watch(ctx, obj.Kind, "a", obj.Version, func(o platform.Object) error { seen <- o; return nil })
+				}()
+				if _, err := client.Create(ctx, lease("other", `{}`)); err != nil {
+					t.Fatal(err)
+				}
+				obj.Spec = json.RawMessage(`{"n":2}`)
+				if obj, err = client.Update(ctx, obj); err != nil {
+					t.Fatal(err)
+				}
+				if got := <-seen; got.Version != obj.Version || string(got.Spec) != `{"n":2}` {
+					t.Errorf("watched %+v", got)
+				}
+				start := time.Now()
+				server.SetFaults(c.faults)
+				if err := <-done; !fault.Is(err, fault.Unavailable) || time.Since(start) > c.within {
+					t.Errorf("got %v after %s", err, time.Since(start))
+				}
+				if got := server.Counts().Watch; got != 1 {
+					t.Errorf("%d watches counted", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against bookmarks that do not keep a quiet watch alive, and against a watch that outlives the time that the
+// platform was asked for, its caller, or a handler that failed.
+func TestWatchLives(t *testing.T) {
+	virtual(t, func(t *testing.T, server *standin.Server, client *platform.Client) {
+		ignore := func(platform.Object) error { return nil }
+		start := time.Now()
+		err := client.Watch(t.Context(), platform.KindRelayLease, "a", "0", ignore)
+		if err != nil || time.Since(start) != platform.DefaultWatchDuration {
+			t.Errorf("quiet watch: %v after %s", err, time.Since(start))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		if err := client.Watch(ctx, platform.KindRelayLease, "a", "0", ignore); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("caller's end: %v", err)
+		}
+		if _, err := client.Create(t.Context(), lease("a", `{}`)); err != nil {
+			t.Fatal(err)
+		}
+		failed := errors.New("handler failed")
+		if err := client.Watch(t.Context(), platform.KindRelayLease, "a", "0", func(platform.Object) error { return failed }); !errors.Is(err, failed) {
+			t.Errorf("handler: %v", err)
+		}
+		server.Save()
+		server.Restore()
+		if err := client.Watch(t.Context(), platform.KindRelayLease, "a", "7", ignore); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("version of the future: %v", err)
+		}
+	})
+}
+
+// Guards against a call without a deadline, and against a slow write that is reported as not done.
+func TestSlowPlatform(t *testing.T) {
+	virtual(t, func(t *testing.T, server *standin.Server, client *platform.Client) {
+		server.SetFaults(standin.Faults{SlowMillis: 5000})
+		start := time.Now()
+		_, err := client.Create(t.Context(), lease("a", `{}`))
+		if !fault.Is(err, fault.Unavailable) || time.Since(start) != platform.DefaultCallTimeout {
+			t.Errorf("got %v after %s", err, time.Since(start))
+		}
+		time.Sleep(5 * time.Second)
+		server.SetFaults(standin.Faults{})
+		if _, err := client.Get(t.Context(), platform.KindRelayLease, "a"); err != nil {
+			t.Errorf("the write took effect, but: %v", err)
+		}
+	})
+}
+
+// Guards against answers of something else than the platform being taken for objects, and against ones that fill the
+// memory.
+func TestMalformedAnswers(t *testing.T) {
+	huge := strings.Repeat("x", 2*platform.MaxObjectBytes)
+	for name, body := range map[string]string{
+		"page": "<html>", "cut": `{"metadata":{"name":"a"`, "other object": `{"metadata":{"name":"b","resourceVersion":"1"}}`,
+		"no version": `{"metadata":{"name":"a"}}`, "empty": "", "huge": `{"metadata":{"name":"a","resourceVersion":"1"},"spec":"` + huge + `"}`,
+	} {
+		client := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		if obj, err := client.Get(t.Context(), platform.KindRelayLease, "a"); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("%s: got %+v %v", name, obj, err)
+		}
+	}
+	for name, body := range map[string]string{
+		"not JSON": "<html>", "unknown type": `{"type":"SURPRISE","object":1}`, "not an object": `{"type":"ADDED","object":1}`,
+		"huge": `{"type":"ADDED","object":{"metadata":{"name":"a"},"spec":"` + huge + `"}}`, "deleted": `{"type":"DELETED","object":{}}`,
+	} {
+		client := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		err := client.Watch(t.Context(), platform.KindRelayLease, "a", "1", func(o platform.Object) error {
+			t.Errorf("%s: handled object %s", name, o.Name)
+			return nil
+		})
+		if !fault.Is(err, fault.Unavailable) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// Guards against an outage that is logged with each call, or not at all.
+func TestObserveLogsOutageOnce(t *testing.T) {
+	server, metrics := standin.NewServer(), metric.NewSet()
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	store := platform.Observe(start(t, server), &log, metrics)
+	for _, down := range []bool{false, true, true, false, false} {
+		server.SetFaults(standin.Faults{Down: down})
+		if _, err := store.Get(t.Context(), platform.KindRelayLease, "a"); fault.Is(err, fault.Unavailable) != down {
+			t.Errorf("down %t: %v", down, err)
+		}
+	}
+	if strings.Count(out.String(), `"event":1500`) != 1 || strings.Count(out.String(), `"event":1501`) != 1 {
+		t.Errorf("log:\n%s", out.String())
+	}
+	if got := metrics.Snapshot()["platform.failed.unavailable"]; got != 2 {
+		t.Errorf("%d failures counted", got)
+	}
+}
