Test configuration changes under races, faults and generated notes

Change: racing operators submit among lost answers and outages, and porcupine checks that the head is linearizable and that each note is applied at most once. Benchmarks cover Check, Build, Hash, Accept, NewDelta, Delta.Apply and Match. The tests found that JSON with surrogate or slash escapes was refused; it is now read. Control characters other than line ends and tabs are refused in author and summary. Equal no longer sorts lists that are the same.

Ruled out: reading JSON with encoding/json, because it gives no lines for items and accepts repeated fields.

--- a/cmd/monsoonlatch/output.go
+++ b/cmd/monsoonlatch/output.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
@@ -98,7 +99,7 @@
 // oneLine replaces control characters, which could forge rows or drive the terminal.
 func oneLine(s string) string {
 	return strings.Map(func(r rune) rune {
-		if r < ' ' || r == 0x7f {
+		if unicode.IsControl(r) {
 			return ' '
 		}
 		return r
--- a/pkg/config/apply.go
+++ b/pkg/config/apply.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"unicode"
 	"unicode/utf8"
 )
 
@@ -79,10 +80,15 @@
 	text := len(n.Author) <= MaxSummaryBytes && len(n.Summary) <= MaxSummaryBytes
 	demand(text, fmt.Sprintf("author or summary has more than %d bytes", MaxSummaryBytes), "shorten it")
 	demand(utf8.ValidString(n.Author) && utf8.ValidString(n.Summary), "author or summary is not UTF-8", "save the file as UTF-8")
+	demand(!strings.ContainsFunc(n.Author+n.Summary, forbidden), "author or summary contains a control character",
+		"remove it; line ends and tabs are allowed")
 	demand(!n.Touched().Empty(), "changes nothing", "list at least one item under add, change or withdraw")
 	return errs
 }
 
+// forbidden matches characters that could drive the terminal on which a note is listed.
+func forbidden(r rune) bool { return unicode.IsControl(r) && r != '\n' && r != '\t' }
+
 // Touched returns the names of all items that the note adds, changes or withdraws, in order.
 func (n ReleaseNote) Touched() Names {
 	t := Names{Services: n.Withdraw.Services, Policies: n.Withdraw.Policies, Routes: n.Withdraw.Routes}.clone()
--- /dev/null
+++ b/pkg/config/bench_test.go
@@ -0,0 +1,148 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Sizes of the two-year plan.
+const (
+	benchServices = 61
+	benchRoutes   = 2000
+	benchPolicies = 8
+)
+
+// benchConfiguration has routes of two to four segments, as deployments have them.
+func benchConfiguration() Configuration {
+	c := Configuration{}.Clone()
+	for i := range benchServices {
+		name := fmt.Sprintf("service-%02d", i)
+		c.Services[name] = Service{Name: name}
+	}
+	for i := range benchPolicies {
+		name := fmt.Sprintf("policy-%d", i)
+		c.Policies[name] = Policy{Name: name, Rank: i, Target: Duration(250 * time.Millisecond), Deadline: Duration(2 * time.Second),
+			Worth: 10, GuaranteedShare: 0.1, MaxRetries: 1}
+	}
+	for i := range benchRoutes {
+		name := fmt.Sprintf("route-%04d", i)
+		c.Routes[name] = Route{Name: name, PathPrefix: fmt.Sprintf("/service-%02d/resources-%d", i%benchServices, i) + []string{"", "/items", "/items/details"}[i%3],
+			Methods: []string{"GET", "POST"}, Service: fmt.Sprintf("service-%02d", i%benchServices), Policy: fmt.Sprintf("policy-%d", i%benchPolicies)}
+	}
+	return c
+}
+
+func benchHead(b testing.TB) Head {
+	b.Helper()
+	c := benchConfiguration()
+	hash, err := c.Hash()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return Head{Version: 1, Hash: hash, Configuration: c}
+}
+
+// changeOne is the usual release note: one route changes.
+func changeOne(c Configuration) ReleaseNote {
+	r := c.Routes["route-0007"]
+	r.Idempotent = !r.Idempotent
+	return ReleaseNote{ID: "change", Author: "ops", Change: Items{Routes: []Route{r}}}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	c := benchConfiguration()
+	for b.Loop() {
+		if err := c.Check(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	h := benchHead(b)
+	for b.Loop() {
+		if _, err := Build(h.Version, h.Hash, h.Configuration); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkHash(b *testing.B) {
+	c := benchConfiguration()
+	for b.Loop() {
+		if _, err := c.Hash(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAccept(b *testing.B) {
+	h := benchHead(b)
+	note := changeOne(h.Configuration)
+	for b.Loop() {
+		if _, err := h.Accept(note); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkNewDelta(b *testing.B) {
+	from, to := benchPair(b)
+	for b.Loop() {
+		NewDelta(from.Version, from.Configuration, to.Version, to.Hash, to.Configuration)
+	}
+}
+
+func BenchmarkDeltaApply(b *testing.B) {
+	from, to := benchPair(b)
+	d := NewDelta(from.Version, from.Configuration, to.Version, to.Hash, to.Configuration)
+	for b.Loop() {
+		if _, err := d.Apply(from.Configuration); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func benchPair(b testing.TB) (from, to Head) {
+	b.Helper()
+	from = benchHead(b)
+	to, err := from.Accept(changeOne(from.Configuration))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return from, to
+}
+
+// benchPaths are requests that match at different depths, and one that matches nothing.
+var benchPaths = []string{"/service-01/resources-1/items/4711", "/service-00/resources-1830", "/service-07/resources-1532/items/details/a/b/c/d", "/nowhere/at/all"}
+
+func BenchmarkMatch(b *testing.B) {
+	h := benchHead(b)
+	s := newSnapshot(h.Version, h.Hash, h.Configuration)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Match("GET", benchPaths[i%len(benchPaths)])
+	}
+}
+
+// BenchmarkMatchByScan is the baseline: the project's earlier scan over all routes.
+func BenchmarkMatchByScan(b *testing.B) {
+	h := benchHead(b)
+	table := sortedTable(h.Configuration)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		scanTable(table, "GET", benchPaths[i%len(benchPaths)])
+	}
+}
+
+// Guards against a routing table that allocates for each request.
+func TestMatchDoesNotAllocate(t *testing.T) {
+	h := benchHead(t)
+	s := newSnapshot(h.Version, h.Hash, h.Configuration)
+	for _, path := range benchPaths {
+		if n := testing.AllocsPerRun(100, func() { s.Match("GET", path) }); n != 0 {
+			t.Errorf("%s: %v allocations", path, n)
+		}
+	}
+}
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -141,3 +141,18 @@
 		t.Errorf("head %+v", b)
 	}
 }
+
+// Guards against JSON from writers that keep to ASCII being refused or misread.
+func TestParseJSONEscapes(t *testing.T) {
+	doc, err := ParseDocument([]byte("{\n\t\"id\": \"x\",\n\t\"summary\": \"\\ud83d\\ude00 \\u00e9 \\\\ud83d\\\\ude00 a\\/b\",\n\t\"add\": {\"services\": [\n{\"name\": \"é\"}]}}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := "😀 é \\ud83d\\ude00 a/b"; doc.Note.Summary != want {
+		t.Errorf("got %q, want %q", doc.Note.Summary, want)
+	}
+	_, err = Configuration{}.Apply(doc.Note)
+	if text := fmt.Sprint(doc.Locate(err)); !strings.Contains(text, "line 5: service é: the name must start") {
+		t.Errorf("got %s", text)
+	}
+}
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -78,13 +78,18 @@
 
 // Equal reports whether two services have the same content.
 func (s Service) Equal(o Service) bool {
-	return s.Name == o.Name && slices.Equal(sorted(s.CallableFrom), sorted(o.CallableFrom))
+	return s.Name == o.Name && equalSets(s.CallableFrom, o.CallableFrom)
 }
 
 // Equal reports whether two routes have the same content.
 func (r Route) Equal(o Route) bool {
 	return r.Name == o.Name && r.PathPrefix == o.PathPrefix && r.Service == o.Service && r.Policy == o.Policy &&
-		r.Idempotent == o.Idempotent && slices.Equal(sorted(r.Methods), sorted(o.Methods))
+		r.Idempotent == o.Idempotent && equalSets(r.Methods, o.Methods)
+}
+
+// equalSets compares lists without regard to order. Accepted configurations are sorted, so the first test mostly decides.
+func equalSets(a, b []string) bool {
+	return slices.Equal(a, b) || len(a) == len(b) && slices.Equal(sorted(a), sorted(b))
 }
 
 // shortHash shortens a hash for messages.
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -46,6 +46,7 @@
 	if len(data) > MaxNoteBytes {
 		return Document{}, invalid("release note", fmt.Sprintf("has %d bytes, more than %d", len(data), MaxNoteBytes), "split the note")
 	}
+	data = replaceJSONEscapes(data)
 	var root yaml.Node
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	if err := dec.Decode(&root); errors.Is(err, io.EOF) {
--- /dev/null
+++ b/pkg/release/race_test.go
@@ -0,0 +1,210 @@
+package release_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+const (
+	raceSeed      = 20261204
+	operators     = 5
+	notesEach     = 8
+	sharedNotes   = 6
+	outcomeRead   = "read"
+	outcomeNew    = "accepted"
+	outcomeKnown  = "recognised"
+	outcomeRefuse = "refused"
+	outcomeOpen   = "unknown"
+)
+
+// answer is what an operator saw: the version of its note, or for a read the ids in the order of versions.
+type answer struct {
+	outcome string
+	version int
+	ids     string
+}
+
+// headModel is the head as the list of accepted ids, joined by commas; the version is its length.
+var headModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		ids, id, out := split(state.(string)), input.(string), output.(answer)
+		appended := strings.Join(append(slices.Clone(ids), id), ",")
+		at := slices.Index(ids, id) + 1
+		switch {
+		case out.outcome == outcomeRead && out.ids == state.(string),
+			out.outcome == outcomeRefuse && at == 0,
+			out.outcome == outcomeKnown && at == out.version:
+			return []any{state}
+		case out.outcome == outcomeNew || out.outcome == outcomeKnown:
+			if at == 0 && out.version == len(ids)+1 {
+				return []any{appended}
+			}
+		case out.outcome == outcomeOpen && at == 0:
+			return []any{state, appended}
+		case out.outcome == outcomeOpen:
+			return []any{state}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func split(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// history collects operations.
+type history struct {
+	server *standin.Server
+	store  platform.Store
+	start  time.Time
+
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) record(client int, id string, f func() answer) answer {
+	call := time.Since(h.start).Nanoseconds()
+	out := f()
+	end := time.Since(h.start).Nanoseconds()
+	if out.outcome == outcomeOpen {
+		end = math.MaxInt64 // The write may take effect at any later moment.
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: id, Call: call, Output: out, Return: end})
+	return out
+}
+
+// operator submits its notes among faults, resubmits what stayed open, and reads the head in between.
+func (h *history) operator(t *testing.T, client int) {
+	server, store := h.server, h.store
+	random := rand.New(rand.NewPCG(raceSeed, uint64(client)))
+	for i := range notesEach {
+		note := raceNote(random, client, i)
+		switch random.IntN(6) {
+		case 0, 1:
+			server.SetFaults(standin.Faults{LoseAnswers: 1 + random.IntN(2)})
+		case 2:
+			server.SetFaults(standin.Faults{Down: true})
+			time.AfterFunc(time.Duration(random.IntN(40))*time.Millisecond, func() { server.SetFaults(standin.Faults{}) })
+		}
+		for range 20 {
+			out := h.record(client, note.ID, func() answer { return submitAnswer(t, store, note) })
+			if out.outcome != outcomeOpen {
+				break
+			}
+			client += operators // A client has one operation at a time, and the open one goes on.
+		}
+		h.record(client, "", func() answer {
+			head, err := release.ReadHead(t.Context(), store)
+			if err != nil {
+				return answer{outcome: outcomeOpen}
+			}
+			return answer{outcome: outcomeRead, ids: ids(head)}
+		})
+	}
+}
+
+// raceNote is a note of the operator's own names, or one that several operators submit, or one that changes what
+// others change too.
+func raceNote(random *rand.Rand, client, i int) config.ReleaseNote {
+	switch random.IntN(4) {
+	case 0:
+		n := random.IntN(sharedNotes)
+		return addRoute(fmt.Sprintf("shared-%d", n), fmt.Sprintf("shared-%d", n))
+	case 1:
+		p := first().Add.Policies[0]
+		p.Worth = client*notesEach + i
+		return config.ReleaseNote{ID: fmt.Sprintf("change-%d-%d", client, i), Author: "ops", Change: config.Items{Policies: []config.Policy{p}}}
+	}
+	name := fmt.Sprintf("own-%d-%d", client, i)
+	return addRoute(name, name)
+}
+
+func ids(head config.Head) string {
+	var out []string
+	for _, n := range head.Notes {
+		out = append(out, n.ID)
+	}
+	return strings.Join(out, ",")
+}
+
+func submitAnswer(t *testing.T, store platform.Store, note config.ReleaseNote) answer {
+	r, err := release.Submit(t.Context(), store, note)
+	switch {
+	case fault.Is(err, fault.Unavailable):
+		return answer{outcome: outcomeOpen}
+	case fault.Is(err, fault.Conflict) || fault.Is(err, fault.Invalid):
+		return answer{outcome: outcomeRefuse}
+	case err != nil:
+		t.Errorf("%s: %v", note.ID, err)
+		return answer{outcome: outcomeOpen}
+	case r.Recognised:
+		return answer{outcome: outcomeKnown, version: int(r.Record.Version)}
+	}
+	return answer{outcome: outcomeNew, version: int(r.Record.Version)}
+}
+
+// Guards against a head version that two notes share, a note applied twice or after it was refused, and a read that
+// shows a state which the head never had: operators race while answers get lost and the platform fails.
+func TestRacingOperatorsAreLinearizable(t *testing.T) {
+	server, store := start(t)
+	h := &history{server: server, store: store, start: time.Now()}
+	h.record(0, "first", func() answer { return submitAnswer(t, store, first()) })
+	var all sync.WaitGroup
+	for client := range operators {
+		all.Go(func() { h.operator(t, client) })
+	}
+	all.Wait()
+	server.SetFaults(standin.Faults{})
+	head, err := release.ReadHead(t.Context(), store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.record(0, "", func() answer { return answer{outcome: outcomeRead, ids: ids(head)} })
+	model := headModel.ToModel()
+	if result := porcupine.CheckOperationsTimeout(model, h.ops, time.Minute); result != porcupine.Ok {
+		t.Errorf("seed %d: the history of %d operations is %s", raceSeed, len(h.ops), result)
+	}
+	outcomes := make(map[string]int)
+	for _, op := range h.ops {
+		outcomes[op.Output.(answer).outcome]++
+	}
+	t.Logf("version %d, outcomes %v", head.Version, outcomes)
+	checkApplied(t, head)
+}
+
+// checkApplied compares the configuration with the notes that the head lists.
+func checkApplied(t *testing.T, head config.Head) {
+	routes := 0
+	for _, n := range head.Notes {
+		for _, r := range n.Touched.Routes {
+			routes++
+			if _, ok := head.Configuration.Routes[r]; !ok {
+				t.Errorf("route %s of note %s is missing", r, n.ID)
+			}
+		}
+	}
+	if routes != len(head.Configuration.Routes) || int(head.Version) != len(head.Notes) {
+		t.Errorf("version %d with %d notes, %d routes of %d", head.Version, len(head.Notes), len(head.Configuration.Routes), routes)
+	}
+}
