--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"container/list"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+)
+
+// expiryGuard is how much longer than the window a tombstone stays in the table after it has left the digest. Tables
+// learn of a departure at slightly different times; without the guard, a table that has just dropped a tombstone
+// would take it again from one that still holds it.
+const expiryGuard = 10 * time.Second
+
+// Record is an instance record as nodes exchange it. Times travel as ages, so that no clocks are compared.
+type Record struct {
+	Instance Instance
+	// JoinedAge is the time since the incarnation was first known.
+	JoinedAge time.Duration
+	// Gone states that the incarnation departed or was followed by a later one, DepartedAge ago.
+	Gone        bool
+	DepartedAge time.Duration
+}
+
+// Mark is a position in the changes of one table. Epoch tells tables apart.
+type Mark struct {
+	Epoch    uint64
+	Revision uint64
+}
+
+type key struct {
+	id          InstanceID
+	incarnation uint64
+}
+
+// entry is one incarnation of an instance.
+type entry struct {
+	instance Instance
+	joined   time.Time
+	// departed is zero for a live member.
+	departed time.Time
+	// missing states that a complete answer of a relay lacked the record; any record of it clears the mark.
+	missing  bool
+	digested bool
+	hash     uint64
+	revision uint64
+	element  *list.Element
+}
+
+func (e *entry) gone() bool { return !e.departed.IsZero() }
+
+// Table holds the records of all incarnations that are members or departed less than a window ago. It implements
+// HistoryView. All methods may be called by several goroutines.
+type Table struct {
+	clock clock.Clock
+	epoch uint64
+
+	mu        sync.Mutex
+	window    time.Duration
+	revision  uint64
+	entries   map[key]*entry
+	latest    map[InstanceID]uint64
+	log       *list.List // entries in the order of their last change
+	byService map[string]uint64
+	byZone    map[string]uint64
+	cutOff    map[string]bool
+	listeners []chan struct{}
+	touched   map[string]bool
+	since     time.Time
+
+	views atomic.Pointer[map[string]*serviceView]
+}
+
+// NewTable returns an empty table. The epoch must differ from that of any other table, such as a random number.
+func NewTable(c clock.Clock, epoch uint64, window time.Duration) *Table {
+	t := &Table{
+		clock: c, epoch: epoch, window: window,
+		entries: make(map[key]*entry), latest: make(map[InstanceID]uint64), log: list.New(),
+		byService: make(map[string]uint64), byZone: make(map[string]uint64),
+		cutOff: make(map[string]bool), touched: make(map[string]bool),
+	}
+	t.views.Store(&map[string]*serviceView{})
+	return t
+}
+
+// SetWindow sets how long tombstones are kept.
+func (t *Table) SetWindow(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.window = d
+}
+
+// Mark returns the position after the last change.
+func (t *Table) Mark() Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Mark{Epoch: t.epoch, Revision: t.revision}
+}
+
+// Since returns the records changed after the revision that keep selects, in the order of change, and the position
+// after them. A mark of another epoch gives all records.
+func (t *Table) Since(m Mark, keep func(Instance) bool) ([]Record, Mark) {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	after := m.Revision
+	if m.Epoch != t.epoch {
+		after = 0
+	}
+	first := t.log.Front()
+	for e := t.log.Back(); e != nil && e.Value.(*entry).revision > after; e = e.Prev() {
+		first = e
+	}
+	if t.revision <= after {
+		first = nil
+	}
+	var out []Record
+	for e := first; e != nil; e = e.Next() {
+		if en := e.Value.(*entry); en.digested && keep(en.instance) {
+			out = append(out, en.record(now))
+		}
+	}
+	return out, Mark{Epoch: t.epoch, Revision: t.revision}
+}
+
+// All returns all records that keep selects.
+func (t *Table) All(keep func(Instance) bool) ([]Record, Mark) { return t.Since(Mark{}, keep) }
+
+// maxAge bounds the ages that travel: what happened longer ago makes no difference.
+const maxAge = 24 * time.Hour
+
+func (e *entry) record(now time.Time) Record {
+	r := Record{Instance: e.instance, JoinedAge: min(now.Sub(e.joined), maxAge).Truncate(time.Millisecond)}
+	if e.gone() {
+		r.Gone, r.DepartedAge = true, now.Sub(e.departed).Truncate(time.Millisecond)
+	}
+	return r
+}
+
+// Get returns the record of the latest incarnation of an instance, departed or not.
+func (t *Table) Get(id InstanceID) (Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	inc, ok := t.latest[id]
+	if !ok {
+		return Instance{}, false
+	}
+	return t.entries[key{id, inc}].instance, true
+}
+
+// Len returns the number of records, tombstones included.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
+// Expire drops tombstones whose window has passed.
+func (t *Table) Expire() {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, e := range t.entries {
+		if !e.gone() {
+			continue
+		}
+		age := now.Sub(e.departed)
+		if age >= t.window {
+			t.undigest(e)
+		}
+		if age >= t.window+expiryGuard {
+			t.remove(k, e)
+		}
+	}
+	t.publish()
+}
+
+func (t *Table) remove(k key, e *entry) {
+	t.undigest(e)
+	t.log.Remove(e.element)
+	delete(t.entries, k)
+	if t.latest[k.id] == k.incarnation {
+		delete(t.latest, k.id)
+	}
+	t.touched[e.instance.Service] = true
+}
+
+// Retain drops the records of all services that keep does not select.
+func (t *Table) Retain(keep func(service string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, e := range t.entries {
+		if !keep(e.instance.Service) {
+			t.remove(k, e)
+		}
+	}
+	t.publish()
+}
--- /dev/null
+++ b/pkg/relay/directory.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+const (
+	// directoryTTL is how long a relay stays listed without a sign of life: longer than a lease.
+	directoryTTL = 20 * time.Second
+	// unreachableAfter is the time without contact after which a zone counts as unreachable.
+	unreachableAfter = 30 * time.Second
+)
+
+type slotKey struct {
+	zone string
+	slot uint8
+}
+
+// listing is what is known about the holder of one slot.
+type listing struct {
+	info    syncer.RelayInfo
+	seen    time.Time
+	version string // of the lease object
+}
+
+// directory lists the relays that show signs of life. It is pure and not safe for concurrent use.
+type directory map[slotKey]listing
+
+// lease takes a lease object as read. A change of the object is a sign of life; its first sight is taken as one.
+func (d directory) lease(now time.Time, zone string, slot uint8, version string, l lease.Lease) {
+	k := slotKey{zone, slot}
+	if e, ok := d[k]; ok && e.version == version {
+		return
+	}
+	info := syncer.RelayInfo{Zone: zone, Slot: slot, Node: instanceID(l.Holder), Address: l.Address}
+	d[k] = listing{info: info, seen: now, version: version}
+}
+
+// contact takes a message from or about a relay as a sign of life.
+func (d directory) contact(now time.Time, info syncer.RelayInfo) {
+	k := slotKey{info.Zone, info.Slot}
+	e := d[k]
+	e.info, e.seen = info, now
+	d[k] = e
+}
+
+// alive returns the listed relays in order.
+func (d directory) alive(now time.Time) []syncer.RelayInfo {
+	var out []syncer.RelayInfo
+	for _, e := range d {
+		if now.Sub(e.seen) < directoryTTL {
+			out = append(out, e.info)
+		}
+	}
+	syncer.SortRelays(out)
+	return out
+}
+
+// reach tells which zones can be reached. It is pure and not safe for concurrent use.
+type reach struct {
+	own     string
+	contact map[string]time.Time
+}
+
+// seen notes a message exchanged with a node of the zone.
+func (r *reach) seen(now time.Time, zone string) { r.contact[zone] = now }
+
+// unreachable returns the zones without contact for unreachableAfter. A zone's time begins when it is first named.
+func (r *reach) unreachable(now time.Time, zones []string) []string {
+	var out []string
+	for _, z := range zones {
+		at, ok := r.contact[z]
+		if !ok {
+			r.contact[z] = now
+			continue
+		}
+		if z != r.own && now.Sub(at) > unreachableAfter {
+			out = append(out, z)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/relay/head.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+const (
+	// watchPause spreads the relays that open their watch again after an outage of the platform.
+	watchPause = 2 * time.Second
+	// noHeadPause is the time between reads while there is no head object to watch.
+	noHeadPause = time.Second
+	listPeriod  = 10 * time.Second
+)
+
+// watchLoop keeps one watch on the head.
+func (d *duty) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, ok := d.readHead(ctx)
+		if !ok {
+			sleep(ctx, noHeadPause+d.settings.Jitter(watchPause))
+			continue
+		}
+		err := d.store.Watch(ctx, platform.KindConfiguration, platform.HeadName, version, func(o platform.Object) error {
+			d.head(o)
+			return nil
+		})
+		if ctx.Err() == nil {
+			d.limited(err, "watch")
+			logWith(&d.log, event.RelayWatchLost, func(e *zerolog.Event) { e.Err(err) })
+			sleep(ctx, d.settings.Jitter(watchPause))
+		}
+	}
+}
+
+// readHead reads the head and offers it; ok is false if there is nothing to watch from.
+func (d *duty) readHead(ctx context.Context) (version string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.PlatformTimeout)
+	defer cancel()
+	o, err := d.store.Get(ctx, platform.KindConfiguration, platform.HeadName)
+	if err != nil {
+		d.limited(err, "head")
+		return "", false
+	}
+	d.head(o)
+	return o.Version, true
+}
+
+func (d *duty) head(o platform.Object) {
+	w, err := syncer.ParseHead(o)
+	if err != nil {
+		syncer.LogVerdict(&d.log, d.metrics, syncer.Invalid, err, "platform", d.acceptor.State())
+		return
+	}
+	d.accept(syncer.ConfigUpdate{Whole: &w}, "platform")
+}
+
+// confirm reports whether the head was read after the call began. Nodes that start together share one read.
+func (d *duty) confirm(ctx context.Context) bool {
+	done := make(chan bool, 1)
+	select {
+	case d.confirms <- done:
+	default:
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*d.settings.PlatformTimeout)
+	defer cancel()
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *duty) confirmLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-d.confirms:
+			waiting := []chan bool{first}
+			for len(d.confirms) > 0 {
+				waiting = append(waiting, <-d.confirms)
+			}
+			ok := d.confirmHead(ctx)
+			for _, w := range waiting {
+				w <- ok
+			}
+		}
+	}
+}
+
+// confirmHead reads the head; a head object that does not exist is an answer too.
+func (d *duty) confirmHead(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.PlatformTimeout)
+	defer cancel()
+	o, err := d.store.Get(ctx, platform.KindConfiguration, platform.HeadName)
+	if err == nil {
+		d.head(o)
+	} else {
+		d.limited(err, "confirm")
+	}
+	return err == nil || fault.Is(err, fault.NotFound)
+}
+
+// listLoop learns the relays of all zones from their lease objects.
+func (d *duty) listLoop(ctx context.Context) {
+	for {
+		d.listLeases(ctx)
+		if !sleep(ctx, listPeriod/2+d.settings.Jitter(listPeriod)) {
+			return
+		}
+	}
+}
+
+func (d *duty) listLeases(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.PlatformTimeout)
+	defer cancel()
+	objects, err := d.store.List(ctx, platform.KindRelayLease)
+	if err != nil {
+		d.limited(err, "list")
+		return
+	}
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, o := range objects {
+		zone, slot, ok := splitLeaseName(o.Name)
+		var l lease.Lease
+		if !ok || json.Unmarshal(o.Spec, &l) != nil || zone == d.info.Zone && slot == d.info.Slot {
+			continue
+		}
+		d.directory.lease(now, zone, slot, o.Version, l)
+	}
+}
+
+// splitLeaseName is the inverse of leaseName.
+func splitLeaseName(name string) (zone string, slot uint8, ok bool) {
+	i := len(name) - 2
+	if i < 1 || name[i] != '-' || name[i+1] < '0' || name[i+1] >= '0'+Slots {
+		return "", 0, false
+	}
+	return name[:i], name[i+1] - '0', true
+}
--- /dev/null
+++ b/pkg/relay/mesh_test.go
@@ -0,0 +1,410 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/gob"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// memStore is a platform in memory with an outage switch.
+type memStore struct {
+	mu      sync.Mutex
+	n       int
+	down    bool
+	objects map[string]platform.Object
+	changed chan struct{}
+	calls   map[string]int
+}
+
+func newMemStore() *memStore {
+	return &memStore{objects: make(map[string]platform.Object), changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+// begin counts a call; with down it is an outage.
+func (m *memStore) begin(kind string) error {
+	m.calls[kind]++
+	if m.down {
+		return fault.New(fault.Unavailable, kind, "outage", "")
+	}
+	return nil
+}
+
+func (m *memStore) wake() { close(m.changed); m.changed = make(chan struct{}) }
+
+func id(kind platform.ObjectKind, name string) string { return string(kind) + "/" + name }
+
+func (m *memStore) Get(_ context.Context, kind platform.ObjectKind, name string) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("get"); err != nil {
+		return platform.Object{}, err
+	}
+	o, ok := m.objects[id(kind, name)]
+	if !ok {
+		return o, fault.New(fault.NotFound, "get", name, "")
+	}
+	return o, nil
+}
+
+func (m *memStore) List(_ context.Context, kind platform.ObjectKind) (out []platform.Object, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("list"); err != nil {
+		return nil, err
+	}
+	for _, o := range m.objects {
+		if o.Kind == kind {
+			out = append(out, o)
+		}
+	}
+	return out, nil
+}
+
+func (m *memStore) write(call string, o platform.Object, ok func(old platform.Object, exists bool) bool) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(call); err != nil {
+		return o, err
+	}
+	old, exists := m.objects[id(o.Kind, o.Name)]
+	if !ok(old, exists) {
+		return o, fault.New(fault.Conflict, call, o.Name, "")
+	}
+	m.n++
+	o.Version = fmt.Sprint(m.n)
+	m.objects[id(o.Kind, o.Name)] = o
+	m.wake()
+	return o, nil
+}
+
+func (m *memStore) Create(_ context.Context, o platform.Object) (platform.Object, error) {
+	return m.write("create", o, func(_ platform.Object, exists bool) bool { return !exists })
+}
+
+func (m *memStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+	return m.write("update", o, func(old platform.Object, exists bool) bool { return exists && old.Version == o.Version })
+}
+
+func (m *memStore) Delete(_ context.Context, kind platform.ObjectKind, name, version string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("delete"); err != nil {
+		return err
+	}
+	if m.objects[id(kind, name)].Version != version {
+		return fault.New(fault.Conflict, "delete", name, "")
+	}
+	delete(m.objects, id(kind, name))
+	return nil
+}
+
+func (m *memStore) Watch(ctx context.Context, kind platform.ObjectKind, name, version string, handle func(platform.Object) error) error {
+	m.mu.Lock()
+	err := m.begin("watch")
+	m.mu.Unlock()
+	for err == nil {
+		m.mu.Lock()
+		o, changed, down := m.objects[id(kind, name)], m.changed, m.down
+		m.mu.Unlock()
+		if down {
+			return fault.New(fault.Unavailable, "watch", "outage", "")
+		}
+		if o.Version != version {
+			version, err = o.Version, handle(o)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+	return err
+}
+
+func hashOf(c config.Configuration) (string, error) {
+	data, err := json.Marshal(config.Configuration{Services: full(c.Services), Policies: full(c.Policies), Routes: full(c.Routes)})
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), err
+}
+
+func full[V any](m map[string]V) map[string]V {
+	out := make(map[string]V, len(m))
+	maps.Copy(out, m)
+	return out
+}
+
+// testCodec knows changes of services only, which is all that these tests need.
+var testCodec = syncer.Codec{
+	Hash: hashOf,
+	Diff: func(from config.Version, a config.Configuration, to config.Version, hash string, b config.Configuration) config.Delta {
+		d := config.Delta{From: from, To: to, ToHash: hash}
+		for n, s := range b.Services {
+			if fmt.Sprint(a.Services[n]) != fmt.Sprint(s) {
+				d.Upsert.Services = append(d.Upsert.Services, s)
+			}
+		}
+		return d
+	},
+	Apply: func(d config.Delta, c config.Configuration) (config.Configuration, error) {
+		out := config.Configuration{Services: full(c.Services), Policies: full(c.Policies), Routes: full(c.Routes)}
+		for _, s := range d.Upsert.Services {
+			out.Services[s.Name] = s
+		}
+		if h, _ := hashOf(out); h != d.ToHash {
+			return c, fault.New(fault.Stale, "delta", "hash", "")
+		}
+		return out, nil
+	},
+}
+
+// configuration has n services called s0, s1, ... and a serial number that changes its hash.
+func configuration(n, serial int) config.Configuration {
+	c := config.Configuration{Services: map[string]config.Service{"serial": {Name: "serial", CallableFrom: []string{fmt.Sprint("v", serial)}}}}
+	for i := range n {
+		name := fmt.Sprint("s", i)
+		c.Services[name] = config.Service{Name: name}
+	}
+	return c
+}
+
+// mesh is a number of nodes on one platform, connected in memory. Its network can be cut between any two nodes.
+type mesh struct {
+	t       testing.TB
+	store   *memStore
+	mu      sync.Mutex
+	nodes   map[string]*node
+	cut     func(from, to *node) bool
+	calls   map[string]int
+	version config.Version
+	rng     *rand.Rand
+}
+
+type node struct {
+	mesh   *mesh
+	zone   string
+	addr   string
+	server *rpcwire.Server
+	sync   *syncer.Syncer
+	relay  *Relay
+	store  *gate
+	set    *metric.Set
+	up     bool
+}
+
+// gate is a node's own path to the platform.
+type gate struct {
+	platform.Store
+	mu   sync.Mutex
+	down bool
+}
+
+func newMesh(t testing.TB, seed uint64) *mesh {
+	return &mesh{t: t, store: newMemStore(), nodes: make(map[string]*node), calls: make(map[string]int), rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (m *mesh) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Duration(m.rng.Int64N(int64(max(d, 1))))
+}
+
+// publish writes the next version to the head.
+func (m *mesh) publish(c config.Configuration) {
+	m.version++
+	m.writeHead(m.version, c)
+}
+
+func (m *mesh) writeHead(v config.Version, c config.Configuration) {
+	h, _ := hashOf(c)
+	spec, _ := json.Marshal(config.Head{Version: v, Hash: h, Configuration: c})
+	o := platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Spec: spec}
+	if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// add makes a node; a node with the same name before it counts as restarted.
+func (m *mesh) add(name, zone, service string, seeds ...string) *node {
+	n := &node{mesh: m, zone: zone, addr: name, set: metric.NewSet(), store: &gate{Store: m.store}}
+	n.server = rpcwire.NewServer(rpcwire.ServerSettings{Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}, zerolog.Nop(), n.set)
+	i := membership.Instance{ID: membership.InstanceID(name), Service: service, AvailabilityZone: zone, ControlAddress: name, State: membership.StateReady}
+	n.sync = syncer.New(syncer.Settings{Instance: i, Seeds: seeds, Codec: testCodec, Jitter: m.jitter}, n.store, n, clock.System{}, zerolog.Nop(), n.set)
+	n.relay = New(Settings{Codec: testCodec, Jitter: m.jitter}, n.sync, n.store, n, clock.System{}, zerolog.Nop(), n.set)
+	n.sync.Register(n.server)
+	n.relay.Register(n.server)
+	m.mu.Lock()
+	m.nodes[name] = n
+	m.mu.Unlock()
+	return n
+}
+
+func (n *node) start() *node {
+	n.up = true
+	_ = n.sync.Start(context.Background())
+	_ = n.relay.Start(context.Background())
+	return n
+}
+
+// kill stops the node without any farewell.
+func (n *node) kill() {
+	n.mesh.mu.Lock()
+	n.up = false
+	n.mesh.mu.Unlock()
+	n.store.setDown(true) // so that the lease is not released
+	_ = n.relay.Stop(context.Background())
+	_ = n.sync.Stop(context.Background())
+	_ = n.server.Stop(context.Background())
+}
+
+func (m *mesh) stop() {
+	for _, n := range m.nodes {
+		if n.up {
+			n.kill()
+		}
+	}
+}
+
+// Call implements rpcwire.Caller; arguments and answers are copied through gob as on the wire.
+func (n *node) Call(ctx context.Context, addr, method string, args, reply any) error {
+	m := n.mesh
+	m.mu.Lock()
+	to := m.nodes[addr]
+	m.calls[method]++
+	silent := to != nil && m.cut != nil && (m.cut(n, to) || m.cut(to, n))
+	up := to != nil && to.up
+	m.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return fault.Wrap(fault.Unavailable, method, ctx.Err(), "")
+	}
+	if !up {
+		return fault.New(fault.Unavailable, method, "connection refused", "")
+	}
+	in, out := fresh(args), fresh(reply)
+	copyGob(args, in)
+	if err := to.server.Dispatch(ctx, method, in, out); err != nil {
+		return fault.Wrap(fault.KindOf(err), method, err, "")
+	}
+	copyGob(out, reply)
+	return nil
+}
+
+func copyGob(from, to any) {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(from); err != nil {
+		panic(err)
+	}
+	if err := gob.NewDecoder(&b).Decode(to); err != nil {
+		panic(err)
+	}
+}
+
+func (g *gate) setDown(down bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = down
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.down {
+		return fault.New(fault.Unavailable, "platform", "cut off", "")
+	}
+	return nil
+}
+
+func (g *gate) Get(ctx context.Context, k platform.ObjectKind, name string) (platform.Object, error) {
+	if err := g.err(); err != nil {
+		return platform.Object{}, err
+	}
+	return g.Store.Get(ctx, k, name)
+}
+
+func (g *gate) List(ctx context.Context, k platform.ObjectKind) ([]platform.Object, error) {
+	if err := g.err(); err != nil {
+		return nil, err
+	}
+	return g.Store.List(ctx, k)
+}
+
+func (g *gate) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if err := g.err(); err != nil {
+		return o, err
+	}
+	return g.Store.Create(ctx, o)
+}
+
+func (g *gate) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if err := g.err(); err != nil {
+		return o, err
+	}
+	return g.Store.Update(ctx, o)
+}
+
+func (g *gate) Delete(ctx context.Context, k platform.ObjectKind, name, version string) error {
+	if err := g.err(); err != nil {
+		return err
+	}
+	return g.Store.Delete(ctx, k, name, version)
+}
+
+func (g *gate) Watch(ctx context.Context, k platform.ObjectKind, name, version string, h func(platform.Object) error) error {
+	if err := g.err(); err != nil {
+		return err
+	}
+	return g.Store.Watch(ctx, k, name, version, func(o platform.Object) error {
+		if err := g.err(); err != nil {
+			return err
+		}
+		return h(o)
+	})
+}
+
+// versions returns the lowest and highest version that running nodes serve.
+func (m *mesh) versions() (low, high config.Version) {
+	low = ^config.Version(0)
+	for _, n := range m.nodes {
+		if !n.up {
+			continue
+		}
+		v := config.Version(0)
+		if c := n.sync.Current(); c != nil {
+			v = c.Version
+		}
+		low, high = min(low, v), max(high, v)
+	}
+	return low, high
+}
+
+// relays returns the names of the relays of a zone.
+func (m *mesh) relays(zone string) (out []*node) {
+	for _, n := range m.nodes {
+		if _, ok := n.relay.Holds(); ok && n.zone == zone && n.up {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/relay/status.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+const (
+	// statusPause is the shortest time between two writes of the status, statusPeriod the longest.
+	statusPause  = time.Second
+	statusPeriod = 10 * time.Second
+)
+
+// zoneStatus is what the relay writes about the nodes that poll it.
+type zoneStatus struct {
+	Zone      string         `json:"zone"`
+	Slot      string         `json:"slot"`
+	Relay     string         `json:"relay"`
+	WrittenAt time.Time      `json:"writtenAt"`
+	Version   config.Version `json:"version"`
+	Nodes     []nodeStatus   `json:"nodes"`
+}
+
+type nodeStatus struct {
+	ID                string         `json:"id"`
+	Service           string         `json:"service"`
+	Version           config.Version `json:"version"`
+	Hash              string         `json:"hash"`
+	State             string         `json:"state"`
+	LastPollAgeMillis int64          `json:"lastPollAgeMillis"`
+}
+
+var stateNames = map[membership.State]string{
+	membership.StateStarting: "starting", membership.StateReady: "ready",
+	membership.StateDraining: "draining", membership.StateDeparted: "departed",
+}
+
+// statusLoop writes the status at a bounded rate.
+func (d *duty) statusLoop(ctx context.Context) {
+	version := ""
+	timer := time.NewTimer(statusPause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.statusNow:
+		case <-timer.C:
+		}
+		version = d.writeStatus(ctx, version)
+		if !sleep(ctx, statusPause) {
+			return
+		}
+		timer.Reset(statusPeriod - statusPause)
+	}
+}
+
+// writeStatus writes the status object and returns its version, or "" if it must be read first.
+func (d *duty) writeStatus(ctx context.Context, version string) string {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.PlatformTimeout)
+	defer cancel()
+	spec, err := json.Marshal(d.status())
+	if err != nil {
+		panic("relay: " + err.Error()) // zoneStatus has only strings, numbers and times
+	}
+	obj := platform.Object{Kind: platform.KindZoneStatus, Name: leaseName(d.info.Zone, d.info.Slot), Version: version, Spec: spec}
+	if version == "" {
+		obj, err = d.createStatus(ctx, obj)
+	} else {
+		obj, err = d.store.Update(ctx, obj)
+	}
+	if err != nil {
+		d.limited(err, "status")
+		d.metrics.Counter("relay.status_failed").Inc(1)
+		logWith(&d.log, event.RelayStatusFailed, func(e *zerolog.Event) { e.Err(err) })
+		return ""
+	}
+	return obj.Version
+}
+
+// createStatus replaces the object of an earlier holder of the slot, or creates it.
+func (d *duty) createStatus(ctx context.Context, obj platform.Object) (platform.Object, error) {
+	old, err := d.store.Get(ctx, obj.Kind, obj.Name)
+	switch {
+	case fault.Is(err, fault.NotFound):
+		return d.store.Create(ctx, obj)
+	case err != nil:
+		return obj, err
+	}
+	obj.Version = old.Version
+	return d.store.Update(ctx, obj)
+}
+
+func (d *duty) status() zoneStatus {
+	now := d.clock.Now()
+	s := zoneStatus{
+		Zone: d.info.Zone, Slot: strconv.Itoa(int(d.info.Slot)), Relay: string(d.info.Node),
+		WrittenAt: now.UTC(), Version: d.acceptor.State().Version, Nodes: []nodeStatus{},
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.polls.nodes {
+		i := p.instance
+		if !p.own || i.AvailabilityZone != d.info.Zone && now.Sub(p.at) > syncer.MissedPolls {
+			continue
+		}
+		if known, ok := d.table.Get(id); ok && known.Incarnation >= i.Incarnation {
+			i = known
+		}
+		s.Nodes = append(s.Nodes, nodeStatus{
+			ID: string(id), Service: i.Service, Version: p.config.Version, Hash: p.config.Hash,
+			State: stateNames[i.State], LastPollAgeMillis: now.Sub(p.at).Milliseconds(),
+		})
+	}
+	slices.SortFunc(s.Nodes, func(a, b nodeStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
--- /dev/null
+++ b/pkg/relay/sync.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// batchTime is how long a relay gathers changes of the membership before it answers polls, so that a herd of
+// announcements does not cause one answer to each node for each of them.
+const batchTime = 100 * time.Millisecond
+
+// Register adds the relay's methods. A node without the duty answers them with NotFound.
+func (r *Relay) Register(server *rpcwire.Server) {
+	rpcwire.Handle(server, syncer.MethodSync, withDuty(r, (*duty).serveSync))
+	rpcwire.Handle(server, syncer.MethodAnnounce, withDuty(r, (*duty).serveAnnounce))
+	rpcwire.Handle(server, syncer.MethodExchange, withDuty(r, (*duty).serveExchange))
+}
+
+func withDuty[A, R any](r *Relay, h func(*duty, context.Context, *A, *R) error) rpcwire.Handler[A, R] {
+	return func(ctx context.Context, args *A, reply *R) error {
+		d := r.duty.Load()
+		if d == nil {
+			return fault.New(fault.NotFound, "relay", "this node is not a relay", "ask Control.Peers for the relays")
+		}
+		return h(d, ctx, args, reply)
+	}
+}
+
+func (d *duty) serveSync(ctx context.Context, args *syncer.SyncArgs, reply *syncer.SyncReply) error {
+	d.polled(args)
+	if args.Confirm {
+		reply.Confirmed = d.confirm(ctx)
+	}
+	timer := time.NewTimer(syncer.PollTime)
+	defer timer.Stop()
+	for {
+		changed := d.changes.wait()
+		if d.answer(args, reply) || args.NoWait {
+			return d.finish(args, reply)
+		}
+		select {
+		case <-changed:
+			if d.acceptor.State().Version <= args.Config.Version && !sleep(ctx, batchTime) {
+				return ctx.Err()
+			}
+		case <-timer.C:
+			return d.finish(args, reply)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if d.duty.Load() != d {
+			return fault.New(fault.NotFound, "relay", "this node has given up the relay duty", "poll another relay")
+		}
+	}
+}
+
+// polled notes the poll and takes the node's record.
+func (d *duty) polled(args *syncer.SyncArgs) {
+	now, i := d.clock.Now(), args.Instance
+	d.mu.Lock()
+	changed := d.polls.polled(now, i, args.Config)
+	d.reach.seen(now, i.AvailabilityZone)
+	d.mu.Unlock()
+	d.table.Put(i)
+	d.table.Merge(args.Push...)
+	d.newer(args.Config, i.ControlAddress)
+	if changed {
+		poke(d.statusNow)
+	}
+}
+
+// answer fills in what the node lacks and reports whether there is anything.
+func (d *duty) answer(args *syncer.SyncArgs, reply *syncer.SyncReply) bool {
+	var putOff bool
+	reply.Update, putOff = d.update(args.Config, args.NeedWhole, d.full.Allow)
+	if putOff || !d.records(args, reply) {
+		reply.RetryAfter = d.retryAfter()
+		d.metrics.Counter("relay.full_put_off").Inc(1)
+	}
+	relays := d.relays()
+	if syncer.RelaysDigest(relays) != args.Relays {
+		reply.Relays, reply.RelaysSent = relays, true
+	}
+	return !reply.Update.Empty() || len(reply.Records) > 0 || reply.Complete || reply.RetryAfter > 0 || reply.RelaysSent
+}
+
+// records fills in the membership; false means that a complete answer is put off.
+func (d *duty) records(args *syncer.SyncArgs, reply *syncer.SyncReply) bool {
+	wants := syncer.Subscription(d.acceptor.Current(), args.Instance.Service)
+	keep := func(i membership.Instance) bool { return wants(i.Service) && i != args.Instance }
+	reply.Mark = d.table.Mark()
+	if args.Mark.Epoch != reply.Mark.Epoch && d.table.Digest(wants) == args.Digest {
+		// The node comes from another relay and lacks nothing: only later changes are sent.
+		args.Mark = reply.Mark
+	}
+	if args.Mark.Epoch == reply.Mark.Epoch {
+		reply.Records, reply.Mark = d.table.Since(args.Mark, keep)
+		reply.Records = append(reply.Records, d.fetch(args.Fetch, wants)...)
+		return true
+	}
+	if !d.full.Allow() {
+		return false
+	}
+	d.metrics.Counter("relay.full_sent").Inc(1)
+	reply.Records, reply.Mark = d.table.All(func(i membership.Instance) bool { return wants(i.Service) })
+	reply.Complete, reply.Authoritative = true, d.authoritative.Load()
+	return true
+}
+
+func (d *duty) fetch(services []string, wants func(string) bool) []membership.Record {
+	if len(services) == 0 {
+		return nil
+	}
+	out, _ := d.table.All(func(i membership.Instance) bool { return wants(i.Service) && slices.Contains(services, i.Service) })
+	return out
+}
+
+// retryAfter is the time after which the limit on complete answers allows one more; the node adds jitter.
+func (d *duty) retryAfter() time.Duration {
+	return time.Duration(float64(time.Second) * float64(d.settings.FullBurst) / d.settings.FullRate)
+}
+
+func (d *duty) finish(args *syncer.SyncArgs, reply *syncer.SyncReply) error {
+	wants := syncer.Subscription(d.acceptor.Current(), args.Instance.Service)
+	reply.Config, reply.Digest = d.acceptor.State(), d.table.Digest(wants)
+	reply.Synchronised, reply.Authoritative = d.synchronised.Load(), d.authoritative.Load()
+	reply.Unreachable = d.table.Unreachable()
+	return nil
+}
+
+func (d *duty) relays() []syncer.RelayInfo {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.directory.contact(now, d.info)
+	return d.directory.alive(now)
+}
+
+func (d *duty) serveAnnounce(_ context.Context, args *syncer.AnnounceArgs, reply *syncer.AnnounceReply) error {
+	now := d.clock.Now()
+	d.mu.Lock()
+	changed := d.polls.polled(now, args.Instance, args.Config)
+	d.mu.Unlock()
+	if d.table.Put(args.Instance) || changed {
+		poke(d.statusNow)
+	}
+	reply.Instance, _ = d.table.Get(args.Instance.ID)
+	reply.Config = d.acceptor.State()
+	return nil
+}
--- /dev/null
+++ b/pkg/rpcwire/frame.go
@@ -0,0 +1,161 @@
+package rpcwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+const (
+	// DefaultMaxFrame holds a whole configuration of a megabyte of JSON, the largest that the platform stores, in gob.
+	DefaultMaxFrame = 4 << 20
+	// DefaultWriteTimeout bounds one write. net/rpc serialises the writes of a connection, so a write that waits for a
+	// peer that has stopped reading would hold up every other call on the connection.
+	DefaultWriteTimeout = 2 * time.Second
+
+	frameHeader = 4
+	// keptBuffer is the largest buffer that a connection keeps between frames; a whole configuration would otherwise
+	// stay allocated on each connection that once carried one.
+	keptBuffer = 16 << 10
+)
+
+var errBroken = errors.New("the connection is broken by an earlier error")
+
+// frames carries gob values in length-prefixed frames. The gob streams go on from frame to frame, so that type
+// descriptions are sent once for each connection. One goroutine reads and one writes at a time.
+type frames struct {
+	conn         net.Conn
+	maxFrame     int
+	writeTimeout time.Duration
+	readTimeout  time.Duration
+
+	out    bytes.Buffer
+	enc    *gob.Encoder
+	in     bytes.Reader
+	buf    []byte
+	dec    *gob.Decoder
+	broken atomic.Bool
+	// lastRead is when the last frame arrived, in Unix nanoseconds.
+	lastRead atomic.Int64
+}
+
+func newFrames(conn net.Conn, maxFrame int, writeTimeout, readTimeout time.Duration) *frames {
+	f := &frames{conn: conn, maxFrame: maxFrame, writeTimeout: writeTimeout, readTimeout: readTimeout}
+	f.enc = gob.NewEncoder(&f.out)
+	f.dec = gob.NewDecoder(&f.in)
+	f.lastRead.Store(time.Now().UnixNano())
+	return f
+}
+
+// write sends one frame with the given values. After an error the streams at both ends may differ, so the connection
+// is closed.
+func (f *frames) write(values ...any) (err error) {
+	if f.broken.Load() {
+		return errBroken
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("encode: panic: %v", r)
+		}
+		if err != nil {
+			f.close()
+		}
+	}()
+	f.out.Reset()
+	f.out.Write(make([]byte, frameHeader))
+	for _, v := range values {
+		if err := f.enc.Encode(v); err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+	}
+	return f.flush()
+}
+
+func (f *frames) flush() error {
+	size := f.out.Len() - frameHeader
+	if size > f.maxFrame {
+		return fault.New(fault.Limited, "send frame", fmt.Sprintf("%d bytes are over the limit of %d", size, f.maxFrame),
+			"make the message smaller or raise the limit at both ends")
+	}
+	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(size))
+	if err := f.conn.SetWriteDeadline(time.Now().Add(f.writeTimeout)); err != nil {
+		return err
+	}
+	_, err := f.conn.Write(f.out.Bytes())
+	if f.out.Cap() > keptBuffer {
+		// The encoder holds a pointer to f.out, so the buffer is replaced in place.
+		f.out = bytes.Buffer{}
+	}
+	return err
+}
+
+// next reads a whole frame. Its size is checked before memory is taken for it and before any of it is decoded.
+func (f *frames) next() error {
+	if f.broken.Load() {
+		return errBroken
+	}
+	if f.in.Len() > 0 {
+		return f.fail(fmt.Errorf("%d bytes of the last frame were not decoded", f.in.Len()))
+	}
+	if f.readTimeout > 0 {
+		if err := f.conn.SetReadDeadline(time.Now().Add(f.readTimeout)); err != nil {
+			return f.fail(err)
+		}
+	}
+	var head [frameHeader]byte
+	if _, err := io.ReadFull(f.conn, head[:]); err != nil {
+		return f.fail(err)
+	}
+	size := int(binary.BigEndian.Uint32(head[:]))
+	if size > f.maxFrame {
+		return f.fail(fault.New(fault.Limited, "receive frame", fmt.Sprintf("%d bytes are over the limit of %d", size, f.maxFrame),
+			"check that the peer is a node of this mesh"))
+	}
+	if cap(f.buf) < size || cap(f.buf) > keptBuffer {
+		f.buf = make([]byte, size)
+	}
+	f.buf = f.buf[:size]
+	if _, err := io.ReadFull(f.conn, f.buf); err != nil {
+		return f.fail(err)
+	}
+	f.in.Reset(f.buf)
+	f.lastRead.Store(time.Now().UnixNano())
+	return nil
+}
+
+// decode reads one value of the current frame; nil skips it. A malformed value or a panic in the decoder breaks the
+// connection, because the rest of the stream cannot be trusted.
+func (f *frames) decode(v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v", r)
+		}
+		if err != nil {
+			err = f.fail(fmt.Errorf("decode: %w", err))
+		}
+	}()
+	if f.broken.Load() {
+		return errBroken
+	}
+	return f.dec.Decode(v)
+}
+
+func (f *frames) fail(err error) error {
+	f.close()
+	return err
+}
+
+func (f *frames) close() error {
+	if f.broken.Swap(true) {
+		return nil
+	}
+	return f.conn.Close()
+}
--- /dev/null
+++ b/pkg/rpcwire/handle.go
@@ -0,0 +1,74 @@
+package rpcwire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// Handler answers one method. The context ends when the server stops or its call limit has passed.
+type Handler[A, R any] func(ctx context.Context, args *A, reply *R) error
+
+// receiver is what net/rpc calls for one method. Each method gets a receiver of its own, since net/rpc calls handlers
+// without recover: a panic in a handler would end the process.
+type receiver[A, R any] struct {
+	server *Server
+	method string
+	handle Handler[A, R]
+}
+
+// Call runs the handler; net/rpc finds it by reflection.
+func (r *receiver[A, R]) Call(args *A, reply *R) error {
+	ctx, cancel := context.WithTimeout(r.server.ctx, r.server.settings.CallLimit)
+	defer cancel()
+	return encodeError(r.run(ctx, args, reply))
+}
+
+func (r *receiver[A, R]) run(ctx context.Context, args *A, reply *R) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.server.panicked(r.method, p)
+			err = fault.New(fault.Internal, r.method, "the handler failed", "report the stack that the peer has logged")
+		}
+	}()
+	return r.handle(ctx, args, reply)
+}
+
+func (r *receiver[A, R]) dispatch(ctx context.Context, args, reply any) error {
+	a, ok := args.(*A)
+	b, ok2 := reply.(*R)
+	if !ok || !ok2 {
+		return fault.New(fault.Internal, r.method, fmt.Sprintf("called with %T and %T", args, reply), "use the types of the handler")
+	}
+	return r.run(ctx, a, b)
+}
+
+// Handle registers the handler of a method such as "Relay.Sync". It is for the time before Start.
+func Handle[A, R any](s *Server, method string, h Handler[A, R]) {
+	r := &receiver[A, R]{server: s, method: method, handle: h}
+	if err := s.rpc.RegisterName(method, r); err != nil {
+		panic("rpcwire: " + err.Error())
+	}
+	s.handlers[method] = r.dispatch
+}
+
+// net/rpc carries errors as text; the kind goes in front of the text so that the caller gets a fault of that kind.
+const kindSeparator = "\x1f"
+
+func encodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.New(string(fault.KindOf(err)) + kindSeparator + err.Error())
+}
+
+func decodeError(method, text string) error {
+	kind, rest, ok := strings.Cut(text, kindSeparator)
+	if !ok {
+		return fault.New(fault.Internal, method, text, "check that both nodes run the same release")
+	}
+	return fault.Wrap(fault.Kind(kind), method, errors.New(rest), "")
+}
--- /dev/null
+++ b/pkg/rpcwire/server.go
@@ -0,0 +1,239 @@
+package rpcwire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// ServerSettings bound what a server takes from its peers. Zero values mean the defaults.
+type ServerSettings struct {
+	// Address is where Start listens.
+	Address string
+	// Networks are the networks that may connect; none may if the list is empty.
+	Networks     []netip.Prefix
+	MaxFrame     int
+	WriteTimeout time.Duration
+	// ReadTimeout closes a connection that has sent nothing for so long; clients probe idle connections more often.
+	ReadTimeout time.Duration
+	// CallLimit bounds the work of one call.
+	CallLimit time.Duration
+	// MaxCalls bounds the calls in progress on one connection; further ones wait unread.
+	MaxCalls int
+	// MaxConnections bounds the open connections; further ones are closed at once.
+	MaxConnections int
+}
+
+func (s ServerSettings) withDefaults() ServerSettings {
+	setDefault(&s.MaxFrame, DefaultMaxFrame)
+	setDefault(&s.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&s.ReadTimeout, time.Minute)
+	setDefault(&s.CallLimit, 30*time.Second)
+	setDefault(&s.MaxCalls, 256)
+	setDefault(&s.MaxConnections, 4096)
+	return s
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Server answers net/rpc calls of other nodes.
+type Server struct {
+	settings ServerSettings
+	log      zerolog.Logger
+	metrics  *metric.Set
+	rpc      *rpc.Server
+	handlers map[string]func(ctx context.Context, args, reply any) error
+	in, out  metrics.Counter
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	ln     net.Listener
+	conns  map[net.Conn]struct{}
+	wg     sync.WaitGroup
+}
+
+// pingMethod is answered by each server; a pool calls it on idle connections.
+const pingMethod = "Wire.Ping"
+
+// Ping is the argument and the answer of a liveness probe. net/rpc takes exported types only.
+type Ping struct{ N uint8 }
+
+// NewServer returns a server without handlers.
+func NewServer(settings ServerSettings, log zerolog.Logger, set *metric.Set) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		settings: settings.withDefaults(), log: log, metrics: set, rpc: rpc.NewServer(),
+		handlers: make(map[string]func(context.Context, any, any) error), ctx: ctx, cancel: cancel,
+		conns: make(map[net.Conn]struct{}),
+		in:    set.Counter("control.server.bytes_in"), out: set.Counter("control.server.bytes_out"),
+	}
+	Handle(s, pingMethod, func(_ context.Context, args *Ping, reply *Ping) error { *reply = *args; return nil })
+	return s
+}
+
+// Name returns the server's name in the kernel.
+func (s *Server) Name() string { return "control" }
+
+// Start listens at the configured address.
+func (s *Server) Start(context.Context) error {
+	ln, err := net.Listen("tcp", s.settings.Address)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, "listen for control calls", err, "free the address or configure another one")
+	}
+	s.Serve(ln)
+	return nil
+}
+
+// Serve accepts connections from ln until Stop. It returns at once.
+func (s *Server) Serve(ln net.Listener) {
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
+	s.wg.Go(func() { s.accept(ln) })
+}
+
+// Addr returns the address that the server listens at.
+func (s *Server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ln.Addr().String()
+}
+
+// Stop closes the listener and all connections and waits for the calls in progress.
+func (s *Server) Stop(ctx context.Context) error {
+	s.cancel()
+	s.mu.Lock()
+	if s.ln != nil {
+		s.ln.Close()
+	}
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() { s.wg.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(fault.Unavailable, "stop the control server", ctx.Err(), "allow a longer grace period")
+	}
+}
+
+// Dispatch calls a handler in the same process, without a connection.
+func (s *Server) Dispatch(ctx context.Context, method string, args, reply any) error {
+	h, ok := s.handlers[method]
+	if !ok {
+		return fault.New(fault.NotFound, method, "no such method", "check that both nodes run the same release")
+	}
+	return h(ctx, args, reply)
+}
+
+// acceptPause keeps a failing accept, such as one without free descriptors, from using a whole processor.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) || s.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if !s.admit(conn) {
+			conn.Close()
+			continue
+		}
+		s.wg.Go(func() { s.serve(conn) })
+	}
+}
+
+// admit records the connection, or refuses it.
+func (s *Server) admit(conn net.Conn) bool {
+	if !Allowed(s.settings.Networks, conn.RemoteAddr()) {
+		s.metrics.Refused(metric.RefusedForbidden)
+		e := event.ControlRefused
+		e.Write(e.Log(&s.log).Str("remote", conn.RemoteAddr().String()))
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	if len(s.conns) >= s.settings.MaxConnections {
+		s.metrics.Counter("control.server.connections_refused").Inc(1)
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) serve(conn net.Conn) {
+	f := newFrames(counted(conn, s.in, s.out), s.settings.MaxFrame, s.settings.WriteTimeout, s.settings.ReadTimeout)
+	s.rpc.ServeCodec(newServerCodec(f, s.settings.MaxCalls))
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+func (s *Server) panicked(method string, p any) {
+	s.metrics.Counter("control.server.panics").Inc(1)
+	e := event.ControlPanic
+	e.Write(e.Log(&s.log).Str("method", method).Interface("panic", p).Bytes("stack", debug.Stack()))
+}
+
+// Allowed reports whether the address belongs to one of the networks.
+func Allowed(networks []netip.Prefix, addr net.Addr) bool {
+	ap, err := netip.ParseAddrPort(addr.String())
+	if err != nil {
+		return false
+	}
+	ip := ap.Addr().Unmap().WithZone("")
+	for _, n := range networks {
+		if n.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// countedConn counts the bytes of a connection in each direction.
+type countedConn struct {
+	net.Conn
+	in, out metrics.Counter
+}
+
+func counted(c net.Conn, in, out metrics.Counter) net.Conn { return countedConn{c, in, out} }
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Inc(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/pkg/syncer/announce.go
@@ -0,0 +1,124 @@
+package syncer
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// Self returns the node's own record.
+func (s *Syncer) Self() membership.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.self
+}
+
+// SetLocal announces a change of the node's own instance: service state, slots and addresses. Incarnation, sequence
+// and the identity from the settings stay the syncer's own.
+func (s *Syncer) SetLocal(i membership.Instance) {
+	s.mu.Lock()
+	next := s.self
+	next.State, next.Slots, next.HandedOver = i.State, i.Slots, i.HandedOver
+	if i.PeerAddress != "" {
+		next.PeerAddress = i.PeerAddress
+	}
+	if i.ControlAddress != "" {
+		next.ControlAddress = i.ControlAddress
+	}
+	if next == s.self || s.departed {
+		s.mu.Unlock()
+		return
+	}
+	next.Sequence++
+	s.self = next
+	s.table.Put(next)
+	s.mu.Unlock()
+	s.kick()
+}
+
+func (s *Syncer) kick() {
+	select {
+	case s.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// announceTimeout bounds one announcement; a drain must reach other nodes within a few seconds.
+const announceTimeout = time.Second
+
+func (s *Syncer) announceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.urgent:
+		}
+		for n := 1; s.announce(ctx) != nil; n++ {
+			if !sleep(ctx, s.settings.Jitter(backoff(n))) {
+				return
+			}
+		}
+	}
+}
+
+// announce sends the own record to the first relay that takes it.
+func (s *Syncer) announce(ctx context.Context) error {
+	s.mu.Lock()
+	relays := s.relays.candidates(s.clock.Now(), s.self.ID, s.settings.Instance.AvailabilityZone)
+	s.mu.Unlock()
+	err := error(fault.New(fault.Unavailable, "announce", "no relay is known", "check the seeds"))
+	for _, r := range relays {
+		args, reply := &AnnounceArgs{Instance: s.Self(), Config: s.acceptor.State()}, AnnounceReply{}
+		if err = s.call(ctx, announceTimeout, r.Address, MethodAnnounce, args, &reply); err == nil {
+			s.metrics.Counter("sync.announced").Inc(1)
+			s.table.Put(reply.Instance)
+			s.checkSelf()
+			return nil
+		}
+	}
+	return err
+}
+
+// Depart announces the end of the instance in a planned stop and returns when a relay has taken it. The node does not
+// announce itself again.
+func (s *Syncer) Depart(ctx context.Context, handedOver bool) error {
+	s.mu.Lock()
+	if !s.departed {
+		s.departed = true
+		s.self.State, s.self.HandedOver = membership.StateDeparted, handedOver
+		s.self.Sequence++
+		s.table.Put(s.self)
+	}
+	s.mu.Unlock()
+	for n := 1; ; n++ {
+		err := s.announce(ctx)
+		if err == nil {
+			return nil
+		}
+		if !sleep(ctx, s.settings.Jitter(backoff(n))) {
+			return err
+		}
+	}
+}
+
+// checkSelf answers a departure that others have recorded, or a record of a later process, with a higher incarnation.
+func (s *Syncer) checkSelf() {
+	s.mu.Lock()
+	known, ok := s.table.Get(s.self.ID)
+	behind := ok && !s.departed && (known.Incarnation > s.self.Incarnation ||
+		known.Incarnation == s.self.Incarnation && (known.State == membership.StateDeparted || known.Sequence > s.self.Sequence))
+	if !behind {
+		s.mu.Unlock()
+		return
+	}
+	s.self.Incarnation, s.self.Sequence = known.Incarnation+1, 1
+	s.table.Put(s.self)
+	s.mu.Unlock()
+	s.metrics.Counter("sync.incarnation_raised").Inc(1)
+	e := event.SyncDeparted
+	e.Write(e.Log(&s.log).Uint64("incarnation", known.Incarnation+1))
+	s.kick()
+}
--- /dev/null
+++ b/pkg/syncer/relays.go
@@ -0,0 +1,131 @@
+package syncer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// avoidFor is how long a relay that failed is tried last. It is shorter than MissedPolls, so that a node returns to a
+// relay of its own zone before that relay records it as departed.
+const avoidFor = 5 * time.Second
+
+// relayList is what a node knows about relays. It is not safe for concurrent use.
+type relayList struct {
+	all   []RelayInfo
+	avoid map[string]time.Time
+}
+
+// set replaces the list by what a relay has sent.
+func (l *relayList) set(relays []RelayInfo) {
+	l.all = slices.Clone(relays)
+	SortRelays(l.all)
+}
+
+// add merges relays that another node knows of.
+func (l *relayList) add(relays []RelayInfo) {
+	for _, r := range relays {
+		i := slices.IndexFunc(l.all, func(o RelayInfo) bool { return o.Zone == r.Zone && o.Slot == r.Slot })
+		if i < 0 {
+			l.all = append(l.all, r)
+		} else if l.all[i].Address != r.Address {
+			l.all[i] = r
+		}
+	}
+	SortRelays(l.all)
+}
+
+func (l *relayList) failed(address string, now time.Time) {
+	if l.avoid == nil {
+		l.avoid = make(map[string]time.Time)
+	}
+	l.avoid[address] = now.Add(avoidFor)
+}
+
+func (l *relayList) good(address string) { delete(l.avoid, address) }
+
+func (l *relayList) usable(r RelayInfo, now time.Time) bool { return l.avoidedUntil(r, now).IsZero() }
+
+// avoidedUntil returns the zero time for a usable relay.
+func (l *relayList) avoidedUntil(r RelayInfo, now time.Time) time.Time {
+	if until := l.avoid[r.Address]; now.Before(until) {
+		return until
+	}
+	return time.Time{}
+}
+
+// candidates returns the relays in the order in which a node tries them: those that failed recently last, before
+// that those of the node's zone first. Within a zone the order is by a hash of node and relay, so that a zone's nodes
+// spread over its relays.
+func (l *relayList) candidates(now time.Time, node membership.InstanceID, zone string) []RelayInfo {
+	out := slices.Clone(l.all)
+	slices.SortStableFunc(out, func(a, b RelayInfo) int {
+		return cmp.Or(l.avoidedUntil(a, now).Compare(l.avoidedUntil(b, now)),
+			cmp.Compare(foreign(a, zone), foreign(b, zone)), cmp.Compare(weight(node, a), weight(node, b)))
+	})
+	return out
+}
+
+func foreign(r RelayInfo, zone string) int {
+	if r.Zone == zone {
+		return 0
+	}
+	return 1
+}
+
+func weight(node membership.InstanceID, r RelayInfo) uint64 {
+	return xxhash.Sum64String(string(node) + "|" + r.Address)
+}
+
+// inZone counts the usable relays of a zone.
+func (l *relayList) inZone(now time.Time, zone string) int {
+	n := 0
+	for _, r := range l.all {
+		if r.Zone == zone && l.usable(r, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// SortRelays orders relays by zone and slot.
+func SortRelays(rs []RelayInfo) {
+	slices.SortFunc(rs, func(a, b RelayInfo) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Address, b.Address))
+	})
+}
+
+// RelaysDigest returns the digest of a sorted list of relays.
+func RelaysDigest(rs []RelayInfo) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, r := range rs {
+		_, _ = d.WriteString(r.Zone + "|" + string(rune('0'+r.Slot)) + "|" + r.Address + "|" + string(r.Node) + "\n")
+	}
+	return d.Sum64()
+}
+
+// ZoneRelays returns how many usable relays of its own zone the node knows.
+func (s *Syncer) ZoneRelays() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relays.inZone(s.clock.Now(), s.settings.Instance.AvailabilityZone)
+}
+
+// Relays returns all relays that the node knows.
+func (s *Syncer) Relays() []RelayInfo {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.relays.all)
+}
+
+// AddRelays adds relays that the node's own relay duty has learned of.
+func (s *Syncer) AddRelays(rs []RelayInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.relays.add(rs)
+}
--- /dev/null
+++ b/pkg/syncer/serve.go
@@ -0,0 +1,31 @@
+package syncer
+
+import (
+	"context"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+)
+
+// Register adds the methods that each node answers.
+func (s *Syncer) Register(server *rpcwire.Server) {
+	rpcwire.Handle(server, MethodPeers, s.servePeers)
+	rpcwire.Handle(server, MethodConfig, s.serveConfig)
+}
+
+func (s *Syncer) servePeers(_ context.Context, _ *PeersArgs, reply *PeersReply) error {
+	reply.Relays, reply.Config = s.Relays(), s.acceptor.State()
+	return nil
+}
+
+// serveConfig tells the configuration in force. A node that is not ready tells none, because it may be behind.
+func (s *Syncer) serveConfig(_ context.Context, args *ConfigArgs, reply *ConfigReply) error {
+	c := s.Current()
+	if c == nil {
+		return nil
+	}
+	reply.Config = ConfigState{Version: c.Version, Hash: c.Hash}
+	if c.Version > args.Config.Version || args.Config.Hash == "" {
+		reply.Update.Whole = &WholeConfig{Version: c.Version, Hash: c.Hash, Configuration: c.Configuration}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/syncer/start.go
@@ -0,0 +1,151 @@
+package syncer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+// quorum decides when a starting node has asked widely enough for the newest configuration.
+type quorum struct {
+	// platform: the platform was read since the node started, by the node or by a relay on its behalf.
+	platform bool
+	// answered holds the peers that told their configuration.
+	answered map[string]bool
+}
+
+// minPeers is how many peers must have answered in an outage of the platform.
+const minPeers = 2
+
+// reached reports whether the node may serve the highest version found. A single peer is enough only if the node
+// knows no other: a peer may itself have been cut off and be behind.
+func (q quorum) reached(knownPeers int) bool {
+	return q.platform || (len(q.answered) > 0 && len(q.answered) >= min(minPeers, knownPeers))
+}
+
+// peerTimeout bounds a question to one peer.
+const peerTimeout = time.Second
+
+// askPlatform reads the head directly, when no relay does it for the node.
+func (s *Syncer) askPlatform(ctx context.Context) {
+	if s.quorum.platform || !sleep(ctx, s.settings.Jitter(s.settings.StartSpread)) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.PlatformTimeout)
+	defer cancel()
+	w, found, err := ReadHead(ctx, s.store)
+	if err != nil && !fault.Is(err, fault.Invalid) {
+		return
+	}
+	if err != nil {
+		LogVerdict(&s.log, s.metrics, Invalid, err, "platform", s.acceptor.State())
+		return
+	}
+	if found {
+		s.accept(ConfigUpdate{Whole: &w}, "platform")
+	}
+	s.quorum.platform = true
+}
+
+// ReadHead reads the head object. found is false if there is none.
+func ReadHead(ctx context.Context, store platform.Store) (w WholeConfig, found bool, err error) {
+	obj, err := store.Get(ctx, platform.KindConfiguration, platform.HeadName)
+	if fault.Is(err, fault.NotFound) {
+		return WholeConfig{}, false, nil
+	}
+	if err != nil {
+		return WholeConfig{}, false, err
+	}
+	w, err = ParseHead(obj)
+	return w, err == nil, err
+}
+
+// ParseHead returns the configuration in a head object; the acceptor checks its hash.
+func ParseHead(obj platform.Object) (WholeConfig, error) {
+	var h config.Head
+	if err := json.Unmarshal(obj.Spec, &h); err != nil {
+		return WholeConfig{}, fault.Wrap(fault.Invalid, "read the head", err, "restore the head object from the last good state")
+	}
+	return WholeConfig{Version: h.Version, Hash: h.Hash, Configuration: h.Configuration}, nil
+}
+
+// askPeers asks the known peers for their configuration until enough have answered.
+func (s *Syncer) askPeers(ctx context.Context) {
+	for _, addr := range s.peers() {
+		if s.quorum.answered[addr] {
+			continue
+		}
+		var reply ConfigReply
+		if err := s.call(ctx, peerTimeout, addr, MethodConfig, &ConfigArgs{Config: s.acceptor.State()}, &reply); err != nil {
+			continue
+		}
+		if !reply.Update.Empty() {
+			s.accept(reply.Update, addr)
+		}
+		s.answered(addr, reply.Config)
+		if s.quorum.reached(len(s.peers())) {
+			return
+		}
+	}
+}
+
+// answered counts a peer that serves a configuration which this node has taken. A peer without a configuration is
+// itself starting, so it tells nothing.
+func (s *Syncer) answered(addr string, c ConfigState) {
+	if c.Hash != "" && s.acceptor.State().Version >= c.Version {
+		s.quorum.answered[addr] = true
+	}
+}
+
+// peers returns the control addresses of all other nodes that the node knows of.
+func (s *Syncer) peers() []string {
+	own := s.settings.Instance.ControlAddress
+	seen := map[string]bool{own: true, "": true}
+	var out []string
+	add := func(addr string) {
+		if !seen[addr] {
+			seen[addr] = true
+			out = append(out, addr)
+		}
+	}
+	for _, addr := range s.settings.Seeds {
+		add(addr)
+	}
+	for _, r := range s.Relays() {
+		add(r.Address)
+	}
+	records, _ := s.table.All(func(membership.Instance) bool { return true })
+	for _, r := range records {
+		if !r.Gone {
+			add(r.Instance.ControlAddress)
+		}
+	}
+	return out
+}
+
+// settle makes the node ready when the quorum is reached and a configuration is there.
+func (s *Syncer) settle() {
+	if s.ready.Load() {
+		return
+	}
+	if !s.quorum.reached(len(s.peers())) {
+		s.metrics.Counter("sync.start_waiting").Inc(1)
+		e := event.SyncWaiting
+		e.Write(e.Log(&s.log).Int("answered", len(s.quorum.answered)).Int("peers", len(s.peers())))
+		return
+	}
+	s.asked.Store(true)
+	if s.acceptor.Current() == nil {
+		return
+	}
+	s.ready.Store(true)
+	e := event.SyncReady
+	e.Write(e.Log(&s.log).Bool("platform", s.quorum.platform).Int("answered", len(s.quorum.answered)).
+		Uint64("version", uint64(s.acceptor.State().Version)))
+}
--- /dev/null
+++ b/pkg/syncer/syncer.go
@@ -0,0 +1,313 @@
+package syncer
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+)
+
+// Settings of a syncer. Zero durations mean the defaults.
+type Settings struct {
+	// Instance is the node's own record: ID, service, zone, region and addresses.
+	Instance membership.Instance
+	// Seeds are control addresses of nodes to ask for relays.
+	Seeds []string
+	Codec Codec
+	// PlatformTimeout bounds a read of the platform at start.
+	PlatformTimeout time.Duration
+	// StartSpread spreads the direct reads of the platform when many nodes start at the same time and no relay
+	// answers: 2,100 nodes over 2 s stay within the two thousand reads a second that the platform takes.
+	StartSpread time.Duration
+	// PollRate bounds polls a second, so that a stream of changes does not exceed the node's control bytes.
+	PollRate float64
+	// Jitter returns a random duration in [0, d); nil means a random source seeded by the runtime.
+	Jitter func(d time.Duration) time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.PlatformTimeout == 0 {
+		s.PlatformTimeout = 2 * time.Second
+	}
+	if s.StartSpread == 0 {
+		s.StartSpread = 2 * time.Second
+	}
+	if s.PollRate == 0 {
+		s.PollRate = 2
+	}
+	if s.Jitter == nil {
+		s.Jitter = Jitter
+	}
+	return s
+}
+
+// Jitter returns a random duration in [0, d).
+func Jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
+
+// Syncer keeps a node's configuration and membership in step with the mesh. It implements kernel.Service,
+// config.Source and membership.HistoryView.
+type Syncer struct {
+	settings Settings
+	store    platform.Store
+	caller   rpcwire.Caller
+	clock    clock.Clock
+	log      zerolog.Logger
+	metrics  *metric.Set
+	acceptor *Acceptor
+	table    *membership.Table
+	polls    *rate.Limiter
+	asked    atomic.Bool
+	ready    atomic.Bool
+
+	// urgent holds one value: the own record has changed. When it is full, the pending announcement reads the latest
+	// record anyway.
+	urgent chan struct{}
+
+	mu       sync.Mutex
+	self     membership.Instance
+	departed bool
+	relays   relayList
+	fetch    map[string]bool // services newly subscribed to, until their records arrive
+
+	// The fields below belong to the poll loop.
+	link   link
+	quorum quorum
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// link is the state of the node at the relay that it polls.
+type link struct {
+	relay      RelayInfo
+	lost       bool // the last poll failed
+	mark       membership.Mark
+	needWhole  bool
+	push       bool // the relay may lack records that the node has
+	mismatches int
+	failures   int
+	lastGood   time.Time
+}
+
+// New returns a syncer that has not started.
+func New(settings Settings, store platform.Store, caller rpcwire.Caller, c clock.Clock, log zerolog.Logger, set *metric.Set) *Syncer {
+	settings = settings.withDefaults()
+	s := &Syncer{
+		settings: settings, store: store, caller: caller, clock: c, log: log, metrics: set,
+		acceptor: NewAcceptor(settings.Codec),
+		table:    membership.NewTable(c, rand.Uint64(), config.DefaultIdempotencyWindow),
+		polls:    rate.NewLimiter(rate.Limit(settings.PollRate), 4),
+		urgent:   make(chan struct{}, 1),
+		self:     settings.Instance,
+		fetch:    make(map[string]bool),
+		quorum:   quorum{answered: make(map[string]bool)},
+	}
+	if s.self.Incarnation == 0 {
+		s.self.Incarnation = uint64(c.Now().UnixMilli())
+	}
+	s.self.Sequence = max(s.self.Sequence, 1)
+	s.table.Put(s.self)
+	return s
+}
+
+// Name returns the syncer's name in the kernel.
+func (s *Syncer) Name() string { return "syncer" }
+
+// Start begins to synchronise and returns at once; Ready tells when the node may take calls.
+func (s *Syncer) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.link.lastGood = s.clock.Now()
+	s.wg.Go(func() { s.run(ctx) })
+	s.wg.Go(func() { s.announceLoop(ctx) })
+	s.wg.Go(func() { s.expireLoop(ctx) })
+	return nil
+}
+
+// Stop ends the work. Depart comes before it in a planned stop.
+func (s *Syncer) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.wg.Wait()
+	return nil
+}
+
+// Ready reports whether the node has learned the newest configuration that it can learn of and serves it.
+func (s *Syncer) Ready() bool { return s.Current() != nil }
+
+// Asked reports whether the node has asked the platform or enough peers for the newest configuration; there may be
+// none yet.
+func (s *Syncer) Asked() bool { return s.asked.Load() }
+
+// Current implements config.Source. It returns nil until the node is ready, so that a restarted node does not serve
+// an older configuration than before while it still looks for the newest one.
+func (s *Syncer) Current() *config.Snapshot {
+	if !s.ready.Load() {
+		return nil
+	}
+	return s.acceptor.Current()
+}
+
+// Config returns the acceptor of the node's configuration.
+func (s *Syncer) Config() *Acceptor { return s.acceptor }
+
+// Table returns the node's membership.
+func (s *Syncer) Table() *membership.Table { return s.table }
+
+// Instances implements membership.View.
+func (s *Syncer) Instances(service string) []membership.Instance { return s.table.Instances(service) }
+
+// Subscribe implements membership.View.
+func (s *Syncer) Subscribe() <-chan struct{} { return s.table.Subscribe() }
+
+// History implements membership.HistoryView.
+func (s *Syncer) History(service string) []membership.Span { return s.table.History(service) }
+
+// Synchronised implements membership.HistoryView.
+func (s *Syncer) Synchronised() (time.Time, bool) { return s.table.Synchronised() }
+
+// expirePeriod is how often tombstones are checked for the end of their window.
+const expirePeriod = 5 * time.Second
+
+func (s *Syncer) expireLoop(ctx context.Context) {
+	for sleep(ctx, expirePeriod) {
+		s.table.Expire()
+	}
+}
+
+// sleep waits for d; false means that the context has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// accept offers an update to the acceptor and follows up on the result.
+func (s *Syncer) accept(u ConfigUpdate, from string) Verdict {
+	v, err := s.acceptor.Update(u)
+	LogVerdict(&s.log, s.metrics, v, err, from, s.acceptor.State())
+	switch v {
+	case Accepted:
+		s.subscribed()
+		s.link.needWhole = false
+	case Mismatch:
+		s.link.needWhole = true
+	case Invalid, Conflicting, Older:
+		s.link.needWhole = false
+	}
+	return v
+}
+
+// LogVerdict writes the event that belongs to a verdict and counts it.
+func LogVerdict(l *zerolog.Logger, set *metric.Set, v Verdict, err error, from string, state ConfigState) {
+	e, name := event.ConfigAccepted, ""
+	switch v {
+	case Unchanged:
+		return
+	case Accepted:
+		name = "accepted"
+	case Older:
+		e, name = event.ConfigOlder, "older"
+	case Conflicting:
+		e, name = event.ConfigConflict, "conflict"
+	case Invalid:
+		e, name = event.ConfigInvalid, "invalid"
+	case Mismatch:
+		e, name = event.ConfigMismatch, "mismatch"
+	}
+	set.Counter("config." + name).Inc(1)
+	e.Write(e.Log(l).Err(err).Str("from", from).Uint64("version", uint64(state.Version)).Str("hash", state.Hash))
+}
+
+// subscribed follows a new configuration: services that the node no longer calls are dropped, and the records of new
+// ones are requested.
+func (s *Syncer) subscribed() {
+	snapshot := s.acceptor.Current()
+	wants := Subscription(snapshot, s.settings.Instance.Service)
+	s.table.SetWindow(Window(snapshot))
+	s.table.Retain(wants)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.fetch, func(name string, _ bool) bool { return !wants(name) })
+	for name := range snapshot.Configuration.Services {
+		if _, known := s.fetch[name]; !known && wants(name) {
+			s.fetch[name] = true
+		}
+	}
+}
+
+// pendingFetch lists the services whose records are still to come.
+func (s *Syncer) pendingFetch() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for name, pending := range s.fetch {
+		if pending {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *Syncer) fetched(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range names {
+		if _, ok := s.fetch[n]; ok {
+			s.fetch[n] = false
+		}
+	}
+}
+
+// Subscription returns which services a node of the given service needs instances of: its own, and those that its
+// routes can reach.
+func Subscription(c *config.Snapshot, own string) func(service string) bool {
+	return func(service string) bool {
+		if service == own {
+			return true
+		}
+		if c == nil {
+			return false
+		}
+		sv, ok := c.Configuration.Services[service]
+		return ok && (len(sv.CallableFrom) == 0 || slices.Contains(sv.CallableFrom, own))
+	}
+}
+
+// Window returns the longest idempotency window of any policy: how long tombstones are kept.
+func Window(c *config.Snapshot) time.Duration {
+	w := config.DefaultIdempotencyWindow
+	if c == nil {
+		return w
+	}
+	for _, p := range c.Configuration.Policies {
+		w = max(w, p.IdempotencyWindow.Std())
+	}
+	return w
+}
