--- a/pkg/relay/duty.go
+++ b/pkg/relay/duty.go
@@ -58,7 +58,7 @@
 	d := &duty{
 		Relay: r, started: now,
 		info:     syncer.RelayInfo{Zone: me.AvailabilityZone, Slot: slot, Node: me.ID, Address: me.ControlAddress},
-		acceptor: syncer.NewAcceptor(r.settings.Codec),
+		acceptor: syncer.NewAcceptor(),
 		table:    membership.NewTable(r.clock, rand.Uint64(), config.DefaultIdempotencyWindow),
 		changes:  newBroadcast(), full: rate.NewLimiter(rate.Limit(r.settings.FullRate), r.settings.FullBurst),
 		confirms: make(chan chan bool, 256), behind: make(chan string, 1),
@@ -131,7 +131,7 @@
 	after := d.acceptor.Current()
 	d.table.SetWindow(syncer.Window(after))
 	if before != nil {
-		delta := d.settings.Codec.Diff(before.Version, before.Configuration, after.Version, after.Hash, after.Configuration)
+		delta := config.NewDelta(before.Version, before.Configuration, after.Version, after.Hash, after.Configuration)
 		d.mu.Lock()
 		d.chain = d.chain.add(delta, before.Hash)
 		d.mu.Unlock()
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"encoding/gob"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -143,45 +140,11 @@
 	return err
 }
 
-func hashOf(c config.Configuration) (string, error) {
-	data, err := json.Marshal(config.Configuration{Services: full(c.Services), Policies: full(c.Policies), Routes: full(c.Routes)})
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:]), err
-}
-
-func full[V any](m map[string]V) map[string]V {
-	out := make(map[string]V, len(m))
-	maps.Copy(out, m)
-	return out
-}
-
-// testCodec knows changes of services only, which is all that these tests need.
-var testCodec = syncer.Codec{
-	Hash: hashOf,
-	Diff: func(from config.Version, a config.Configuration, to config.Version, hash string, b config.Configuration) config.Delta {
-		d := config.Delta{From: from, To: to, ToHash: hash}
-		for n, s := range b.Services {
-			if fmt.Sprint(a.Services[n]) != fmt.Sprint(s) {
-				d.Upsert.Services = append(d.Upsert.Services, s)
-			}
-		}
-		return d
-	},
-	Apply: func(d config.Delta, c config.Configuration) (config.Configuration, error) {
-		out := config.Configuration{Services: full(c.Services), Policies: full(c.Policies), Routes: full(c.Routes)}
-		for _, s := range d.Upsert.Services {
-			out.Services[s.Name] = s
-		}
-		if h, _ := hashOf(out); h != d.ToHash {
-			return c, fault.New(fault.Stale, "delta", "hash", "")
-		}
-		return out, nil
-	},
-}
-
 // configuration has n services called s0, s1, ... and a serial number that changes its hash.
 func configuration(n, serial int) config.Configuration {
-	c := config.Configuration{Services: map[string]config.Service{"serial": {Name: "serial", CallableFrom: []string{fmt.Sprint("v", serial)}}}}
+	c := config.Configuration{Services: map[string]config.Service{}}
+	name := fmt.Sprint("serial", serial)
+	c.Services[name] = config.Service{Name: name}
 	for i := range n {
 		name := fmt.Sprint("s", i)
 		c.Services[name] = config.Service{Name: name}
@@ -237,7 +200,7 @@
 }
 
 func (m *mesh) writeHead(v config.Version, c config.Configuration) {
-	h, _ := hashOf(c)
+	h, _ := c.Hash()
 	spec, _ := json.Marshal(config.Head{Version: v, Hash: h, Configuration: c})
 	o := platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Spec: spec}
 	if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
@@ -250,8 +213,8 @@
 	n := &node{mesh: m, zone: zone, addr: name, set: metric.NewSet(), store: &gate{Store: m.store}}
 	n.server = rpcwire.NewServer(rpcwire.ServerSettings{Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}, zerolog.Nop(), n.set)
 	i := membership.Instance{ID: membership.InstanceID(name), Service: service, AvailabilityZone: zone, ControlAddress: name, State: membership.StateReady}
-	n.sync = syncer.New(syncer.Settings{Instance: i, Seeds: seeds, Codec: testCodec, Jitter: m.jitter}, n.store, n, clock.System{}, zerolog.Nop(), n.set)
-	n.relay = New(Settings{Codec: testCodec, Jitter: m.jitter}, n.sync, n.store, n, clock.System{}, zerolog.Nop(), n.set)
+	n.sync = syncer.New(syncer.Settings{Instance: i, Seeds: seeds, Jitter: m.jitter}, n.store, n, clock.System{}, zerolog.Nop(), n.set)
+	n.relay = New(Settings{Jitter: m.jitter}, n.sync, n.store, n, clock.System{}, zerolog.Nop(), n.set)
 	n.sync.Register(n.server)
 	n.relay.Register(n.server)
 	m.mu.Lock()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -30,7 +30,6 @@
 
 // Settings of the relay duty. Zero values mean the defaults.
 type Settings struct {
-	Codec syncer.Codec
 	// FullRate and FullBurst bound complete answers a second; the rest get a retry-after. A relay of 131 nodes thus
 	// serves all of them within 14 s after a herd of restarts, with the exchange of at most 10 tables a second.
 	FullRate  float64
@@ -39,6 +38,10 @@
 	ColdSettle    time.Duration
 	LeaseDuration time.Duration
 	LeaseRenew    time.Duration
+	// PlatformRate and PlatformBurst bound the relay's calls to the platform. A relay needs about one a second; the
+	// burst covers taking up the duty.
+	PlatformRate  float64
+	PlatformBurst int
 	// PlatformTimeout bounds one call of the platform other than a watch.
 	PlatformTimeout time.Duration
 	// Jitter returns a random duration in [0, d).
@@ -51,6 +54,8 @@
 	setDefault(&s.ColdSettle, 5*time.Second)
 	setDefault(&s.LeaseDuration, lease.DefaultDuration)
 	setDefault(&s.LeaseRenew, lease.DefaultRenew)
+	setDefault(&s.PlatformRate, 5)
+	setDefault(&s.PlatformBurst, 20)
 	setDefault(&s.PlatformTimeout, 2*time.Second)
 	if s.Jitter == nil {
 		s.Jitter = syncer.Jitter
@@ -81,9 +86,11 @@
 	wg     sync.WaitGroup
 }
 
-// New returns a relay that has not started. The store should bound the relay's calls; see platform.Limit.
+// New returns a relay that has not started.
 func New(settings Settings, node *syncer.Syncer, store platform.Store, caller rpcwire.Caller, c clock.Clock, log zerolog.Logger, set *metric.Set) *Relay {
-	return &Relay{settings: settings.withDefaults(), node: node, store: store, caller: caller, clock: c, log: log, metrics: set}
+	settings = settings.withDefaults()
+	store = platform.Limit(store, settings.PlatformRate, settings.PlatformBurst, set)
+	return &Relay{settings: settings, node: node, store: store, caller: caller, clock: c, log: log, metrics: set}
 }
 
 // Name returns the relay's name in the kernel.
--- a/pkg/rpcwire/handle.go
+++ b/pkg/rpcwire/handle.go
@@ -55,6 +55,11 @@
 	s.handlers[method] = r.dispatch
 }
 
+// HandleFunc registers a method in the form of net/rpc, without a context.
+func HandleFunc[A, R any](s *Server, method string, h func(args *A, reply *R) error) {
+	Handle(s, method, func(_ context.Context, args *A, reply *R) error { return h(args, reply) })
+}
+
 // net/rpc carries errors as text; the kind goes in front of the text so that the caller gets a fault of that kind.
 const kindSeparator = "\x1f"
 
--- a/pkg/rpcwire/server.go
+++ b/pkg/rpcwire/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"net/rpc"
 	"runtime/debug"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
 // ServerSettings bound what a server takes from its peers. Zero values mean the defaults.
@@ -23,7 +23,7 @@
 	// Address is where Start listens.
 	Address string
 	// Networks are the networks that may connect; none may if the list is empty.
-	Networks     []netip.Prefix
+	Networks     network.Set
 	MaxFrame     int
 	WriteTimeout time.Duration
 	// ReadTimeout closes a connection that has sent nothing for so long; clients probe idle connections more often.
@@ -170,7 +170,7 @@
 
 // admit records the connection, or refuses it.
 func (s *Server) admit(conn net.Conn) bool {
-	if !Allowed(s.settings.Networks, conn.RemoteAddr()) {
+	if !s.settings.Networks.Contains(conn.RemoteAddr().String()) {
 		s.metrics.Refused(metric.RefusedForbidden)
 		e := event.ControlRefused
 		e.Write(e.Log(&s.log).Str("remote", conn.RemoteAddr().String()))
@@ -203,21 +203,6 @@
 	e.Write(e.Log(&s.log).Str("method", method).Interface("panic", p).Bytes("stack", debug.Stack()))
 }
 
-// Allowed reports whether the address belongs to one of the networks.
-func Allowed(networks []netip.Prefix, addr net.Addr) bool {
-	ap, err := netip.ParseAddrPort(addr.String())
-	if err != nil {
-		return false
-	}
-	ip := ap.Addr().Unmap().WithZone("")
-	for _, n := range networks {
-		if n.Contains(ip) {
-			return true
-		}
-	}
-	return false
-}
-
 // countedConn counts the bytes of a connection in each direction.
 type countedConn struct {
 	net.Conn
--- a/pkg/syncer/accept.go
+++ b/pkg/syncer/accept.go
@@ -9,13 +9,6 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 )
 
-// Codec is what the acceptor needs to know about configurations.
-type Codec struct {
-	Hash  func(config.Configuration) (string, error)
-	Apply func(config.Delta, config.Configuration) (config.Configuration, error)
-	Diff  func(from config.Version, a config.Configuration, to config.Version, toHash string, b config.Configuration) config.Delta
-}
-
 // Verdict is the result of an offered configuration.
 type Verdict uint8
 
@@ -37,14 +30,13 @@
 
 // Acceptor decides which configuration is in force. The version in force never falls.
 type Acceptor struct {
-	codec   Codec
 	mu      sync.Mutex
 	current atomic.Pointer[config.Snapshot]
 	refused atomic.Uint64
 }
 
 // NewAcceptor returns an acceptor without a configuration.
-func NewAcceptor(codec Codec) *Acceptor { return &Acceptor{codec: codec} }
+func NewAcceptor() *Acceptor { return &Acceptor{} }
 
 // Current returns the snapshot in force, or nil.
 func (a *Acceptor) Current() *config.Snapshot { return a.current.Load() }
@@ -73,7 +65,7 @@
 	if v, err := a.compare(w.Version, w.Hash); v != Accepted {
 		return v, err
 	}
-	hash, err := a.codec.Hash(w.Configuration)
+	hash, err := w.Configuration.Hash()
 	if err == nil && hash != w.Hash {
 		err = fault.New(fault.Invalid, fmt.Sprintf("configuration version %d", w.Version), "the content does not have the stated hash",
 			"restore the head object from the last good state")
@@ -121,7 +113,7 @@
 				fmt.Sprintf("it starts from version %d, not from %d", d.From, at), "ask for the whole configuration")
 		}
 		var err error
-		if next, err = a.codec.Apply(d, next); err != nil {
+		if next, err = d.Apply(next); err != nil {
 			return Mismatch, err
 		}
 		at = d.To
--- a/pkg/syncer/start.go
+++ b/pkg/syncer/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
@@ -66,11 +65,11 @@
 	return w, err == nil, err
 }
 
-// ParseHead returns the configuration in a head object; the acceptor checks its hash.
+// ParseHead returns the configuration in a head object.
 func ParseHead(obj platform.Object) (WholeConfig, error) {
-	var h config.Head
-	if err := json.Unmarshal(obj.Spec, &h); err != nil {
-		return WholeConfig{}, fault.Wrap(fault.Invalid, "read the head", err, "restore the head object from the last good state")
+	h, err := config.ParseHead(obj.Spec)
+	if err != nil {
+		return WholeConfig{}, err
 	}
 	return WholeConfig{Version: h.Version, Hash: h.Hash, Configuration: h.Configuration}, nil
 }
--- a/pkg/syncer/syncer.go
+++ b/pkg/syncer/syncer.go
@@ -27,7 +27,6 @@
 	Instance membership.Instance
 	// Seeds are control addresses of nodes to ask for relays.
 	Seeds []string
-	Codec Codec
 	// PlatformTimeout bounds a read of the platform at start.
 	PlatformTimeout time.Duration
 	// StartSpread spreads the direct reads of the platform when many nodes start at the same time and no relay
@@ -113,7 +112,7 @@
 	settings = settings.withDefaults()
 	s := &Syncer{
 		settings: settings, store: store, caller: caller, clock: c, log: log, metrics: set,
-		acceptor: NewAcceptor(settings.Codec),
+		acceptor: NewAcceptor(),
 		table:    membership.NewTable(c, rand.Uint64(), config.DefaultIdempotencyWindow),
 		polls:    rate.NewLimiter(rate.Limit(settings.PollRate), 4),
 		urgent:   make(chan struct{}, 1),
