Keep watches and reports right after long quiet times and restores

Cause: the platform keeps changes for minutes, so a watch on a head that changed an hour ago would expire at each start. After a restore, nodes with versions above the head's counted as in force.

Change: a watch goes on at the last bookmark of the one before, and starts from the present state when the platform does not know its start; a state that the caller knows is not passed on again. Nodes whose version or hash the head does not know are diverged, a fourth place beside in force, lagging and cut off. Status and Submit read the status objects before the head. Versions end at 2^53. A test on virtual time lets a write arrive after its submit gave up on it.

Ruled out: starting each watch from the present state, because 32 relays would read the whole head with each new watch.

Before/after: a watch from an old version ended with 410 each time; it now runs after one more call, and the next one needs none.

--- a/cmd/monsoonlatch/main_test.go
+++ b/cmd/monsoonlatch/main_test.go
@@ -129,7 +129,7 @@
 	good := b.file("good.yaml", goodNote)
 	b.run(exitNotEverywhere, "no node is reported", "note", "submit", good, "--wait=1ms")
 	b.report("langata", b.node("n1", 1), b.node("n2", 0))
-	b.run(exitNotEverywhere, "in force at 1 nodes, lagging at 1, cut off 0", "note", "status")
+	b.run(exitNotEverywhere, "in force at 1 nodes, lagging at 1, diverged at 0, cut off 0", "note", "status")
 	b.run(exitNotEverywhere, `"everywhere": false`, "note", "submit", good, "--wait=1ms", "--json")
 	b.run(exitOK, "lagging", "nodes")
 	b.run(exitOK, "[]", "nodes", "--json", "--zone=elsewhere")
@@ -141,6 +141,9 @@
 	b.run(exitOK, "in force at all 2 nodes", "note", "submit", good, "--wait=1m")
 	b.run(exitOK, `"everywhere": true`, "note", "status", "--json")
 	b.run(exitFailed, "not among the last", "note", "status", "other")
+	b.report("langata", b.node("n1", 1), b.node("n2", 2))
+	b.run(exitNotEverywhere, "remedy: if the platform was restored", "note", "status")
+	b.report("langata", b.node("n1", 1), b.node("n2", 1))
 	var list []serviceReport
 	if err := json.Unmarshal([]byte(b.run(exitOK, "", "services", "--json")), &list); err != nil || len(list) != 1 || list[0].Ready != 2 || len(list[0].Routes) != 1 {
 		t.Errorf("services: %+v %v", list, err)
--- a/cmd/monsoonlatch/note_status.go
+++ b/cmd/monsoonlatch/note_status.go
@@ -111,16 +111,20 @@
 	case r.Tally == status.Tally{}:
 		e.printf("no node is reported; remedy: check that relays run and reach the platform\n")
 	default:
-		e.printf("in force at %d nodes, lagging at %d, cut off %d\n", r.Tally.InForce, r.Tally.Lagging, r.Tally.CutOff)
+		e.printf("in force at %d nodes, lagging at %d, diverged at %d, cut off %d\n", r.Tally.InForce, r.Tally.Lagging, r.Tally.Diverged, r.Tally.CutOff)
+	}
+	if r.Tally.Diverged > 0 {
+		e.printf("diverged nodes serve a configuration that the head does not know; remedy: if the platform was restored, " +
+			"submit the lost notes again, the first one with --raise-above set to the highest version below\n")
 	}
 	for _, bad := range r.Unreadable {
 		e.printf("%s\n", oneLine(bad))
 	}
 	var rows [][]any
 	for _, z := range r.Zones {
-		rows = append(rows, []any{z.Zone, z.InForce, z.Lagging, z.CutOff})
+		rows = append(rows, []any{z.Zone, z.InForce, z.Lagging, z.Diverged, z.CutOff})
 	}
-	if err := e.table("ZONE IN-FORCE LAGGING CUT-OFF", rows); err != nil {
+	if err := e.table("ZONE IN-FORCE LAGGING DIVERGED CUT-OFF", rows); err != nil {
 		return err
 	}
 	if len(r.Missing) > 0 {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -72,7 +72,7 @@
 func (s *Server) Restore() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state = newState()
+	s.state = newState(s.state.keep)
 	if s.saved != nil {
 		s.state = s.saved.clone()
 	}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -37,7 +37,7 @@
 
 // NewServer returns an empty platform.
 func NewServer() *Server {
-	s := &Server{bookmarks: DefaultBookmarkInterval, state: newState(), changed: make(chan struct{}), mux: http.NewServeMux()}
+	s := &Server{bookmarks: DefaultBookmarkInterval, state: newState(DefaultHistoryLength), changed: make(chan struct{}), mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET "+root+"{kind}", s.collection)
 	s.mux.HandleFunc("POST "+root+"{kind}", s.create)
 	s.mux.HandleFunc("GET "+root+"{kind}/{name}", s.get)
@@ -56,6 +56,9 @@
 // SetBookmarkInterval changes the time between bookmarks. Call it before the first request.
 func (s *Server) SetBookmarkInterval(d time.Duration) { s.bookmarks = d }
 
+// SetHistoryLength changes how many changes a watch can start behind. Call it before the first request.
+func (s *Server) SetHistoryLength(n int) { s.state.keep = n }
+
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 func (s *Server) count(n *int64) {
--- a/internal/standin/platform/state.go
+++ b/internal/standin/platform/state.go
@@ -8,8 +8,8 @@
 	"strconv"
 )
 
-// historyLength is how many changes a watch can start behind; an older start is answered with 410.
-const historyLength = 4096
+// DefaultHistoryLength is how many changes a watch can start behind; an older start is answered with 410.
+const DefaultHistoryLength = 4096
 
 type meta struct {
 	Name            string `json:"name,omitempty"`
@@ -38,13 +38,15 @@
 	revision uint64
 	objects  map[key]object
 	history  []change
+	// keep is the length of history that is kept at least; twice as much is kept at most.
+	keep int
 }
 
-func newState() *state { return &state{objects: make(map[key]object)} }
+func newState(keep int) *state { return &state{objects: make(map[key]object), keep: keep} }
 
 // clone copies the state. Objects are replaced as a whole, never changed in place.
 func (s *state) clone() *state {
-	return &state{revision: s.revision, objects: maps.Clone(s.objects), history: slices.Clone(s.history)}
+	return &state{revision: s.revision, objects: maps.Clone(s.objects), history: slices.Clone(s.history), keep: s.keep}
 }
 
 // failure is an answer that is not a success.
@@ -96,8 +98,8 @@
 func (s *state) record(verb string, k key, obj object) {
 	s.revision++
 	s.history = append(s.history, change{s.revision, verb, k, obj})
-	if len(s.history) > 2*historyLength {
-		s.history = slices.Clone(s.history[historyLength:])
+	if len(s.history) > 2*s.keep {
+		s.history = slices.Clone(s.history[s.keep:])
 	}
 }
 
--- a/pkg/config/head.go
+++ b/pkg/config/head.go
@@ -11,6 +11,9 @@
 // MaxNoteRecords is how many accepted notes the head remembers.
 const MaxNoteRecords = 256
 
+// MaxVersion is the highest version; JSON tools read numbers up to it exactly.
+const MaxVersion Version = 1 << 53
+
 // NewHead returns the head before the first release note: version 0 and an empty configuration.
 func NewHead() (Head, error) {
 	c := Configuration{}.Clone()
@@ -20,6 +23,10 @@
 
 // Accept returns the head that follows when note is applied. The receiver is unchanged.
 func (h Head) Accept(note ReleaseNote) (Head, error) {
+	if h.Version >= MaxVersion {
+		return Head{}, fault.New(fault.Invalid, "release note", fmt.Sprintf("version %d cannot be followed by another", h.Version),
+			"correct the version from which the next one is counted")
+	}
 	c, err := h.Configuration.Apply(note)
 	if err != nil {
 		return Head{}, err
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -43,6 +41,8 @@
 	// single uses a connection of its own for each request. http.Transport sends a request again only when a reused
 	// connection fails, so a write is sent once.
 	single *http.Client
+	// resume lets a watch go on where the last one on the same object ended.
+	resume positions
 }
 
 var _ Store = (*Client)(nil)
@@ -274,103 +274,3 @@
 func (w wireObject) object(kind ObjectKind) Object {
 	return Object{Kind: kind, Name: w.Metadata.Name, Version: w.Metadata.ResourceVersion, Spec: w.Spec}
 }
-
-// boundedReader fails after left bytes, so that one event cannot fill the memory.
-type boundedReader struct {
-	r    io.Reader
-	left int
-}
-
-func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.left <= 0 {
-		return 0, fmt.Errorf("an event has more than %d bytes", maxAnswerBytes)
-	}
-	n, err := b.r.Read(p[:min(len(p), b.left)])
-	b.left -= n
-	return n, err
-}
-
-type wireEvent struct {
-	Type   string          `json:"type"`
-	Object json.RawMessage `json:"object"`
-}
-
-// errSilent is the cause of a watch that ended because no event and no bookmark came in time.
-var errSilent = errors.New("no event and no bookmark came in time")
-
-// Watch implements Store.
-func (c *Client) Watch(ctx context.Context, kind ObjectKind, name, version string, handle func(Object) error) error {
-	op := fmt.Sprintf("platform watch %s/%s", kind, name)
-	inner, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(c.settings.WatchSilence, func() { cancel(errSilent) })
-	defer silence.Stop()
-	query := url.Values{"watch": {"true"}, "allowWatchBookmarks": {"true"}, "resourceVersion": {version},
-		"fieldSelector":  {"metadata.name=" + name},
-		"timeoutSeconds": {strconv.Itoa(int(max(c.settings.WatchDuration, time.Second) / time.Second))}}
-	resp, err := c.send(inner, c.single, http.MethodGet, collection(kind)+"?"+query.Encode(), nil)
-	if err != nil {
-		return watchError(ctx, inner, op, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if err := statusError(op, resp); err != nil {
-		return err
-	}
-	w := watch{op: op, kind: kind, name: name, handle: handle}
-	body := &boundedReader{r: resp.Body}
-	for dec := json.NewDecoder(body); ; {
-		body.left = maxAnswerBytes
-		var e wireEvent
-		if err := dec.Decode(&e); errors.Is(err, io.EOF) {
-			return nil
-		} else if err != nil {
-			return watchError(ctx, inner, op, err)
-		}
-		// The time that handle takes does not count as silence.
-		silence.Stop()
-		if err := w.event(e); err != nil {
-			return err
-		}
-		silence.Reset(c.settings.WatchSilence)
-	}
-}
-
-func watchError(outer, inner context.Context, op string, err error) error {
-	if outer.Err() != nil {
-		return outer.Err()
-	}
-	if cause := context.Cause(inner); cause != nil {
-		err = cause
-	}
-	return fault.Wrap(fault.Unavailable, op, err, "read the object, then watch again")
-}
-
-type watch struct {
-	op     string
-	kind   ObjectKind
-	name   string
-	handle func(Object) error
-}
-
-// event handles one event of the stream. A deleted object is not a state; the caller's next read finds it missing.
-func (w watch) event(e wireEvent) error {
-	switch e.Type {
-	case "BOOKMARK":
-		return nil
-	case "ADDED", "MODIFIED":
-		var obj wireObject
-		if err := json.Unmarshal(e.Object, &obj); err != nil {
-			return fault.Wrap(fault.Unavailable, w.op, err, "read the object, then watch again")
-		}
-		if obj.Metadata.Name != w.name {
-			return nil
-		}
-		return w.handle(obj.object(w.kind))
-	case "DELETED":
-		return fault.New(fault.Unavailable, w.op, "the object was deleted", "read the object, then watch again")
-	}
-	var status wireStatus
-	_ = json.Unmarshal(e.Object, &status) // An unreadable status leaves the code at 0, which is Unavailable too.
-	return fault.New(fault.Unavailable, w.op, fmt.Sprintf("the platform ended the watch: %d %s", status.Code, status.Message),
-		"read the object, then watch again")
-}
--- a/pkg/platform/settings.go
+++ b/pkg/platform/settings.go
@@ -15,7 +15,8 @@
 	Token string
 	// CallTimeout bounds each call but watches. The platform answers in milliseconds.
 	CallTimeout time.Duration
-	// WatchSilence is the longest time without an event or bookmark on a watch before it counts as silent.
+	// WatchSilence is the longest time without an event or bookmark on a watch before it counts as silent. The
+	// platform must send bookmarks more often.
 	WatchSilence time.Duration
 	// WatchDuration is how long the platform is asked to keep one watch open.
 	WatchDuration time.Duration
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -1,5 +1,5 @@
 // Package platform is the client side of the platform's object API: versioned objects, conditional updates and
-// watches. The wire format is known to one file, http.go.
+// watches. The wire format is known to http.go and watch.go.
 package platform
 
 import (
--- a/pkg/platform/watch_test.go
+++ b/pkg/platform/watch_test.go
@@ -40,10 +40,12 @@
 	for name, c := range map[string]struct {
 		faults standin.Faults
 		within time.Duration
+		calls  int64
 	}{
-		"silent":  {standin.Faults{SilentWatches: true}, platform.DefaultWatchSilence},
-		"expired": {standin.Faults{ExpireWatches: true}, 0},
-		"down":    {standin.Faults{Down: true}, 0},
+		"silent": {standin.Faults{SilentWatches: true}, platform.DefaultWatchSilence, 1},
+		// The client tries once to start from the present state.
+		"expired": {standin.Faults{ExpireWatches: true}, 0, 2},
+		"down":    {standin.Faults{Down: true}, 0, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtual(t, func(t *testing.T, server *standin.Server, client *platform.Client) {
@@ -72,8 +74,8 @@
 				if err := <-done; !fault.Is(err, fault.Unavailable) || time.Since(start) > c.within {
 					t.Errorf("got %v after %s", err, time.Since(start))
 				}
-				if got := server.Counts().Watch; got != 1 {
-					t.Errorf("%d watches counted", got)
+				if got := server.Counts().Watch; got != c.calls {
+					t.Errorf("%d watches counted, want %d", got, c.calls)
 				}
 			})
 		})
@@ -102,10 +104,59 @@
 		if err := client.Watch(t.Context(), platform.KindRelayLease, "a", "0", func(platform.Object) error { return failed }); !errors.Is(err, failed) {
 			t.Errorf("handler: %v", err)
 		}
+	})
+}
+
+// Guards against an object that can no longer be watched because it changed long ago or the platform was restored, and
+// against states that are passed on twice or missed when a watch starts again.
+func TestWatchStartsAgain(t *testing.T) {
+	virtual(t, func(t *testing.T, server *standin.Server, client *platform.Client) {
+		const history = 8
+		server.SetHistoryLength(history)
+		ctx := t.Context()
+		obj, err := client.Create(ctx, lease("a", `{}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var seen []string
+		watch := func(version string) {
+			t.Helper()
+			if err := client.Watch(ctx, obj.Kind, "a", version, func(o platform.Object) error { seen = append(seen, o.Version); return nil }); err != nil {
+				t.Errorf("watch from %s: %v", version, err)
+			}
+		}
+		churn := func() {
+			other, err := client.Create(ctx, lease("b", `{}`))
+			for range 2 * history {
+				if err == nil {
+					other, err = client.Update(ctx, other)
+				}
+			}
+			if err == nil {
+				err = client.Delete(ctx, other.Kind, "b", other.Version)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		churn()
+		watch(obj.Version)
+		if got := server.Counts().Watch; len(seen) != 0 || got != 2 {
+			t.Errorf("start too old: saw %v with %d calls", seen, got)
+		}
+		watch(obj.Version)
+		if got := server.Counts().Watch; len(seen) != 0 || got != 3 {
+			t.Errorf("start at the last bookmark: saw %v with %d calls", seen, got)
+		}
 		server.Save()
+		churn()
+		if obj, err = client.Update(ctx, obj); err != nil {
+			t.Fatal(err)
+		}
 		server.Restore()
-		if err := client.Watch(t.Context(), platform.KindRelayLease, "a", "7", ignore); !fault.Is(err, fault.Unavailable) {
-			t.Errorf("version of the future: %v", err)
+		watch(obj.Version)
+		if len(seen) != 1 || seen[0] != "1" {
+			t.Errorf("start of the future: saw %v", seen)
 		}
 	})
 }
--- a/pkg/release/release_test.go
+++ b/pkg/release/release_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
@@ -199,3 +200,33 @@
 		t.Errorf("got %+v %v", o, err)
 	}
 }
+
+// Guards against a note that is applied twice because its first write takes effect after the submit gave up on it.
+func TestLateWriteIsHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.NewServer()
+		memory := server.InMemory()
+		defer memory.Close()
+		store, err := platform.NewClient(platform.Settings{BaseURL: "http://platform", Dial: memory.Dial})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer store.Close()
+		submit(t, store, first())
+		slow := raceStore{Store: store, before: func() {
+			server.SetFaults(standin.Faults{SlowMillis: 30_000})
+			time.AfterFunc(time.Second, func() { server.SetFaults(standin.Faults{}) })
+		}}
+		if r := submit(t, &slow, addRoute("second", "a")); r.Record.Version != 2 || r.Recognised {
+			t.Errorf("got %+v", r)
+		}
+		time.Sleep(time.Minute) // The first write arrives.
+		head, err := release.ReadHead(t.Context(), store)
+		if err != nil || head.Version != 2 || len(head.Notes) != 2 {
+			t.Errorf("head %+v %v", head, err)
+		}
+		if got := server.Counts().Update; got != 2 {
+			t.Errorf("%d updates were sent, want 2", got)
+		}
+	})
+}
--- a/pkg/release/status.go
+++ b/pkg/release/status.go
@@ -20,23 +20,21 @@
 	ReadAt     time.Time
 }
 
-// Status reads the head and the status objects.
+// Status reads the status objects and then the head, so that a version above the head's is not one that was accepted in
+// between.
 func Status(ctx context.Context, store platform.Store) (Overview, error) {
-	head, err := ReadHead(ctx, store)
+	zones, bad, err := readZones(ctx, store)
 	if err != nil {
 		return Overview{}, err
 	}
-	zones, bad, err := readZones(ctx, store)
+	head, err := ReadHead(ctx, store)
 	return Overview{Head: head, Zones: zones, Unreadable: bad, ReadAt: time.Now()}, err
 }
 
-// Nodes returns the nodes with their place for a version of the head.
+// Nodes returns the nodes with their place for a version.
 func (o Overview) Nodes(version config.Version) []status.Node {
-	hash := ""
-	if version == o.Head.Version {
-		hash = o.Head.Hash
-	}
-	return status.Classify(version, hash, o.Zones, o.ReadAt)
+	target := status.Target{Version: version, HeadVersion: o.Head.Version, HeadHash: o.Head.Hash}
+	return status.Classify(target, o.Zones, o.ReadAt)
 }
 
 // Record returns the accepted note with an id, or the latest note for an empty id.
--- a/pkg/release/submit.go
+++ b/pkg/release/submit.go
@@ -58,9 +58,12 @@
 	// first is the version that the note was first checked against; false in hasFirst means none was read yet.
 	first    config.Version
 	hasFirst bool
-	raced    int
-	failures int
-	stale    int
+	// served is the highest version that nodes reported before the head was read.
+	served     config.Version
+	readServed bool
+	raced      int
+	failures   int
+	stale      int
 	// uncertain states that a write was sent whose outcome is not known; uncertainAt is the version it replaces.
 	uncertain   bool
 	uncertainAt config.Version
@@ -103,6 +106,9 @@
 
 // attempt reads the head, checks the note against it and writes the next head once.
 func (s *submission) attempt(ctx context.Context) (result Result, again bool, err error) {
+	if err := s.readServedVersion(ctx); err != nil {
+		return Result{}, s.retryable(ctx, err), err
+	}
 	b, err := readBase(ctx, s.store)
 	if err != nil {
 		return Result{}, s.retryable(ctx, err), err
@@ -110,7 +116,7 @@
 	if result, done, err := s.recognise(b.head); done {
 		return result, false, err
 	}
-	if again, err := s.refuseRestored(ctx, b.head); again || err != nil {
+	if again, err := s.refuseRestored(b.head); again || err != nil {
 		return Result{}, again, err
 	}
 	next, err := s.next(b.head)
@@ -157,23 +163,32 @@
 	return Result{Record: record, Recognised: true, Rebased: s.raced}, true, nil
 }
 
-// refuseRestored detects a platform that was restored to an older state: nodes report a version that the head has not
-// reached, and would refuse the next one. A stale read looks the same, so the head is read again first.
-func (s *submission) refuseRestored(ctx context.Context, head config.Head) (again bool, err error) {
+// readServedVersion reads once what nodes serve. It does so before the head is read, so that a higher version is not one
+// that was accepted in between.
+func (s *submission) readServedVersion(ctx context.Context) error {
+	if s.readServed {
+		return nil
+	}
 	zones, _, err := readZones(ctx, s.store)
 	if err != nil {
-		return s.retryable(ctx, err), err
+		return err
 	}
-	served := status.HighestVersion(zones)
-	if served <= max(head.Version, s.above) {
+	s.served, s.readServed = status.HighestVersion(zones), true
+	return nil
+}
+
+// refuseRestored detects a platform that was restored to an older state: nodes report a version that the head has not
+// reached, and would refuse the next one. A stale read looks the same, so the head is read again first.
+func (s *submission) refuseRestored(head config.Head) (again bool, err error) {
+	if s.served <= max(head.Version, s.above) {
 		return false, nil
 	}
 	if s.stale++; s.stale <= staleReads {
 		return true, nil
 	}
 	return false, fault.New(fault.Stale, "submit "+s.note.ID,
-		fmt.Sprintf("the head has version %d, but nodes serve version %d; the platform seems to be restored to an older state", head.Version, served),
-		fmt.Sprintf("submit the notes that were lost again, the first one with --raise-above=%d", served))
+		fmt.Sprintf("the head has version %d, but nodes serve version %d; the platform seems to be restored to an older state", head.Version, s.served),
+		fmt.Sprintf("submit the notes that were lost again, the first one with --raise-above=%d", s.served))
 }
 
 // next returns the head with the note applied, unless another note won a race for the same names.
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -100,8 +100,11 @@
 const (
 	// InForce: the node serves the version or a later one.
 	InForce Place = "in force"
-	// Lagging: the node polls its relay and serves an older version, or another configuration of the same version.
+	// Lagging: the node polls its relay and serves an older version.
 	Lagging Place = "lagging"
+	// Diverged: the node serves a configuration that the head does not know: a version above the head's, or the head's
+	// version with another hash. The platform was restored to an older state.
+	Diverged Place = "diverged"
 	// CutOff: nothing recent is known of the node.
 	CutOff Place = "cut off"
 )
@@ -138,23 +141,31 @@
 	return cmp.Or(cmp.Compare(n.Version, o.Version), strings.Compare(n.Zone, o.Zone), strings.Compare(n.State, o.State)) > 0
 }
 
-// Classify returns the nodes that have not departed with Place set for a version. If hash is not empty, a node that
-// serves exactly this version counts only with this hash.
-func Classify(version config.Version, hash string, zones []ZoneStatus, now time.Time) []Node {
+// Target is the version that is asked for, and the head as it was read after the status objects.
+type Target struct {
+	Version     config.Version
+	HeadVersion config.Version
+	HeadHash    string
+}
+
+// Classify returns the nodes that have not departed, each with its place for the target.
+func Classify(t Target, zones []ZoneStatus, now time.Time) []Node {
 	nodes := Nodes(zones, now)
 	for i := range nodes {
-		nodes[i].Place = nodes[i].place(version, hash)
+		nodes[i].Place = nodes[i].place(t)
 	}
 	return nodes
 }
 
-func (n Node) place(version config.Version, hash string) Place {
+func (n Node) place(t Target) Place {
 	switch {
 	case n.stale || time.Duration(n.LastPollAgeMillis)*time.Millisecond > CutOffPollAge:
 		return CutOff
-	case n.Version > version:
-		return InForce
-	case n.Version == version && (hash == "" || n.Hash == hash):
+	case n.Version == 0:
+		return Lagging // The node has no configuration yet.
+	case n.Version > t.HeadVersion || n.Version == t.HeadVersion && n.Hash != t.HeadHash:
+		return Diverged
+	case n.Version >= t.Version:
 		return InForce
 	}
 	return Lagging
@@ -162,9 +173,10 @@
 
 // Tally counts nodes by place.
 type Tally struct {
-	InForce int `json:"inForce"`
-	Lagging int `json:"lagging"`
-	CutOff  int `json:"cutOff"`
+	InForce  int `json:"inForce"`
+	Lagging  int `json:"lagging"`
+	Diverged int `json:"diverged"`
+	CutOff   int `json:"cutOff"`
 }
 
 // Count returns the tally of classified nodes.
@@ -176,6 +188,8 @@
 			t.InForce++
 		case Lagging:
 			t.Lagging++
+		case Diverged:
+			t.Diverged++
 		case CutOff:
 			t.CutOff++
 		}
@@ -185,7 +199,7 @@
 
 // Everywhere reports whether there is a node and all nodes have the version in force. Without a report from any node
 // nothing is known to be in force.
-func (t Tally) Everywhere() bool { return t.InForce > 0 && t.Lagging == 0 && t.CutOff == 0 }
+func (t Tally) Everywhere() bool { return t.InForce > 0 && t == Tally{InForce: t.InForce} }
 
 // HighestVersion returns the highest version that any relay or node reports.
 func HighestVersion(zones []ZoneStatus) config.Version {
--- a/pkg/status/status_test.go
+++ b/pkg/status/status_test.go
@@ -18,15 +18,15 @@
 	left.State = StateDeparted
 	zones := []ZoneStatus{
 		{Zone: "kasarani", Slot: "0", WrittenAt: now.Add(-5 * time.Second), Nodes: []NodeStatus{
-			node("same", 7, "good", time.Second), node("newer", 8, "other", 0), node("older", 6, "", 0),
-			node("diverged", 7, "bad", 0), node("missed", 7, "good", CutOffPollAge+time.Second), left,
+			node("same", 7, "good", time.Second), node("newer", 8, "other", 0), node("newest", 9, "good", 0), node("ahead", 10, "", 0), node("older", 6, "", 0),
+			node("diverged", 9, "bad", 0), node("missed", 7, "good", CutOffPollAge+time.Second), left,
 			node("moved", 6, "", 9*time.Second)}},
 		{Zone: "kasarani", Slot: "1", WrittenAt: now.Add(-4 * time.Second), Nodes: []NodeStatus{node("moved", 7, "good", time.Second)}},
 		{Zone: "langata", Slot: "0", WrittenAt: now.Add(-StaleObjectAge - time.Second), Nodes: []NodeStatus{node("silent", 7, "good", 0)}},
 	}
-	want := map[string]Place{"same": InForce, "newer": InForce, "older": Lagging, "diverged": Lagging, "missed": CutOff,
+	want := map[string]Place{"same": InForce, "newer": InForce, "older": Lagging, "newest": InForce, "diverged": Diverged, "ahead": Diverged, "missed": CutOff,
 		"moved": InForce, "silent": CutOff}
-	nodes := Classify(7, "good", zones, now)
+	nodes := Classify(Target{Version: 7, HeadVersion: 9, HeadHash: "good"}, zones, now)
 	if len(nodes) != len(want) {
 		t.Errorf("%d nodes, want %d", len(nodes), len(want))
 	}
@@ -35,13 +35,13 @@
 			t.Errorf("%s is %s, want %s", n.ID, n.Place, want[n.ID])
 		}
 	}
-	if tally := Count(nodes); tally != (Tally{InForce: 3, Lagging: 2, CutOff: 2}) || tally.Everywhere() {
+	if tally := Count(nodes); tally != (Tally{InForce: 4, Lagging: 1, Diverged: 2, CutOff: 2}) || tally.Everywhere() {
 		t.Errorf("tally %+v", tally)
 	}
 	if (Tally{}).Everywhere() || !(Tally{InForce: 1}).Everywhere() {
 		t.Error("Everywhere is wrong for no node or one node")
 	}
-	if HighestVersion(zones) != 8 {
+	if HighestVersion(zones) != 10 {
 		t.Error("HighestVersion is wrong")
 	}
 }
