Add ingress, egress and announcements with their failure tests

Calls need one hop that knows the true slots in use and another that chooses the instance; neither may cut, cross or repeat work.

pkg/proxy: the ingress reads the body whole, strips system headers, finds the parent of a nested call by Ml-Call, picks or asks the guard for the home, forwards or calls the own egress, and retries within the budget. The egress checks the own instance, asks the guard for keyed work, waits at the Gate and makes the one attempt. pkg/announce keeps the own record with fsm.

Ruled out: half of the remaining time per attempt. Now the whole time goes along, and an idempotent call is given up only if no sign of life has come, the budget grants a retry, and another instance is left. An egress sends the sign (102) when its backend server makes a nested call, so that only the hop next to a silence retries. A retry that was denied below is not made above either. A refusal before the body is read closes the connection: net/http waits for the body otherwise, and a malformed chunk blocked a test until its timeout.

Before: no data path.

--- /dev/null
+++ b/pkg/announce/announce_test.go
@@ -0,0 +1,105 @@
+package announce
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+type manual struct{ now time.Time }
+
+func (m *manual) Now() time.Time { return m.now }
+
+func newService(clk *manual, changes *[]membership.Instance) *Service {
+	return New(Settings{Instance: membership.Instance{ID: "i1", Incarnation: 7}, Backend: netip.MustParseAddr("10.0.0.5"),
+		Clock: clk, Log: zerolog.Nop(), OnChange: func(in membership.Instance) { *changes = append(*changes, in) }})
+}
+
+const ready = `{"service":"desk","address":"127.0.0.1:81","slots":20,"state":"ready"}`
+
+func post(s *Service, remote, body string) int {
+	r := httptest.NewRequest(http.MethodPost, "/v1/announce", strings.NewReader(body))
+	r.RemoteAddr = remote
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w.Code
+}
+
+// Guards against an instance record that another VM or a malformed announcement sets.
+func TestAnnouncementsAreChecked(t *testing.T) {
+	change := func(old, new string) string { return strings.Replace(ready, old, new, 1) }
+	for name, c := range map[string]struct {
+		remote, body string
+		want         int
+	}{
+		"loopback":        {"127.0.0.1:5", ready, http.StatusNoContent},
+		"mapped loopback": {"[::ffff:127.0.0.1]:5", ready, http.StatusNoContent},
+		"configured":      {"10.0.0.5:5", change("127.0.0.1", "10.0.0.5"), http.StatusNoContent},
+		"other VM":        {"10.0.0.6:5", ready, http.StatusForbidden},
+		"other address":   {"127.0.0.1:5", change("127.0.0.1", "10.0.0.6"), http.StatusBadRequest},
+		"no port":         {"127.0.0.1:5", change(":81", ""), http.StatusBadRequest},
+		"no slots":        {"127.0.0.1:5", change("20", "0"), http.StatusBadRequest},
+		"bad state":       {"127.0.0.1:5", change("ready", "fine"), http.StatusBadRequest},
+		"bad service":     {"127.0.0.1:5", change("desk", "De sk"), http.StatusBadRequest},
+		"unknown field":   {"127.0.0.1:5", change(`"slots"`, `"slot"`), http.StatusBadRequest},
+		"no JSON":         {"127.0.0.1:5", "x", http.StatusBadRequest},
+		"oversized":       {"127.0.0.1:5", change("desk", strings.Repeat("a", 5000)), http.StatusBadRequest},
+	} {
+		var changes []membership.Instance
+		s := newService(&manual{time.Unix(10, 0)}, &changes)
+		if got := post(s, c.remote, c.body); got != c.want || (len(changes) == 1) != (c.want == http.StatusNoContent) {
+			t.Errorf("%s: status %d with %d changes, want %d", name, got, len(changes), c.want)
+		}
+	}
+}
+
+// Guards against new work for a backend server that drains, has departed or has stopped announcing itself, against
+// records that do not supersede older ones, and against a heartbeat that spreads as a change.
+func TestLifecycle(t *testing.T) {
+	clk := &manual{time.Unix(10, 0)}
+	var changes []membership.Instance
+	s := newService(clk, &changes)
+	for i, c := range []struct {
+		state  string
+		wait   time.Duration
+		status int
+		want   membership.State
+		seq    uint64
+		inc    uint64
+	}{
+		{"ready", 0, 204, membership.StateReady, 1, 7},
+		{"ready", 2 * time.Second, 204, membership.StateReady, 1, 7},
+		{"", 2 * time.Second, 0, membership.StateReady, 1, 7},
+		{"", time.Second, 0, membership.StateStarting, 2, 7},
+		{"ready", 0, 204, membership.StateReady, 3, 7},
+		{"draining", 0, 204, membership.StateDraining, 4, 7},
+		{"ready", 0, 409, membership.StateDraining, 4, 7},
+		{"departed", 0, 204, membership.StateDeparted, 5, 7},
+		{"ready", 0, 204, membership.StateReady, 6, 8},
+	} {
+		clk.now = clk.now.Add(c.wait)
+		s.Expire(clk.now)
+		if c.state != "" {
+			if got := post(s, "127.0.0.1:5", strings.Replace(ready, "ready", c.state, 1)); got != c.status {
+				t.Errorf("step %d: status %d, want %d", i, got, c.status)
+			}
+		}
+		rec, addr := s.Own()
+		if rec.State != c.want || rec.Sequence != c.seq || rec.Incarnation != c.inc || addr != "127.0.0.1:81" {
+			t.Errorf("step %d: %+v at %s, want state %d, sequence %d, incarnation %d", i, rec, addr, c.want, c.seq, c.inc)
+		}
+	}
+	if len(changes) != 6 {
+		t.Errorf("%d changes were passed on, want 6", len(changes))
+	}
+	if got := post(s, "127.0.0.1:5", strings.Replace(ready, "desk", "office", 1)); got != 409 {
+		t.Errorf("a second service on the node: status %d, want 409", got)
+	}
+}
--- /dev/null
+++ b/pkg/announce/handler.go
@@ -0,0 +1,51 @@
+package announce
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// maxBody is far above the size of an announcement.
+const maxBody = 4 << 10
+
+// ServeHTTP takes POST /v1/announce from the own VM.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if err := s.take(w, r); err != nil {
+		event.AnnouncementRefused.Write(event.AnnouncementRefused.Log(&s.set.Log).Err(err).Str("remote", r.RemoteAddr))
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status(err))
+		_ = json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) take(w http.ResponseWriter, r *http.Request) error {
+	if !s.allowedRemote(r.RemoteAddr) {
+		return fault.New(fault.Forbidden, "announce", "the sender is not on this VM",
+			"announce from loopback or set the backend server's address")
+	}
+	if r.Method != http.MethodPost {
+		return fault.New(fault.Invalid, "announce", "method "+r.Method, "use POST")
+	}
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		return fault.Wrap(fault.Invalid, "announce", err, "send service, address, slots and state as JSON")
+	}
+	return s.Announce(a)
+}
+
+func status(err error) int {
+	switch fault.KindOf(err) {
+	case fault.Forbidden:
+		return http.StatusForbidden
+	case fault.Conflict:
+		return http.StatusConflict
+	}
+	return http.StatusBadRequest
+}
--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,166 @@
+package balance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// A fixed seed makes a failure repeat.
+func init() { _ = flag.Set("rapid.seed", "20") }
+
+var t0 = time.Unix(1000, 0)
+
+func instances(n int, zones ...string) []membership.Instance {
+	out := make([]membership.Instance, n)
+	for i := range out {
+		out[i] = membership.Instance{ID: membership.InstanceID(fmt.Sprint("i", i)), Service: "desk", Slots: 20,
+			AvailabilityZone: zones[i%len(zones)], Incarnation: 1, State: membership.StateReady}
+	}
+	return out
+}
+
+func newPicker(random bool, recs []membership.Instance) *Picker {
+	p := New(Settings{AvailabilityZone: "a", Random: random, Source: rand.NewPCG(1, 2)})
+	p.Update(t0, "desk", recs)
+	return p
+}
+
+// spread picks n times at the given time and counts by instance; the picks stay in flight if hold is set.
+func spread(p *Picker, now time.Time, n int, hold bool) map[membership.InstanceID]int {
+	count := make(map[membership.InstanceID]int)
+	for range n {
+		in, err := p.Pick(now, "desk", nil)
+		if err != nil {
+			continue
+		}
+		count[in.ID]++
+		if !hold {
+			p.Observe(now, in.ID, Observation{Event: EventAnswered})
+		}
+	}
+	return count
+}
+
+// Guards against misleading failures that empty a service: at most half of the instances are ejected, and a choice is
+// always found while any instance is ready. Instances that are not ready are never chosen.
+func TestEjectionNeverEmptiesAService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		recs := instances(rapid.IntRange(1, 9).Draw(t, "instances"), "a", "b")
+		ready := 0
+		for i := range recs {
+			if rapid.IntRange(0, 3).Draw(t, "state") == 0 {
+				recs[i].State = membership.StateDraining
+			} else {
+				ready++
+			}
+		}
+		p, now := newPicker(false, recs), t0
+		for _, e := range rapid.SliceOfN(rapid.IntRange(0, 4), 1, 200).Draw(t, "events") {
+			now = now.Add(20 * time.Millisecond)
+			in, err := p.Pick(now, "desk", nil)
+			if (err == nil) != (ready > 0) || in.State != membership.StateReady && err == nil {
+				t.Fatalf("picked %+v, error %v, with %d ready", in, err, ready)
+			}
+			p.Observe(now, in.ID, Observation{Event: Event(e)})
+			ejected := 0
+			for _, i := range p.services["desk"] {
+				if i.ejectedUntil.After(now) {
+					ejected++
+				}
+			}
+			if 2*ejected > len(recs) {
+				t.Fatalf("%d of %d instances are ejected", ejected, len(recs))
+			}
+		}
+	})
+}
+
+// Guards against calls that cross zones without need, and against a zone that is overrun while others have free slots.
+func TestOwnZoneFirstWithSpillOver(t *testing.T) {
+	p := newPicker(false, instances(8, "a", "b"))
+	byZone := func(count map[membership.InstanceID]int) (own, other int) {
+		for id, n := range count {
+			if p.byID[id].rec.AvailabilityZone == "a" {
+				own += n
+			} else {
+				other += n
+			}
+		}
+		return own, other
+	}
+	if own, other := byZone(spread(p, t0, 1000, false)); other != 0 {
+		t.Errorf("idle: %d calls in the own zone, %d in others, want none in others", own, other)
+	}
+	own, other := byZone(spread(p, t0, 140, true))
+	if own > 100 || other < 40 {
+		t.Errorf("140 calls in flight on 80 slots of the own zone: %d stayed, %d left it", own, other)
+	}
+}
+
+// Guards against a cold instance that gets its full share at once, and against a slow start after a restart of the
+// ingress, when all instances are new to it.
+func TestSlowStart(t *testing.T) {
+	p := newPicker(false, instances(3, "a"))
+	p.Update(t0, "desk", instances(4, "a"))
+	if n := spread(p, t0, 40, true)["i3"]; n > 4 {
+		t.Errorf("a cold instance got %d of 40 calls in flight", n)
+	}
+	p = newPicker(false, instances(4, "a"))
+	if n := spread(p, t0.Add(time.Minute), 40, true)["i3"]; n < 6 {
+		t.Errorf("a warm instance got %d of 40 calls in flight", n)
+	}
+}
+
+// Guards against a choice that ignores the load that instances report, against the use of old reports, and shows that
+// the random baseline does ignore it.
+func TestReportedLoad(t *testing.T) {
+	for _, c := range []struct {
+		random bool
+		age    time.Duration
+		most   int
+		least  int
+	}{{false, 0, 0, 0}, {false, 2 * time.Second, 700, 300}, {true, 0, 700, 300}} {
+		p := newPicker(c.random, instances(2, "a"))
+		p.Reserve("i0")
+		p.Observe(t0, "i0", Observation{Event: EventAnswered, Load: &Load{InUse: 20, Limit: 20, Queued: 5}})
+		n := 0
+		for range 1000 {
+			in, _ := p.Pick(t0.Add(c.age), "desk", nil)
+			if in.ID == "i0" {
+				n++
+			}
+			p.byID[in.ID].inFlight--
+		}
+		if n > c.most || n < c.least {
+			t.Errorf("random %v, report %v old: the loaded instance got %d of 1000 calls", c.random, c.age, n)
+		}
+	}
+}
+
+// Guards against a refused dial that is tried again and again, and against a refusal for load that ejects.
+func TestEjectionBySort(t *testing.T) {
+	for _, c := range []struct {
+		event Event
+		times int
+		gone  bool
+	}{{EventUnreachable, 1, true}, {EventFailed, 4, false}, {EventFailed, 5, true}, {EventRefused, 50, false}} {
+		p := newPicker(false, instances(4, "a"))
+		for range c.times {
+			p.Reserve("i0")
+			p.Observe(t0, "i0", Observation{Event: c.event})
+		}
+		if n := spread(p, t0, 400, false)["i0"]; (n == 0) != c.gone {
+			t.Errorf("after %d events %d the instance got %d calls", c.times, c.event, n)
+		}
+		if n := spread(p, t0.Add(time.Minute), 400, false)["i0"]; n == 0 {
+			t.Errorf("after %d events %d the instance never came back", c.times, c.event)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/event/announce.go
@@ -0,0 +1,13 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of announcements by the own backend server.
+var (
+	BackendState = define(1600, "backend_state", zerolog.InfoLevel, "the backend server has announced a new state", "")
+	BackendLost  = define(1601, "backend_lost", zerolog.WarnLevel,
+		"the backend server has stopped announcing itself and gets no new work",
+		"Check that the backend server runs and reaches the node's admin address.")
+	AnnouncementRefused = define(1602, "announcement_refused", zerolog.WarnLevel,
+		"an announcement was refused", "Correct what the error names in the backend server's settings.")
+)
--- /dev/null
+++ b/pkg/event/datapath.go
@@ -0,0 +1,19 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the data path.
+var (
+	AnswerCut = define(1300, "answer_cut", zerolog.WarnLevel,
+		"a long answer was cut; the caller's connection is aborted", "Look for restarts of the named service.")
+	AnswerCrossed = define(1301, "answer_crossed", zerolog.ErrorLevel,
+		"an answer carried the id of another request and was discarded",
+		"Check the backend server of the named instance: it mixes up answers.")
+	HopLimit = define(1302, "hop_limit", zerolog.ErrorLevel,
+		"a call was refused because it passed too many hops", "Look for a loop between the named services.")
+	DrainStarted = define(1303, "drain_started", zerolog.InfoLevel, "the data path takes no new work", "")
+	DrainEnded   = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no work in flight", "")
+	PeerRefused  = define(1305, "peer_refused", zerolog.WarnLevel,
+		"a request came from outside the configured networks",
+		"Add the network to the settings if the sender is a node, or find out who sends it.")
+)
--- /dev/null
+++ b/pkg/proxy/drain.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+)
+
+// tracker counts calls in flight and refuses new ones during a drain.
+type tracker struct {
+	mu       sync.Mutex
+	inFlight int
+	draining bool
+	idle     chan struct{}
+}
+
+// enter counts a call. It reports false during a drain, unless the call is part of one that was admitted before.
+func (t *tracker) enter(nested bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining && !nested {
+		return false
+	}
+	t.inFlight++
+	return true
+}
+
+func (t *tracker) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	if t.inFlight == 0 && t.idle != nil {
+		close(t.idle)
+		t.idle = nil
+	}
+}
+
+func (t *tracker) drain() {
+	t.mu.Lock()
+	t.draining = true
+	t.mu.Unlock()
+}
+
+// wait returns when no call is in flight or ctx ends.
+func (t *tracker) wait(ctx context.Context) error {
+	t.mu.Lock()
+	if t.inFlight == 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	if t.idle == nil {
+		t.idle = make(chan struct{})
+	}
+	idle := t.idle
+	t.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/proxy/proxy_test.go
@@ -0,0 +1,379 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// Guards against an answer that is changed on the way, at one hop and at two, and against system headers that leak.
+func TestForwarding(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	for i, n := range m.nodes {
+		a := n.get("/lookups/7?x=%2F", backend.HeaderStatus, "404", "Accept", "text/plain")
+		id := a.header.Get(HeaderRequestID)
+		if a.status != 404 || a.header.Get(HeaderOrigin) != "backend" || a.header.Get(HeaderOutcome) != "answered" || a.body != "ran GET /lookups/7 "+id {
+			t.Errorf("node %d: %+v", i, a)
+		}
+		for name := range a.header {
+			if strings.HasPrefix(name, headerPrefix) && name != HeaderOrigin && name != HeaderOutcome && name != HeaderRequestID {
+				t.Errorf("node %d: header %s reaches the caller", i, name)
+			}
+		}
+		if a = n.get("/lookups", backend.HeaderBytes, "300000"); len(a.body) != 300_000 || a.err != nil {
+			t.Errorf("node %d: a long answer has %d bytes, error %v", i, len(a.body), a.err)
+		}
+		if a = n.call(context.Background(), http.MethodHead, "/lookups", ""); a.status != 200 || a.body != "" || a.err != nil {
+			t.Errorf("node %d: HEAD %+v", i, a)
+		}
+	}
+}
+
+// Guards against a broken answer that reaches the caller as whole, against a second run of work that must run at most
+// once, and against a status of the node that looks like the backend server's.
+func TestBrokenAnswersOfUniqueWork(t *testing.T) {
+	for _, fault := range []backend.Fault{backend.FaultCutLength, backend.FaultCutChunk, backend.FaultNoEnd, backend.FaultClose, backend.FaultCrossed} {
+		for _, via := range []int{0, 1} {
+			m := newMesh(t, "office", "desk")
+			reason := metric.RefusedAnswerBroken
+			if a := m.nodes[via].post("/deposits", backend.HeaderFault, string(fault)); !a.refusedWith(502, "unknown", reason) {
+				t.Errorf("%s via node %d: %+v", fault, via, a)
+			}
+			if m.runs() != 1 {
+				t.Errorf("%s via node %d: %d runs, want 1", fault, via, m.runs())
+			}
+			if n := m.nodes[via].metrics.Snapshot()["refused."+string(reason)]; n != 1 {
+				t.Errorf("%s via node %d: counted %d refusals", fault, via, n)
+			}
+			if a := m.nodes[via].post("/deposits"); a.status != 200 || !strings.HasSuffix(a.body, a.header.Get(HeaderRequestID)) {
+				t.Errorf("%s via node %d: the next call got %+v", fault, via, a)
+			}
+		}
+	}
+}
+
+// Guards against a broken, late or missing answer that a caller of idempotent work sees although another instance can
+// answer, and against a late answer that a later call gets.
+func TestIdempotentWorkIsRetriedElsewhere(t *testing.T) {
+	for fault, reason := range map[backend.Fault]metric.Retry{backend.FaultCutLength: metric.RetryBroken, backend.FaultCrossed: metric.RetryBroken,
+		backend.FaultShed: metric.RetryNotRun, backend.FaultLate: metric.RetryTimeout, backend.FaultSilent: metric.RetryTimeout} {
+		m := newMesh(t, "desk", "desk", "office")
+		caller := m.nodes[2]
+		caller.get("/quick")
+		for range 18 {
+			caller.in.choice.reserve("i1") // so that the first attempt goes to the other instance
+		}
+		before := m.runs()
+		m.nodes[0].standin.InjectFaults(fault)
+		a := caller.get("/quick")
+		if a.status != 200 || !strings.HasSuffix(a.body, a.header.Get(HeaderRequestID)) || m.nodes[1].standin.Counts().Runs[a.header.Get(HeaderRequestID)] != 1 {
+			t.Errorf("%s: %+v", fault, a)
+		}
+		if want := map[bool]int{false: 2, true: 1}[fault == backend.FaultShed]; m.runs()-before != want {
+			t.Errorf("%s: %d runs, want %d", fault, m.runs()-before, want)
+		}
+		if n := caller.metrics.Snapshot()["retry."+string(reason)]; n != 1 {
+			t.Errorf("%s: %v, want one retry for %s", fault, caller.metrics.Snapshot(), reason)
+		}
+		m.nodes[0].standin.ReleaseLate()
+		if b := caller.get("/quick"); b.status != 200 || !strings.HasSuffix(b.body, b.header.Get(HeaderRequestID)) {
+			t.Errorf("%s: the next call got %+v", fault, b)
+		}
+	}
+}
+
+// Guards against a long answer whose cut is hidden from the caller.
+func TestLongAnswerCutAbortsTheCaller(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	for _, n := range m.nodes {
+		for _, f := range []backend.Fault{backend.FaultCutLength, backend.FaultCutChunk} {
+			if a := n.get("/lookups", backend.HeaderBytes, "300000", backend.HeaderFault, string(f)); a.err == nil {
+				t.Errorf("%s: the caller took %d bytes for the whole answer", f, len(a.body))
+			}
+		}
+	}
+}
+
+// Guards against a false "not run": the counts at the backend stand-in must show no run.
+func TestNotRunIsTrue(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*mesh)
+		path    string
+		status  int
+		reason  metric.Refusal
+	}{
+		"shed": {func(m *mesh) { m.nodes[0].standin.InjectFaults(backend.FaultShed) }, "/deposits", 503, metric.RefusedShed},
+		"slots taken until the deadline": {func(m *mesh) {
+			for range cap(m.nodes[0].gate.slots) {
+				m.nodes[0].gate.slots <- struct{}{}
+			}
+		}, "/fees", 504, metric.RefusedDeadline},
+		"backend gone":  {func(m *mesh) { m.nodes[0].addr = "127.0.0.1:1" }, "/deposits", 503, metric.RefusedConnect},
+		"node gone":     {func(m *mesh) { m.nodes[0].own.PeerAddress = "127.0.0.1:1" }, "/deposits", 503, metric.RefusedConnect},
+		"egress drains": {func(m *mesh) { m.nodes[0].eg.BeginDrain() }, "/deposits", 503, metric.RefusedDraining},
+		"instance not ready": {func(m *mesh) {
+			m.nodes[1].post("/deposits") // so that the ingress has seen the instance ready
+			m.nodes[0].setState(membership.StateStarting)
+		}, "/deposits", 503, metric.RefusedNotReady},
+		"no instance":      {func(*mesh) {}, "/archive", 503, metric.RefusedNoInstance},
+		"no configuration": {func(m *mesh) { m.snap = nil }, "/deposits", 503, metric.RefusedNotReady},
+		"no route":         {func(*mesh) {}, "/none", 404, metric.RefusedNoRoute},
+	} {
+		m := newMesh(t, "office", "desk")
+		c.prepare(m)
+		before := m.runs()
+		if a := m.nodes[1].post(c.path); !a.refusedWith(c.status, "not-run", c.reason) {
+			t.Errorf("%s: %+v", name, a)
+		}
+		if m.runs() != before {
+			t.Errorf("%s: the backend server ran the request", name)
+		}
+	}
+}
+
+// Guards against a second run of a keyed request that is sent again through another node, and against a stored answer
+// that differs from the first.
+func TestKeyedRequestGoesToItsHomeOnce(t *testing.T) {
+	m := newMesh(t, "office", "office", "desk")
+	var bodies []string
+	for _, n := range m.nodes {
+		a := n.post("/deposits", headerKey, "k1")
+		if a.status != 200 || (a.header.Get(HeaderReplayed) == "1") != (len(bodies) > 0) {
+			t.Errorf("%+v", a)
+		}
+		bodies = append(bodies, a.body)
+	}
+	if m.runs() != 1 || bodies[1] != bodies[0] || bodies[2] != bodies[0] {
+		t.Errorf("%d runs with answers %q", m.runs(), bodies)
+	}
+}
+
+// Guards against a drain that cuts calls in flight, that lets new calls in, or that refuses the nested calls of work in
+// progress.
+func TestDrainCutsNothing(t *testing.T) {
+	m := newMesh(t, "office", "desk")
+	n := m.nodes[0]
+	answers := make(chan answer, 8)
+	for range 4 {
+		go func() { answers <- n.post("/deposits", backend.HeaderFault, string(backend.FaultLate)) }()
+		go func() { answers <- m.nodes[1].post("/deposits", backend.HeaderFault, string(backend.FaultLate)) }()
+	}
+	await(func() bool { return m.runs() == 8 })
+	n.in.BeginDrain()
+	n.eg.BeginDrain()
+	if a := n.get("/lookups"); !a.refusedWith(503, "not-run", metric.RefusedDraining) {
+		t.Errorf("a new call: %+v", a)
+	}
+	if a := n.get("/lookups", HeaderCall, firstCall(n.in.Calls)); a.status != 200 {
+		t.Errorf("a nested call of work in progress: %+v", a)
+	}
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	if n.eg.WaitIdle(expired) == nil || n.in.WaitIdle(expired) == nil {
+		t.Error("the node is called idle with calls in flight")
+	}
+	for range 8 {
+		n.standin.ReleaseLate()
+	}
+	if err := n.eg.WaitIdle(context.Background()); err != nil {
+		t.Error(err)
+	}
+	_ = n.in.WaitIdle(context.Background())
+	for range 8 {
+		if a := <-answers; a.status != 200 || a.err != nil {
+			t.Errorf("a call in flight was cut: %+v", a)
+		}
+	}
+}
+
+func firstCall(c *Calls) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.m {
+		return id
+	}
+	return ""
+}
+
+// Guards against work that goes on for a caller who has left although stopping is harmless, and against a stop of
+// non-idempotent work half way.
+func TestCallerGone(t *testing.T) {
+	for path, cancelled := range map[string]int{"/lookups": 1, "/deposits": 0} {
+		for _, via := range []int{0, 1} {
+			m := newMesh(t, "desk", "office")
+			target := m.nodes[0]
+			if path == "/deposits" {
+				target = m.nodes[1]
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				m.nodes[via].call(ctx, http.MethodPost, path, "x", backend.HeaderWork, "300ms")
+				close(done)
+			}()
+			await(func() bool { return m.runs() == 1 })
+			cancel()
+			<-done
+			await(func() bool { return len(target.gate.slots) == 0 && target.standin.Idle() })
+			if c := target.standin.Counts(); c.Cancelled != cancelled || c.Total != 1 {
+				t.Errorf("%s via node %d: %+v, want %d cancelled", path, via, c, cancelled)
+			}
+		}
+	}
+}
+
+// Guards against a request that cannot be understood, or is too large, and that reaches a backend server.
+func TestMalformedRequests(t *testing.T) {
+	m := newMesh(t, "office", "desk")
+	large := strings.Repeat("x", MaxBody+1)
+	for raw, want := range map[string]string{
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n":   "400",
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n":                       "400",
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":         "400",
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n":                  "501",
+		"GET /deposits HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n": "400",
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nBad Header: 1\r\n\r\n":                            "400",
+		"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n":                                                "400",
+		"rubbish\r\n\r\n": "400",
+		"POST /deposits HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " + large[:MaxKey+1] + "\r\n\r\n":                         "400",
+		fmt.Sprintf("POST /deposits HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", MaxBody+1):                        "413",
+		fmt.Sprintf("POST /deposits HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", MaxBody+1, large): "413",
+	} {
+		for _, addr := range []string{m.nodes[0].callers.Listener.Addr().String(), m.nodes[0].peers.Listener.Addr().String()} {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _, _ = io.WriteString(c, raw) }()
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			ingress := addr == m.nodes[0].callers.Listener.Addr().String()
+			if status, _, _ := strings.Cut(strings.TrimPrefix(line, "HTTP/1.1 "), " "); ingress && status != want || !ingress && status[0] == '2' {
+				t.Errorf("%.60q: %q, want %s", raw, line, want)
+			}
+			c.Close()
+		}
+	}
+	if m.runs() != 0 {
+		t.Errorf("%d malformed requests reached the backend server", m.runs())
+	}
+}
+
+// Guards against a loop of calls that fills all slots: it ends at the hop limit with a refusal that names it.
+func TestLoopEndsAtTheHopLimit(t *testing.T) {
+	m := newMesh(t, "desk")
+	m.nodes[0].gate.slots = make(chan struct{}, 2*MaxHops)
+	a := m.nodes[0].get("/lookups", backend.HeaderDepth, "1000")
+	if a.status != 503 || !strings.Contains(a.body, string(metric.RefusedHops)) || m.runs() != MaxHops+1 {
+		t.Errorf("%d runs, answer %+v", m.runs(), a)
+	}
+	if n := m.nodes[0].metrics.Snapshot()["refused."+string(metric.RefusedHops)]; n != 1 {
+		t.Errorf("counted %d refusals", n)
+	}
+}
+
+// Guards against a chain of 14 calls that the hop limit or the drain rules break.
+func TestChainOfFourteen(t *testing.T) {
+	m := newMesh(t, "desk", "desk", "desk")
+	if a := m.nodes[0].get("/lookups", backend.HeaderDepth, "13"); a.status != 200 || m.runs() != 14 {
+		t.Errorf("%d runs, answer %+v", m.runs(), a)
+	}
+}
+
+// Guards against a caller that raises its own rank or gives itself time by system headers, and against a nested call
+// that is more urgent, or may take longer, than the call it is made for.
+func TestRankAndTimeAreInherited(t *testing.T) {
+	m := newMesh(t, "desk")
+	n := m.nodes[0]
+	forged := []string{HeaderRank, "0", HeaderRemaining, "99000000", HeaderHops, "0", HeaderNotRun, "1", HeaderRetried, "1", HeaderIdempotent, "1", HeaderCall, "0123"}
+	if a := n.get("/listings", forged...); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	var mu sync.Mutex
+	var remaining []string
+	seen := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		remaining = append(remaining, r.Header.Get(HeaderRemaining))
+		mu.Unlock()
+		if r.Header.Get(HeaderRetried) != "" || r.Header.Get(HeaderNotRun) != "" {
+			t.Errorf("the backend server got forged headers: %v", r.Header)
+		}
+		if r.URL.Path == "/listings" {
+			n.get("/lookups", HeaderCall, r.Header.Get(HeaderCall))
+		}
+	})
+	srv := &http.Server{Handler: seen}
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	go srv.Serve(ln) //nolint:errcheck // ends with Close
+	defer srv.Close()
+	n.addr = ln.Addr().String()
+	n.get("/listings", forged...)
+	n.get("/lookups", forged...)
+	if want := "[5 5 5 0]"; fmt.Sprint(n.gate.ranks) != want {
+		t.Errorf("ranks at admission %v, want %s", n.gate.ranks, want)
+	}
+	var us [3]time.Duration
+	for i := range us {
+		_ = json.Unmarshal([]byte(remaining[i]), &us[i])
+	}
+	if us[1] > us[0] || us[0] > 8*time.Second/time.Microsecond || us[2] <= us[0] {
+		t.Errorf("remaining times %v: a nested call has no more than its parent, a policy's deadline bounds all", us)
+	}
+}
+
+// Guards against retries that multiply along a chain: the failure of the last service is retried next to it only.
+func TestRetriesDoNotMultiply(t *testing.T) {
+	m := newMesh(t, "desk", "desk", "desk")
+	for _, n := range m.nodes {
+		for range 50 {
+			n.in.choice.budget.Success()
+		}
+	}
+	m.nodes[0].get("/lookups", backend.HeaderDepth, "4", backend.HeaderStatus, "503")
+	retries := int64(0)
+	for _, n := range m.nodes {
+		s := n.metrics.Snapshot()
+		retries += s["retry."+string(metric.RetryStatus)]
+	}
+	if retries == 0 || retries > 2 || m.runs() > 5+2 {
+		t.Errorf("%d retries and %d runs for a chain of 5, want the retries of the last hop only", retries, m.runs())
+	}
+}
+
+// Guards against a call that is sent again by a hop above the one that waits: only the hop next to the silence retries.
+func TestOnlyTheHopNextToSilenceRetries(t *testing.T) {
+	m := newMesh(t, "desk", "desk", "office")
+	done := make(chan answer)
+	go func() {
+		done <- m.nodes[2].get("/lookups", backend.HeaderDepth, "1", backend.HeaderFault, string(backend.FaultLate))
+	}()
+	inner := func() (n int64) {
+		for _, n0 := range m.nodes[:2] {
+			n += n0.metrics.Snapshot()["retry."+string(metric.RetryTimeout)]
+		}
+		return n
+	}
+	await(func() bool { return inner() == 1 && m.runs() == 3 })
+	for _, n := range m.nodes[:2] {
+		for range 3 {
+			n.standin.ReleaseLate()
+		}
+	}
+	if a := <-done; a.status != 200 || m.runs() != 3 {
+		t.Errorf("%d runs, answer %+v", m.runs(), a)
+	}
+	if s := m.nodes[2].metrics.Snapshot(); s["retry."+string(metric.RetryTimeout)] != 0 {
+		t.Errorf("the first hop retried: %v", s)
+	}
+}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -32,6 +32,11 @@
 	Idempotent bool
 	// Deadline is when the exchange fails; zero means that only the context bounds it.
 	Deadline time.Time
+	// OnWait, if set, is called in the exchange's goroutine when no answer has begun at Patience. It returns until when
+	// to wait next, or zero to give up. The argument tells whether the peer has sent an informational answer, which
+	// shows that the connection is alive.
+	OnWait   func(alive bool) time.Time
+	Patience time.Time
 }
 
 // Do sends the request to addr and reads its answer. Cancelling ctx closes the connection.
@@ -98,7 +103,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return failed(c.classify(ctx, err, FailWrite), c.sent, err)
 	}
-	resp, err := c.readHead(ex.Request)
+	resp, err := c.readHead(ctx, ex)
 	if err != nil {
 		return failed(c.classify(ctx, err, FailMalformed), c.sent, err)
 	}
@@ -121,9 +126,15 @@
 	return FailRequest
 }
 
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	for range maxInformational {
-		resp, err := http.ReadResponse(c.br, req)
+// readHead reads the head of the final answer.
+func (c *conn) readHead(ctx context.Context, ex *Exchange) (*http.Response, error) {
+	for i := range maxInformational {
+		if ex.OnWait != nil {
+			if err := c.await(ctx, ex, i > 0); err != nil {
+				return nil, err
+			}
+		}
+		resp, err := http.ReadResponse(c.br, ex.Request)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
 		}
@@ -134,6 +145,34 @@
 	return nil, errors.New("unexpected informational answer")
 }
 
+// await returns when the first byte of an answer has arrived, with the exchange's deadline set again.
+func (c *conn) await(ctx context.Context, ex *Exchange, alive bool) error {
+	until := ex.Patience
+	for {
+		if err := c.waitUntil(ctx, until); err != nil {
+			return err
+		}
+		_, err := c.br.Peek(1)
+		if err == nil {
+			return c.waitUntil(ctx, ex.Deadline)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil || !time.Now().Before(ex.Deadline) {
+			return err
+		}
+		if until = ex.OnWait(alive); until.IsZero() {
+			return err
+		}
+	}
+}
+
+// waitUntil moves the deadline for reads. A cancellation sets a deadline too and must not be undone.
+func (c *conn) waitUntil(ctx context.Context, t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
 // verifyHead checks that the answer belongs to the request and that its end can be recognised.
 func verifyHead(resp *http.Response, ex *Exchange) error {
 	id := resp.Header.Get(HeaderRequestID)
--- /dev/null
+++ b/pkg/upstream/upstream_test.go
@@ -0,0 +1,282 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+)
+
+// fixture is a backend stand-in behind a pool that counts the connections it opens.
+type fixture struct {
+	srv   *backend.Server
+	web   *httptest.Server
+	addr  string
+	pool  *Pool
+	dials atomic.Int64
+	now   time.Time
+}
+
+// Now is the fixture's clock; tests move it by hand.
+func (f *fixture) Now() time.Time { return f.now }
+
+func newFixture(t *testing.T, s Settings) *fixture {
+	f := &fixture{srv: backend.New(backend.Settings{}), now: time.Now()}
+	f.web = httptest.NewServer(f.srv)
+	f.addr = f.web.Listener.Addr().String()
+	t.Cleanup(f.web.Close)
+	t.Cleanup(f.srv.Close)
+	s.Clock = f
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		f.dials.Add(1)
+		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+	}
+	f.pool = NewPool(s)
+	t.Cleanup(f.pool.CloseIdle)
+	return f
+}
+
+func exchange(id string, fault backend.Fault) *Exchange {
+	h := http.Header{HeaderRequestID: {id}, "Idempotency-Key": {"key-" + id}}
+	if fault != "" {
+		h.Set(backend.HeaderFault, string(fault))
+	}
+	body := []byte("body of " + id)
+	return &Exchange{RequestID: id, Request: &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/deposits"},
+		Host: "desk", Header: h, Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body))}}
+}
+
+func (f *fixture) do(ex *Exchange) Result { return f.pool.Do(context.Background(), f.addr, ex) }
+
+func (f *fixture) mustAnswer(t *testing.T, id string) {
+	t.Helper()
+	res := f.do(exchange(id, ""))
+	if want := "ran POST /deposits " + id; res.Err != nil || string(res.Answer.Body) != want {
+		t.Fatalf("answer to %s: %+v", id, res)
+	}
+}
+
+// Guards against a library that sends a POST with Idempotency-Key again when a pooled connection dies: the caller sends
+// two, and the backend server must run two. The transport of net/http runs three, which shows that the count detects it.
+func TestNoSilentResend(t *testing.T) {
+	f := newFixture(t, Settings{})
+	f.mustAnswer(t, "a")
+	res := f.do(exchange("b", backend.FaultClose))
+	if res.Outcome != idempotency.OutcomeUnknown || res.Failure != FailCut {
+		t.Errorf("a connection that died after the request: %+v, want an unknown outcome", res)
+	}
+	if n := f.srv.Counts().Total; n != 2 {
+		t.Errorf("the backend server ran %d requests, want 2", n)
+	}
+	f = newFixture(t, Settings{})
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i, fault := range []string{"", string(backend.FaultClose)} {
+		req, _ := http.NewRequest(http.MethodPost, f.web.URL, bytes.NewReader([]byte("x")))
+		req.Header.Set("Idempotency-Key", "k")
+		if i == 1 {
+			f.srv.InjectFaults(backend.Fault(fault))
+		}
+		if resp, err := client.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+	if n := f.srv.Counts().Total; n != 3 {
+		t.Errorf("net/http's transport ran %d requests; the comparison expects its resend: 3", n)
+	}
+}
+
+// Guards against passing on an answer that is cut, crossed, late, silent or without a verifiable end, and against using
+// its connection again: the next request must get its own answer on a new connection.
+func TestBrokenAnswers(t *testing.T) {
+	for _, c := range []struct {
+		fault backend.Fault
+		want  Failure
+		runs  int
+	}{
+		{backend.FaultCutLength, FailCut, 1},
+		{backend.FaultCutChunk, FailCut, 1},
+		{backend.FaultNoEnd, FailCut, 1},
+		{backend.FaultClose, FailCut, 1},
+		{backend.FaultCrossed, FailMismatch, 1},
+		{backend.FaultLate, FailDeadline, 1},
+		{backend.FaultSilent, FailDeadline, 1},
+		{backend.FaultSilentUnread, FailDeadline, 0},
+	} {
+		t.Run(string(c.fault), func(t *testing.T) {
+			f := newFixture(t, Settings{})
+			ex := exchange("first", c.fault)
+			if c.want == FailDeadline {
+				ex.Deadline = time.Now().Add(50 * time.Millisecond)
+			}
+			res := f.do(ex)
+			if res.Failure != c.want || res.Outcome != idempotency.OutcomeUnknown || res.Answer != nil {
+				t.Errorf("got %+v, want failure %s with an unknown outcome", res, c.want)
+			}
+			f.srv.ReleaseLate()
+			f.mustAnswer(t, "second")
+			if n := f.dials.Load(); n != 2 {
+				t.Errorf("%d connections were opened, want 2: the broken one is not used again", n)
+			}
+			if n := f.srv.Counts().Runs["first"]; n != c.runs {
+				t.Errorf("the first request ran %d times, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
+// Guards against an answer of a node that does not name the request it belongs to.
+func TestEchoRequired(t *testing.T) {
+	web := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer web.Close()
+	pool := NewPool(Settings{})
+	defer pool.CloseIdle()
+	for _, required := range []bool{false, true} {
+		ex := exchange("a", "")
+		ex.RequireEcho = required
+		res := pool.Do(context.Background(), web.Listener.Addr().String(), ex)
+		if failed := res.Failure == FailMismatch; failed != required {
+			t.Errorf("echo required %v: %+v", required, res)
+		}
+	}
+}
+
+// Guards against non-idempotent work on a connection that may have gone silent since its last answer, and against a
+// new connection for each idempotent request.
+func TestLivenessRule(t *testing.T) {
+	for _, c := range []struct {
+		idle       time.Duration
+		idempotent bool
+		dials      int64
+	}{{900 * time.Millisecond, false, 1}, {1100 * time.Millisecond, false, 2}, {1100 * time.Millisecond, true, 1}, {31 * time.Second, true, 2}} {
+		f := newFixture(t, Settings{})
+		f.mustAnswer(t, "a")
+		f.now = f.now.Add(c.idle)
+		ex := exchange("b", "")
+		ex.Idempotent = c.idempotent
+		if res := f.do(ex); res.Err != nil || f.dials.Load() != c.dials {
+			t.Errorf("after %v, idempotent %v: %d connections, want %d (%v)", c.idle, c.idempotent, f.dials.Load(), c.dials, res.Err)
+		}
+	}
+}
+
+// Guards against sending a request on a connection that the peer has closed: its outcome would be unknown.
+func TestClosedConnectionIsDetected(t *testing.T) {
+	f := newFixture(t, Settings{})
+	f.mustAnswer(t, "a")
+	f.web.CloseClientConnections()
+	f.mustAnswer(t, "b")
+	if f.dials.Load() != 2 || f.srv.Counts().Total != 2 {
+		t.Errorf("%d connections and %d runs, want 2 and 2", f.dials.Load(), f.srv.Counts().Total)
+	}
+}
+
+// failingConn takes limit bytes and then fails.
+type failingConn struct {
+	net.Conn
+	limit int
+}
+
+func (c *failingConn) Write(p []byte) (int, error) {
+	n := min(c.limit, len(p))
+	c.limit -= n
+	return n, &net.OpError{Op: "write", Err: errors.New("broken pipe")}
+}
+
+// Guards against "not run" after the first byte of a request has left, and against an unknown outcome before it.
+func TestNotRunOnlyBeforeTheFirstByte(t *testing.T) {
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	past := exchange("a", "")
+	past.Deadline = time.Unix(1, 0)
+	control := exchange("a", "")
+	control.Request.URL.RawQuery = "line\nbreak"
+	for _, c := range []struct {
+		name  string
+		ctx   context.Context
+		ex    *Exchange
+		limit int
+		want  Failure
+		out   idempotency.Outcome
+	}{
+		{"nothing written", context.Background(), exchange("a", ""), 0, FailWrite, idempotency.OutcomeNotRun},
+		{"one byte written", context.Background(), exchange("a", ""), 1, FailWrite, idempotency.OutcomeUnknown},
+		{"no connection", context.Background(), exchange("a", ""), -1, FailConnect, idempotency.OutcomeNotRun},
+		{"cancelled before", cancelled, exchange("a", ""), 0, FailCancelled, idempotency.OutcomeNotRun},
+		{"deadline passed", context.Background(), past, 0, FailDeadline, idempotency.OutcomeNotRun},
+		{"cannot be encoded", context.Background(), control, 0, FailRequest, idempotency.OutcomeNotRun},
+	} {
+		pool := NewPool(Settings{Dial: func(context.Context, string) (net.Conn, error) {
+			if c.limit < 0 {
+				return nil, errors.New("connection refused")
+			}
+			near, far := net.Pipe()
+			t.Cleanup(func() { near.Close(); far.Close() })
+			return &failingConn{Conn: near, limit: c.limit}, nil
+		}})
+		if res := pool.Do(c.ctx, "peer", c.ex); res.Outcome != c.out || res.Failure != c.want {
+			t.Errorf("%s: %+v, want %s and outcome %d", c.name, res, c.want, c.out)
+		}
+	}
+}
+
+// Guards against a cut in the streamed part of a long answer that looks like its end.
+func TestLongAnswers(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		f := newFixture(t, Settings{MaxWhole: 1024})
+		ex := exchange("a", "")
+		ex.Request.Header.Set(backend.HeaderBytes, "100000")
+		if cut {
+			ex.Request.Header.Set(backend.HeaderFault, string(backend.FaultCutLength))
+		}
+		res := f.do(ex)
+		if res.Err != nil || res.Answer.Rest == nil {
+			t.Fatalf("got %+v, want a streamed answer", res)
+		}
+		n, err := io.Copy(io.Discard, res.Answer.Rest)
+		if total := n + int64(len(res.Answer.Body)); (err != nil) != cut || total != 100_000 {
+			t.Errorf("cut %v: %d bytes, error %v", cut, total, err)
+		}
+		res.Answer.Rest.Close()
+		f.mustAnswer(t, "b")
+		if want := map[bool]int64{false: 1, true: 2}[cut]; f.dials.Load() != want {
+			t.Errorf("cut %v: %d connections, want %d", cut, f.dials.Load(), want)
+		}
+	}
+}
+
+// Guards against more connections to a backend server than it has slots, and against a call that waits for one.
+func TestConnectionLimit(t *testing.T) {
+	f := newFixture(t, Settings{MaxOpen: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan Result)
+	go func() { done <- f.pool.Do(ctx, f.addr, exchange("a", backend.FaultLate)) }()
+	for f.srv.Counts().Total == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if res := f.do(exchange("b", "")); res.Failure != FailConnections || res.Outcome != idempotency.OutcomeNotRun {
+		t.Errorf("second call: %+v, want a true not run", res)
+	}
+	cancel()
+	if res := <-done; res.Failure != FailCancelled || res.Outcome != idempotency.OutcomeUnknown {
+		t.Errorf("cancelled call: %+v", res)
+	}
+	f.srv.ReleaseLate()
+	f.mustAnswer(t, "c")
+	f.now = f.now.Add(2 * time.Second)
+	f.mustAnswer(t, "d")
+	if n := f.dials.Load(); n != 3 {
+		t.Errorf("%d connections were opened, want 3: an idle one makes room", n)
+	}
+}
