Test the distribution under faults, on virtual time

The tests found three faults, corrected here. A holder that was paused counted its lapsed lease as fresh again after reading it back; now only a write makes it fresh, from when the write was sent. A caller with a short deadline waited for the slow write of another; now writes are waited for within the caller's deadline. A node that was recorded as departed while it changed relays came back under the same incarnation, which hid the absence from the history of others; now the relay tells it and it returns with a higher one.

Ruled out: a departure that is final in each table, which would make a relay that was left behind win against a node that polls another one.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -71,7 +71,9 @@
 	current   Lease
 	changedAt time.Time
 	renewedAt time.Time
-	confirm   bool // the object was read again after the duration passed
+	wroteAt   time.Time // when the last write was sent
+	reread    bool      // the object was read as this node's own since the last write
+	confirm   bool      // the object was read again after the duration passed
 	pauseTo   time.Time
 }
 
@@ -110,8 +112,9 @@
 
 func (c *Contender) hold(now time.Time) Step {
 	switch {
-	case !c.Fresh(now):
-		// The holder was paused or cut off: another node may hold the lease now.
+	case !c.Fresh(now) && !c.reread:
+		// The holder was paused or cut off: another node may hold the lease now. If the read shows that none does, the
+		// update decides.
 		c.known = false
 		return Step{Action: Read}
 	case now.Sub(c.renewedAt) >= c.renew:
@@ -164,19 +167,17 @@
 		c.holding = false
 		return
 	}
-	// The answer of a write may have been lost; the object shows that it took effect.
+	// The answer of a write may have been lost; the object shows that it took effect. The lease counts from when the
+	// write was sent, since others may have seen the change then.
 	if !c.holding || renewedByMe {
-		c.renewedAt = now
-	}
-	c.holding = true
-	if !c.Fresh(now) {
-		// Nobody took the lapsed lease: the next update decides whether it is still this node's.
-		c.renewedAt = now.Add(-c.renew)
+		c.renewedAt = c.wroteAt
 	}
+	c.holding, c.reread = true, true
 }
 
 // Wrote takes the result of a write. began is when the write was sent; the lease counts from there.
 func (c *Contender) Wrote(began, now time.Time, outcome Outcome, version string, l Lease) {
+	c.wroteAt, c.reread = began, false
 	switch outcome {
 	case Done:
 		c.known, c.exists, c.holding, c.confirm = true, true, true, false
--- /dev/null
+++ b/pkg/lease/race_test.go
@@ -0,0 +1,107 @@
+package lease
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// model is a lease object and the nodes that contend for it.
+type model struct {
+	exists  bool
+	version int
+	lease   Lease
+	nodes   []*Contender
+	paused  []int // steps left
+}
+
+func (m *model) try(step Step) bool {
+	ok := step.Action == Create && !m.exists || step.Action == Update && m.exists && step.Version == fmt.Sprint(m.version)
+	if ok {
+		m.exists, m.lease = true, step.Lease
+		m.version++
+	}
+	return ok
+}
+
+// act lets one node do one thing; fault is 0 for none, 1 for a lost answer, 2 for a request that does not arrive.
+func (m *model) act(c *Contender, now time.Time, fault int) {
+	step := c.Next(now)
+	switch {
+	case step.Action == Wait:
+	case fault == 2 && step.Action == Read, fault == 1 && step.Action == Read:
+		c.Failed(now)
+	case step.Action == Read && m.exists:
+		c.Saw(now, fmt.Sprint(m.version), m.lease)
+	case step.Action == Read:
+		c.SawAbsent()
+	case fault == 2:
+		c.Wrote(now, now, Unknown, "", step.Lease)
+	default:
+		outcome := Conflict
+		if m.try(step) {
+			outcome = Done
+		}
+		if fault == 1 {
+			outcome = Unknown
+		}
+		c.Wrote(now, now, outcome, fmt.Sprint(m.version), step.Lease)
+	}
+}
+
+func (m *model) fresh(now time.Time) (n int) {
+	for _, c := range m.nodes {
+		if c.Fresh(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against two nodes whose leases are both fresh under pauses, lost answers and outages, and against a lease
+// that nobody takes after the faults have ended.
+func TestAtMostOneFreshHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{paused: make([]int, 3)}
+		for i := range 3 {
+			m.nodes = append(m.nodes, New(Lease{Holder: fmt.Sprint("n", i), Incarnation: 1}, DefaultDuration, DefaultRenew))
+		}
+		now := time.Unix(0, 0)
+		steps := rapid.IntRange(20, 150).Draw(t, "steps")
+		for n := range steps + 80 {
+			now = now.Add(500 * time.Millisecond)
+			for i, c := range m.nodes {
+				fault := 0
+				if n < steps {
+					fault = rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2}).Draw(t, "fault")
+					if rapid.IntRange(0, 39).Draw(t, "pause") == 0 {
+						m.paused[i] = rapid.IntRange(1, 80).Draw(t, "for")
+					}
+				}
+				if m.paused[i]--; m.paused[i] > 0 && n < steps {
+					continue
+				}
+				m.act(c, now, fault)
+				if got := m.fresh(now); got > 1 {
+					t.Fatalf("%d fresh holders", got)
+				}
+			}
+		}
+		if m.fresh(now) != 1 {
+			t.Fatal("nobody holds the lease 40 s after the faults have ended")
+		}
+	})
+}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
@@ -32,6 +33,8 @@
 	failed string
 	mark   membership.Mark
 	at     time.Time
+	// version is the configuration that the zone's relay had at the last exchange.
+	version config.Version
 	// differs holds the digests of zones that differed at the last exchange. Records are exchanged only when the same
 	// two digests differ twice, because a change may have been under way.
 	differs map[string][2]uint64
@@ -122,7 +125,8 @@
 	}
 }
 
-// due reports whether the zone needs an exchange: records to push, nodes of the zone that poll here, or time.
+// due reports whether the zone needs an exchange: records to push, nodes of the zone that poll here, a configuration
+// that the zone may lack because it is cut off from the platform, or time.
 func (d *duty) due(now time.Time, zone string, t *target) bool {
 	period := digestPeriod
 	if zone == d.info.Zone {
@@ -130,7 +134,7 @@
 	} else if len(d.polls.ages(now, inZone(zone))) > 0 {
 		period = exchangePause
 	}
-	if now.Sub(t.at) >= period {
+	if now.Sub(t.at) >= period || d.acceptor.State().Version > t.version {
 		return true
 	}
 	records, _ := d.table.Since(t.mark, d.pushed(zone))
@@ -161,6 +165,7 @@
 	d.mu.Lock()
 	t := d.target(r.Zone)
 	t.address, t.failed, t.mark, t.at = r.Address, "", mark, d.clock.Now()
+	t.version = max(reply.Config.Version, args.Config.Version)
 	zones := t.repair(d.table.ZoneDigests(), reply.ZoneDigests)
 	d.mu.Unlock()
 	if len(zones) > 0 {
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -47,6 +47,13 @@
 	return nil
 }
 
+func (m *memStore) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+	m.wake()
+}
+
 func (m *memStore) wake() { close(m.changed); m.changed = make(chan struct{}) }
 
 func id(kind platform.ObjectKind, name string) string { return string(kind) + "/" + name }
@@ -159,6 +166,8 @@
 	mu      sync.Mutex
 	nodes   map[string]*node
 	cut     func(from, to *node) bool
+	lost    func(method string) bool
+	tamper  func(method string, reply any)
 	calls   map[string]int
 	version config.Version
 	rng     *rand.Rand
@@ -255,7 +264,8 @@
 	m.mu.Lock()
 	to := m.nodes[addr]
 	m.calls[method]++
-	silent := to != nil && m.cut != nil && (m.cut(n, to) || m.cut(to, n))
+	lost := m.lost != nil && m.lost(method)
+	silent := lost || to != nil && m.cut != nil && (m.cut(n, to) || m.cut(to, n))
 	up := to != nil && to.up
 	m.mu.Unlock()
 	if silent {
@@ -270,10 +280,30 @@
 	if err := to.server.Dispatch(ctx, method, in, out); err != nil {
 		return fault.Wrap(fault.KindOf(err), method, err, "")
 	}
+	m.mu.Lock()
+	if m.tamper != nil {
+		m.tamper(method, out)
+	}
+	m.mu.Unlock()
 	copyGob(out, reply)
 	return nil
 }
 
+// setCut replaces the rule of which nodes cannot reach each other.
+func (m *mesh) setCut(cut func(a, b *node) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
+// count adds up a counter over all nodes.
+func (m *mesh) count(name string) (sum int64) {
+	for _, n := range m.nodes {
+		sum += n.set.Snapshot()[name]
+	}
+	return sum
+}
+
 func copyGob(from, to any) {
 	var b bytes.Buffer
 	if err := gob.NewEncoder(&b).Encode(from); err != nil {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -1,11 +1,19 @@
 package relay
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
 func fresh(v any) any { return reflect.New(reflect.TypeOf(v).Elem()).Interface() }
@@ -21,32 +29,418 @@
 	return out
 }
 
-// Guards against a mesh that does not find its relays, or in which a change does not reach every node within the 7 s
-// of the design.
+// settled starts a grid on version 1 and waits until it is quiet.
+func settled(t *testing.T, zones, n int) (*mesh, []*node) {
+	m := newMesh(t, 1)
+	m.publish(configuration(2, 1))
+	nodes := grid(m, zones, n)
+	time.Sleep(90 * time.Second)
+	if low, _ := m.versions(); low != 1 {
+		t.Fatalf("a node serves version %d at the beginning, want 1", low)
+	}
+	return m, nodes
+}
+
+func run(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+// members returns how many instances a node may choose from.
+func (n *node) members() int { return len(n.sync.Instances("s0")) + len(n.sync.Instances("s1")) }
+
+func (m *mesh) wantVersion(t *testing.T, want config.Version) {
+	t.Helper()
+	if low, high := m.versions(); low != want || high != want {
+		t.Errorf("nodes serve versions %d to %d, want %d", low, high, want)
+	}
+}
+
+func wantMembers(t *testing.T, nodes []*node, want int) {
+	t.Helper()
+	for _, n := range nodes {
+		if got := n.members(); n.up && got != want {
+			t.Errorf("node %s knows %d instances, want %d", n.addr, got, want)
+		}
+	}
+}
+
+// target is the time in which a change must be in force everywhere.
+const target7s = 7 * time.Second
+
+// Guards against a mesh that does not find its relays, or in which a change does not reach every node in time.
 func TestChangeReachesEveryNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1)
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 3, 4)
 		defer m.stop()
-		m.publish(configuration(2, 1))
-		nodes := grid(m, 3, 4)
-		time.Sleep(90 * time.Second)
 		for z := range 3 {
 			if got := len(m.relays(fmt.Sprint("z", z))); got != Slots {
 				t.Errorf("zone %d has %d relays, want %d", z, got, Slots)
 			}
 		}
 		m.publish(configuration(2, 2))
-		time.Sleep(7 * time.Second)
-		if low, _ := m.versions(); low != 2 {
-			t.Errorf("a node serves version %d after 7 s, want 2", low)
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		wantMembers(t, nodes, 12)
+		if n := m.count("relay.whole_sent"); n > 12 {
+			t.Errorf("%d whole configurations sent, want one for each start at most", n)
 		}
 		for _, n := range nodes {
-			if got := len(n.sync.Instances("s0")) + len(n.sync.Instances("s1")); got != 12 {
-				t.Errorf("node %s knows %d instances, want 12", n.addr, got)
-			}
 			if _, ok := n.sync.Synchronised(); !ok {
 				t.Errorf("node %s is not synchronised", n.addr)
 			}
 		}
 	})
 }
+
+// Guards against nodes that follow a platform which was restored to an older state, or stay deaf after the head was
+// raised again.
+func TestRestoredPlatformIsRefused(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, _ := settled(t, 2, 3)
+		defer m.stop()
+		m.publish(configuration(2, 2))
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		m.writeHead(2, configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 3)
+		m.writeHead(3, configuration(2, 9))
+		time.Sleep(target7s)
+		if m.count("config.older") == 0 || m.count("config.conflict") == 0 {
+			t.Errorf("%d older and %d conflicting heads reported", m.count("config.older"), m.count("config.conflict"))
+		}
+		m.nodes["n0-2"].kill()
+		m.add("n0-2", "z0", "s0", "n0-0", "n1-0").start()
+		time.Sleep(30 * time.Second)
+		m.wantVersion(t, 3)
+		m.writeHead(4, configuration(2, 4))
+		time.Sleep(target7s)
+		m.wantVersion(t, 4)
+	})
+}
+
+// Guards against a node that becomes ready in an outage of the platform after asking one peer of several, and one that
+// never becomes ready although it has asked enough.
+func TestStartInOutage(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, _ := settled(t, 2, 3)
+		defer m.stop()
+		m.store.setDown(true)
+		only := m.nodes["n0-0"]
+		late := m.add("late", "z0", "s0", "n0-0", "n1-0", "n1-1")
+		m.setCut(func(a, b *node) bool { return a == late && b != only })
+		late.start()
+		time.Sleep(time.Minute)
+		if late.sync.Ready() {
+			t.Error("ready after one of several peers")
+		}
+		m.setCut(nil)
+		time.Sleep(30 * time.Second)
+		if !late.sync.Ready() || late.sync.Current().Version != 1 {
+			t.Error("not ready although two peers answered")
+		}
+		alone := m.add("alone", "z9", "s0")
+		alone.start()
+		time.Sleep(time.Minute)
+		if alone.sync.Ready() {
+			t.Error("ready without platform and peers")
+		}
+	})
+}
+
+// Guards against a node that waits for a second peer where it knows only one.
+func TestStartInOutageWithOnePeer(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		defer m.stop()
+		m.publish(configuration(2, 1))
+		m.add("a", "z0", "s0", "a", "b").start()
+		time.Sleep(time.Minute)
+		m.store.setDown(true)
+		b := m.add("b", "z0", "s0", "a", "b").start()
+		time.Sleep(time.Minute)
+		if !b.sync.Ready() {
+			t.Error("not ready although the only known peer answered")
+		}
+	})
+}
+
+// Guards against an availability zone that stays behind when only its path to the platform is cut.
+func TestZoneCutOffFromPlatform(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 3, 3)
+		defer m.stop()
+		for _, n := range nodes {
+			n.store.setDown(n.zone == "z1")
+		}
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		wantMembers(t, nodes, 9)
+	})
+}
+
+// Guards against instances of a lost zone that are still chosen after 30 s, are chosen no more after it came back, or
+// are forgotten.
+func TestUnreachableZone(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 3, 3)
+		defer m.stop()
+		m.setCut(func(a, b *node) bool { return a.zone == "z2" && b.zone != "z2" })
+		time.Sleep(50 * time.Second)
+		for _, n := range nodes {
+			want := 6
+			if n.zone == "z2" {
+				want = 3
+			}
+			if got := n.members(); got != want {
+				t.Errorf("node %s knows %d instances, want %d", n.addr, got, want)
+			}
+			if got := len(n.sync.History("s0")); got < 4 {
+				t.Errorf("node %s has a history of %d spans", n.addr, got)
+			}
+		}
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2) // each side has the platform
+		m.setCut(nil)
+		time.Sleep(30 * time.Second)
+		wantMembers(t, nodes, 9)
+	})
+}
+
+// Guards against a relay that was cut off past its lease and does harm when it comes back: it must step down, and no
+// node that it has lost sight of may be recorded as departed.
+func TestRelayLosesLease(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		old := m.relays("z0")[0]
+		frozen := func(a, _ *node) bool { return a == old }
+		m.setCut(frozen)
+		old.store.setDown(true)
+		time.Sleep(2 * time.Minute)
+		if got := len(m.relays("z0")); got != 3 {
+			t.Errorf("%d holders while one is cut off, want 3: nobody tells it", got)
+		}
+		departures := m.count("relay.departures")
+		m.setCut(nil)
+		old.store.setDown(false)
+		m.publish(configuration(2, 2))
+		time.Sleep(time.Minute)
+		if got := len(m.relays("z0")); got != Slots {
+			t.Errorf("%d holders after the return, want %d", got, Slots)
+		}
+		if got := old.set.Snapshot()["relay.departures"]; got > 4 {
+			t.Errorf("the lost relay recorded %d departures", got)
+		}
+		t.Logf("departures recorded while cut off: %d", departures)
+		m.wantVersion(t, 2)
+		wantMembers(t, nodes, 8)
+		for _, n := range nodes {
+			if n != old && n.set.Snapshot()["sync.incarnation_raised"] != 0 {
+				t.Errorf("node %s was recorded as departed by a relay that had lost it", n.addr)
+			}
+		}
+	})
+}
+
+// Guards against two holders of one slot that hinder each other: a relay that is cut off from the platform only goes
+// on, while another node takes its lease.
+func TestTwoHoldersAtOnce(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		old := m.relays("z0")[0]
+		old.store.setDown(true)
+		spec, _ := json.Marshal(lease.Lease{Holder: "n0-3", Address: "n0-3", Incarnation: m.nodes["n0-3"].sync.Self().Incarnation})
+		slot, _ := old.relay.Holds()
+		o := platform.Object{Kind: platform.KindRelayLease, Name: leaseName("z0", slot), Spec: spec}
+		if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
+			t.Fatal(err)
+		}
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		time.Sleep(time.Minute)
+		old.store.setDown(false)
+		time.Sleep(time.Minute)
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		m.wantVersion(t, 3)
+		wantMembers(t, nodes, 8)
+		if got := m.count("relay.departures"); got != 0 {
+			t.Errorf("%d departures recorded, want none", got)
+		}
+		if got := len(m.relays("z0")); got != Slots {
+			t.Errorf("%d relays, want %d", got, Slots)
+		}
+	})
+}
+
+// Guards against a dead node that stays a member, and a node that was recorded as departed and stays away.
+func TestMissedPolls(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		dead, paused := plain(m, nodes, 0), plain(m, nodes, 1)
+		before := paused.sync.Self().Incarnation
+		dead.kill()
+		m.setCut(func(a, _ *node) bool { return a == paused })
+		time.Sleep(syncer.MissedPolls + 7*time.Second)
+		for _, n := range nodes {
+			if n.up && n != paused && n.members() != 6 {
+				t.Errorf("node %s knows %d instances, want 6", n.addr, n.members())
+			}
+		}
+		m.setCut(nil)
+		time.Sleep(20 * time.Second)
+		wantMembers(t, nodes, 7)
+		if got := paused.sync.Self().Incarnation; got <= before {
+			t.Errorf("incarnation %d after a recorded departure, %d before", got, before)
+		}
+	})
+}
+
+// plain returns the nth node that is not a relay.
+func plain(m *mesh, nodes []*node, nth int) *node {
+	for _, n := range nodes {
+		if _, ok := n.relay.Holds(); !ok && n.up {
+			if nth == 0 {
+				return n
+			}
+			nth--
+		}
+	}
+	return nil
+}
+
+// Guards against a drain that other nodes learn of too late, also when the announcement is lost, repeated or crossed
+// by an older record.
+func TestDrainIsUrgent(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 3, 4)
+		defer m.stop()
+		n := plain(m, nodes, 0)
+		stale := n.sync.Self()
+		calls := 0
+		m.tamper = func(method string, _ any) {
+			if method == syncer.MethodAnnounce {
+				calls++
+			}
+		}
+		drained := stale
+		drained.State = membership.StateDraining
+		n.sync.SetLocal(drained)
+		time.Sleep(3 * time.Second)
+		for _, r := range m.relays(n.zone) { // a late copy of the older record
+			_ = n.Call(deadline(t), r.addr, syncer.MethodAnnounce, &syncer.AnnounceArgs{Instance: stale}, &syncer.AnnounceReply{})
+		}
+		for _, o := range nodes {
+			if got := stateOf(o, n.addr); got != membership.StateDraining {
+				t.Errorf("node %s sees state %d after 3 s, want draining", o.addr, got)
+			}
+		}
+		if calls == 0 {
+			t.Error("the drain was not announced")
+		}
+		if err := n.sync.Depart(deadline(t), true); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		wantMembers(t, nodes, 11)
+		for _, o := range nodes {
+			if h := spanOf(o, n.addr); !h.Instance.HandedOver || h.Departed.IsZero() {
+				t.Errorf("node %s has span %+v, want a departure with hand-over", o.addr, h)
+			}
+		}
+	})
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func spanOf(n *node, id string) membership.Span {
+	for _, service := range []string{"s0", "s1"} {
+		for _, s := range n.sync.History(service) {
+			if string(s.Instance.ID) == id {
+				return s
+			}
+		}
+	}
+	return membership.Span{}
+}
+
+func stateOf(n *node, id string) membership.State { return spanOf(n, id).Instance.State }
+
+// Guards against lost announcements: the next poll must carry the change.
+func TestLostAnnouncement(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 3)
+		defer m.stop()
+		n := plain(m, nodes, 0)
+		m.mu.Lock()
+		m.lost = func(method string) bool { return method == syncer.MethodAnnounce }
+		m.mu.Unlock()
+		i := n.sync.Self()
+		i.State = membership.StateDraining
+		n.sync.SetLocal(i)
+		time.Sleep(6 * time.Second)
+		for _, o := range nodes {
+			if stateOf(o, n.addr) != membership.StateDraining {
+				t.Errorf("node %s has not learned of the drain", o.addr)
+			}
+		}
+	})
+}
+
+// Guards against a delta that leads to another configuration and is served all the same, and against a node that does
+// not get the whole one then.
+func TestDeltaMismatchFetchesWhole(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 1, 4)
+		defer m.stop()
+		m.mu.Lock()
+		m.tamper = func(_ string, reply any) {
+			if r, ok := reply.(*syncer.SyncReply); ok && len(r.Update.Deltas) > 0 {
+				r.Update.Deltas[0].Upsert = config.Items{}
+			}
+		}
+		m.mu.Unlock()
+		whole := m.count("relay.whole_sent")
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		if got := m.count("config.mismatch"); got != int64(len(nodes)) {
+			t.Errorf("%d mismatches reported, want one for each node", got)
+		}
+		if got := m.count("relay.whole_sent") - whole; got != int64(len(nodes)) {
+			t.Errorf("%d whole configurations sent, want %d", got, len(nodes))
+		}
+	})
+}
+
+// Guards against nodes that get instances of services which they cannot call, or lack those that they newly can.
+func TestSubscriptionFollowsCallableFrom(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		c := configuration(2, 2)
+		c.Services["s1"] = config.Service{Name: "s1", CallableFrom: []string{"s1"}}
+		m.publish(c)
+		time.Sleep(target7s)
+		for _, n := range nodes {
+			want := 8
+			if n.sync.Self().Service == "s0" {
+				want = 4
+			}
+			if n.members() != want {
+				t.Errorf("node %s of %s knows %d instances, want %d", n.addr, n.sync.Self().Service, n.members(), want)
+			}
+		}
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		wantMembers(t, nodes, 8)
+	})
+}
--- a/pkg/relay/sync.go
+++ b/pkg/relay/sync.go
@@ -67,7 +67,7 @@
 	changed := d.polls.polled(now, i, args.Config)
 	d.reach.seen(now, i.AvailabilityZone)
 	d.mu.Unlock()
-	d.table.Put(i)
+	d.takeOwn(i)
 	d.table.Merge(args.Push...)
 	d.newer(args.Config, i.ControlAddress)
 	if changed {
@@ -75,6 +75,21 @@
 	}
 }
 
+// takeOwn takes a node's own record, unless its incarnation is recorded as departed: other nodes may have acted on
+// the departure, so the node must come back with a higher incarnation. It learns of it from the answer.
+func (d *duty) takeOwn(i membership.Instance) bool {
+	if _, departed := d.departedSelf(i); departed {
+		return false
+	}
+	return d.table.Put(i)
+}
+
+// departedSelf returns the departed record of a node that is not leaving by itself.
+func (d *duty) departedSelf(i membership.Instance) (membership.Instance, bool) {
+	known, ok := d.table.Get(i.ID)
+	return known, ok && known.State == membership.StateDeparted && known.Incarnation == i.Incarnation && i.State != membership.StateDeparted
+}
+
 // answer fills in what the node lacks and reports whether there is anything.
 func (d *duty) answer(args *syncer.SyncArgs, reply *syncer.SyncReply) bool {
 	var putOff bool
@@ -83,6 +98,9 @@
 		reply.RetryAfter = d.retryAfter()
 		d.metrics.Counter("relay.full_put_off").Inc(1)
 	}
+	if own, departed := d.departedSelf(args.Instance); departed {
+		reply.Records = append(reply.Records, membership.Record{Instance: own, Gone: true})
+	}
 	relays := d.relays()
 	if syncer.RelaysDigest(relays) != args.Relays {
 		reply.Relays, reply.RelaysSent = relays, true
@@ -147,7 +165,7 @@
 	d.mu.Lock()
 	changed := d.polls.polled(now, args.Instance, args.Config)
 	d.mu.Unlock()
-	if d.table.Put(args.Instance) || changed {
+	if d.takeOwn(args.Instance) || changed {
 		poke(d.statusNow)
 	}
 	reply.Instance, _ = d.table.Get(args.Instance.ID)
--- a/pkg/rpcwire/frame.go
+++ b/pkg/rpcwire/frame.go
@@ -37,6 +37,9 @@
 	writeTimeout time.Duration
 	readTimeout  time.Duration
 
+	// callDeadline bounds the next write more tightly than writeTimeout; zero means that it does not.
+	callDeadline time.Time
+
 	out    bytes.Buffer
 	enc    *gob.Encoder
 	in     bytes.Reader
@@ -86,7 +89,11 @@
 			"make the message smaller or raise the limit at both ends")
 	}
 	binary.BigEndian.PutUint32(f.out.Bytes(), uint32(size))
-	if err := f.conn.SetWriteDeadline(time.Now().Add(f.writeTimeout)); err != nil {
+	deadline := time.Now().Add(f.writeTimeout)
+	if !f.callDeadline.IsZero() && f.callDeadline.Before(deadline) {
+		deadline = f.callDeadline
+	}
+	if err := f.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
 	_, err := f.conn.Write(f.out.Bytes())
--- a/pkg/rpcwire/pool.go
+++ b/pkg/rpcwire/pool.go
@@ -66,6 +66,8 @@
 	err    error
 	client *rpc.Client
 	frames *frames
+	// writing is taken for each write, so that callers wait for a slow write no longer than their own deadlines.
+	writing chan struct{}
 
 	mu       sync.Mutex
 	lastUsed time.Time
@@ -116,15 +118,18 @@
 // do waits for the answer in a value of its own: net/rpc may still decode into it after the context has ended.
 func (p *Pool) do(ctx context.Context, l *link, method string, args, reply any) error {
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	select {
+	case l.writing <- struct{}{}:
+	case <-ctx.Done():
+		return p.missed(ctx, l, method)
+	}
+	l.frames.callDeadline, _ = ctx.Deadline()
 	call := l.client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
+	<-l.writing
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.metrics.Counter("control.client.deadline_missed").Inc(1)
-			p.drop(l)
-		}
-		return unavailable(method, l.addr, ctx.Err())
+		return p.missed(ctx, l, method)
 	}
 	if call.Error == nil {
 		reflect.ValueOf(reply).Elem().Set(answer.Elem())
@@ -141,6 +146,16 @@
 	return unavailable(method, l.addr, call.Error)
 }
 
+// missed ends a call whose context has ended. The connection of a call that missed its deadline is closed; that of a
+// cancelled call stays open for others.
+func (p *Pool) missed(ctx context.Context, l *link, method string) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.metrics.Counter("control.client.deadline_missed").Inc(1)
+		p.drop(l)
+	}
+	return unavailable(method, l.addr, ctx.Err())
+}
+
 func unavailable(method, addr string, err error) error {
 	return fault.Wrap(fault.Unavailable, method+" at "+addr, err, "check that the peer runs and that the network path is open")
 }
@@ -154,7 +169,7 @@
 	}
 	l := p.links[addr]
 	if l == nil || l.dead() {
-		l = &link{addr: addr, ready: make(chan struct{}), lastUsed: time.Now()}
+		l = &link{addr: addr, ready: make(chan struct{}), writing: make(chan struct{}, 1), lastUsed: time.Now()}
 		p.links[addr] = l
 		go p.dial(l)
 	}
--- a/pkg/syncer/announce.go
+++ b/pkg/syncer/announce.go
@@ -74,8 +74,7 @@
 		args, reply := &AnnounceArgs{Instance: s.Self(), Config: s.acceptor.State()}, AnnounceReply{}
 		if err = s.call(ctx, announceTimeout, r.Address, MethodAnnounce, args, &reply); err == nil {
 			s.metrics.Counter("sync.announced").Inc(1)
-			s.table.Put(reply.Instance)
-			s.checkSelf()
+			s.checkSelf(reply.Instance)
 			return nil
 		}
 	}
@@ -105,20 +104,36 @@
 }
 
 // checkSelf answers a departure that others have recorded, or a record of a later process, with a higher incarnation.
-func (s *Syncer) checkSelf() {
+// told is what a relay has sent about the node itself; its departure counts even if the node has raised its sequence
+// since, because other nodes may have acted on it.
+func (s *Syncer) checkSelf(told ...membership.Instance) {
 	s.mu.Lock()
-	known, ok := s.table.Get(s.self.ID)
-	behind := ok && !s.departed && (known.Incarnation > s.self.Incarnation ||
-		known.Incarnation == s.self.Incarnation && (known.State == membership.StateDeparted || known.Sequence > s.self.Sequence))
-	if !behind {
+	if known, ok := s.table.Get(s.self.ID); ok {
+		told = append(told, known)
+	}
+	highest, behind := s.self.Incarnation, false
+	for _, i := range told {
+		if i.ID == s.self.ID && supersedes(i, s.self) {
+			highest, behind = max(highest, i.Incarnation), true
+		}
+	}
+	if !behind || s.departed {
 		s.mu.Unlock()
 		return
 	}
-	s.self.Incarnation, s.self.Sequence = known.Incarnation+1, 1
+	s.self.Incarnation, s.self.Sequence = highest+1, 1
 	s.table.Put(s.self)
 	s.mu.Unlock()
 	s.metrics.Counter("sync.incarnation_raised").Inc(1)
 	e := event.SyncDeparted
-	e.Write(e.Log(&s.log).Uint64("incarnation", known.Incarnation+1))
+	e.Write(e.Log(&s.log).Uint64("incarnation", highest+1))
 	s.kick()
 }
+
+// supersedes reports whether a record of the node itself does not come from this process as it is.
+func supersedes(i, self membership.Instance) bool {
+	if i.Incarnation != self.Incarnation {
+		return i.Incarnation > self.Incarnation
+	}
+	return i.State == membership.StateDeparted || i.Sequence > self.Sequence
+}
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -232,7 +232,13 @@
 		s.mu.Unlock()
 	}
 	s.table.SetUnreachable(reply.Unreachable)
-	s.checkSelf()
+	var told []membership.Instance
+	for _, rec := range reply.Records {
+		if rec.Instance.ID == args.Instance.ID {
+			told = append(told, rec.Instance)
+		}
+	}
+	s.checkSelf(told...)
 }
 
 func (s *Syncer) takeRecords(args *SyncArgs, reply *SyncReply) {
