Bound reconnect storms and check version histories under faults

Cause: a herd of restarts read the platform once or more for each node, nodes that turned to a new relay fetched the whole membership, and contenders took dead relays that others had told them of for live ones.

Change: a relay confirms the head for several starting nodes with one read and only for nodes whose complete answer it admits. A node no longer raises its sequence when it changes relays, so that both digests agree at once. Only relays that a relay which answered has listed count against contention; a node that knows none reads the lease objects. Status objects use pkg/status.

Tests: generated fault schedules with fixed seeds check that no node's version falls, storms are bounded, traces for missed polls and for the start-up rule.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -3,7 +3,10 @@
 // object change for the lease duration.
 package lease
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Defaults of a lease.
 const (
@@ -13,6 +16,21 @@
 	retryPause = time.Second
 )
 
+// Slots is the number of leases in each availability zone.
+const Slots = 2
+
+// Name returns the name of the lease object of a slot.
+func Name(zone string, slot uint8) string { return fmt.Sprintf("%s-%d", zone, slot) }
+
+// ParseName is the inverse of Name.
+func ParseName(name string) (zone string, slot uint8, ok bool) {
+	i := len(name) - 2
+	if i < 1 || name[i] != '-' || name[i+1] < '0' || name[i+1] >= '0'+Slots {
+		return "", 0, false
+	}
+	return name[:i], name[i+1] - '0', true
+}
+
 // Lease is the content of a lease object.
 type Lease struct {
 	Holder      string `json:"holder"`
--- a/pkg/relay/directory.go
+++ b/pkg/relay/directory.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
@@ -30,12 +29,11 @@
 type directory map[slotKey]listing
 
 // lease takes a lease object as read. A change of the object is a sign of life; its first sight is taken as one.
-func (d directory) lease(now time.Time, zone string, slot uint8, version string, l lease.Lease) {
-	k := slotKey{zone, slot}
+func (d directory) lease(now time.Time, info syncer.RelayInfo, version string) {
+	k := slotKey{info.Zone, info.Slot}
 	if e, ok := d[k]; ok && e.version == version {
 		return
 	}
-	info := syncer.RelayInfo{Zone: zone, Slot: slot, Node: instanceID(l.Holder), Address: l.Address}
 	d[k] = listing{info: info, seen: now, version: version}
 }
 
--- a/pkg/relay/head.go
+++ b/pkg/relay/head.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
-	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
@@ -20,6 +18,8 @@
 	// noHeadPause is the time between reads while there is no head object to watch.
 	noHeadPause = time.Second
 	listPeriod  = 10 * time.Second
+	// confirmPause gathers the nodes of a herd of restarts for one read.
+	confirmPause = 250 * time.Millisecond
 )
 
 // watchLoop keeps one watch on the head.
@@ -96,6 +96,7 @@
 			for _, w := range waiting {
 				w <- ok
 			}
+			sleep(ctx, confirmPause)
 		}
 	}
 }
@@ -135,20 +136,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, o := range objects {
-		zone, slot, ok := splitLeaseName(o.Name)
-		var l lease.Lease
-		if !ok || json.Unmarshal(o.Spec, &l) != nil || zone == d.info.Zone && slot == d.info.Slot {
-			continue
+		if r, ok := syncer.ParseLease(o); ok && (r.Zone != d.info.Zone || r.Slot != d.info.Slot) {
+			d.directory.lease(now, r, o.Version)
 		}
-		d.directory.lease(now, zone, slot, o.Version, l)
-	}
-}
-
-// splitLeaseName is the inverse of leaseName.
-func splitLeaseName(name string) (zone string, slot uint8, ok bool) {
-	i := len(name) - 2
-	if i < 1 || name[i] != '-' || name[i+1] < '0' || name[i+1] >= '0'+Slots {
-		return "", 0, false
 	}
-	return name[:i], name[i+1] - '0', true
 }
--- /dev/null
+++ b/pkg/relay/history_test.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// disturbance is one step of a generated fault schedule.
+type disturbance struct {
+	After time.Duration
+	Kind  string
+	Node  int
+	Zone  int
+}
+
+var schedules = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) disturbance {
+	return disturbance{
+		After: time.Duration(rapid.IntRange(0, 8000).Draw(t, "after")) * time.Millisecond,
+		Kind: rapid.SampledFrom([]string{"publish", "publish", "publish twice", "cut zone", "cut node", "heal", "outage", "platform back",
+			"zone loses platform", "restore", "restart", "lose", "lose nothing"}).Draw(t, "kind"),
+		Node: rapid.IntRange(0, 8).Draw(t, "node"),
+		Zone: rapid.IntRange(0, 2).Draw(t, "zone"),
+	}
+}), 25, 40)
+
+// history records the versions that nodes serve.
+type history struct {
+	highest map[string]config.Version
+	hashes  map[config.Version]string
+}
+
+func (h *history) look(t *testing.T, m *mesh) {
+	for name, n := range m.nodes {
+		c := n.sync.Current()
+		if c == nil || !n.up {
+			continue
+		}
+		if c.Version < h.highest[name] {
+			t.Fatalf("node %s went back from version %d to %d", name, h.highest[name], c.Version)
+		}
+		h.highest[name] = c.Version
+		if old, ok := h.hashes[c.Version]; ok && old != c.Hash {
+			t.Fatalf("two configurations of version %d are served", c.Version)
+		}
+		h.hashes[c.Version] = c.Hash
+	}
+}
+
+func (m *mesh) disturb(nodes []*node, d disturbance) {
+	n, zone := nodes[d.Node], fmt.Sprint("z", d.Zone)
+	switch d.Kind {
+	case "publish", "publish twice":
+		m.publishNext()
+		if d.Kind == "publish twice" {
+			m.publishNext()
+		}
+	case "cut zone":
+		m.setCut(func(a, b *node) bool { return (a.zone == zone) != (b.zone == zone) })
+	case "cut node":
+		m.setCut(func(a, _ *node) bool { return a.addr == n.addr })
+	case "heal":
+		m.heal()
+	case "outage", "platform back":
+		m.store.setDown(d.Kind == "outage")
+	case "zone loses platform":
+		for _, o := range m.nodes {
+			o.store.setDown(o.zone == zone)
+		}
+	case "restore":
+		if !m.store.isDown() && m.version > 1 {
+			m.writeHead(m.version-1, configuration(2, int(m.version-1)))
+		}
+	case "restart":
+		old := m.nodes[n.addr]
+		old.kill()
+		m.add(old.addr, old.zone, "s0", "n0-0", "n1-0", "n2-0").start()
+	case "lose":
+		m.setLost(func(string) bool { return m.rng.IntN(3) == 0 })
+	case "lose nothing":
+		m.setLost(nil)
+	}
+}
+
+func (m *mesh) publishNext() {
+	if !m.store.isDown() {
+		m.publish(configuration(2, int(m.version+1)))
+	}
+}
+
+func (m *mesh) heal() {
+	m.setCut(nil)
+	m.setLost(nil)
+	m.store.setDown(false)
+	for _, n := range m.nodes {
+		n.store.setDown(!n.up)
+	}
+}
+
+// Guards against a node that moves back to an older configuration, two configurations under one version, and a mesh
+// that does not converge after its faults, under generated schedules of faults with fixed seeds.
+func TestVersionsNeverFall(t *testing.T) {
+	for seed := range 8 {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			run(t, func(t *testing.T) {
+				m, nodes := settled(t, 3, 3)
+				defer m.stop()
+				h := &history{highest: make(map[string]config.Version), hashes: make(map[config.Version]string)}
+				for _, d := range schedules.Example(seed) {
+					for left := d.After; left > 0; left -= 250 * time.Millisecond {
+						time.Sleep(250 * time.Millisecond)
+						h.look(t, m)
+					}
+					m.disturb(nodes, d)
+				}
+				m.heal()
+				time.Sleep(time.Minute)
+				h.look(t, m)
+				m.publishNext()
+				time.Sleep(target7s)
+				h.look(t, m)
+				m.wantVersion(t, m.version)
+				for _, n := range m.nodes {
+					if n.members() != 9 {
+						t.Errorf("node %s knows %d instances, want 9", n.addr, n.members())
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a herd of restarts that overwhelms its relays or the platform.
+func TestReconnectStormIsBounded(t *testing.T) {
+	t.Run("seeds live", func(t *testing.T) { storm(t, true) })
+	t.Run("seeds are in the herd", func(t *testing.T) { storm(t, false) })
+}
+
+func storm(t *testing.T, seedsLive bool) {
+	run(t, func(t *testing.T) {
+		const size = 60
+		m, nodes := settled(t, 1, size)
+		defer m.stop()
+		herd := 0
+		for _, n := range nodes {
+			if _, ok := n.relay.Holds(); !ok {
+				n.kill()
+				herd++
+			}
+		}
+		time.Sleep(20 * time.Second)
+		reads := m.store.count("get") + m.store.count("list")
+		before := m.count("relay.full_sent")
+		seeds := []string{"n0-0", "n0-1"}
+		if seedsLive {
+			seeds = []string{m.relays("z0")[0].addr}
+		}
+		for _, n := range nodes {
+			if !n.up {
+				m.add(n.addr, "z0", n.sync.Self().Service, seeds...).start()
+			}
+		}
+		for range 30 {
+			time.Sleep(time.Second)
+			now := m.count("relay.full_sent")
+			if limit := int64(Slots * (10 + 10)); now-before > limit {
+				t.Errorf("%d complete answers in one second, limit %d", now-before, limit)
+			}
+			before = now
+		}
+		for _, n := range m.nodes {
+			if _, ok := n.sync.Synchronised(); !n.sync.Ready() || !ok {
+				t.Errorf("node %s is not ready and synchronised 30 s after the herd", n.addr)
+			}
+		}
+		if m.count("relay.full_put_off") == 0 {
+			t.Error("no complete answer was put off; the storm was too small to show the limit")
+		}
+		limit := herd / 2 // relays read the platform for several nodes at once
+		if !seedsLive {
+			limit = 2 * herd // a node that knows no relay reads the head and the leases itself
+		}
+		if got := m.store.count("get") + m.store.count("list") - reads; got > limit+20 { // 20 for the relays themselves
+			t.Errorf("%d reads of the platform for %d restarts", got, herd)
+		}
+	})
+}
+
+// Guards against nodes that fetch everything again when only their relays have changed.
+func TestNewRelaysNeedNoCompleteAnswers(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, _ := settled(t, 2, 20)
+		defer m.stop()
+		for _, r := range m.relays("z0") {
+			r.kill()
+		}
+		time.Sleep(2 * time.Minute)
+		if got := len(m.relays("z0")); got != Slots {
+			t.Errorf("%d relays after both died, want %d", got, Slots)
+		}
+		if got := m.count("sync.incarnation_raised"); got != 0 {
+			t.Errorf("%d live nodes were recorded as departed", got)
+		}
+		full := m.count("relay.full_sent")
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		if got := m.count("relay.full_sent"); got != full || full > 50 {
+			t.Errorf("%d complete answers, of them %d for a change", got, got-full)
+		}
+	})
+}
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -54,6 +54,18 @@
 	m.wake()
 }
 
+func (m *memStore) isDown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.down
+}
+
+func (m *memStore) count(call string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[call]
+}
+
 func (m *memStore) wake() { close(m.changed); m.changed = make(chan struct{}) }
 
 func id(kind platform.ObjectKind, name string) string { return string(kind) + "/" + name }
@@ -233,7 +245,9 @@
 }
 
 func (n *node) start() *node {
+	n.mesh.mu.Lock()
 	n.up = true
+	n.mesh.mu.Unlock()
 	_ = n.sync.Start(context.Background())
 	_ = n.relay.Start(context.Background())
 	return n
@@ -296,6 +310,18 @@
 	m.cut = cut
 }
 
+func (m *mesh) called(method string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[method]
+}
+
+func (m *mesh) setLost(lost func(string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = lost
+}
+
 // count adds up a counter over all nodes.
 func (m *mesh) count(name string) (sum int64) {
 	for _, n := range m.nodes {
--- /dev/null
+++ b/pkg/relay/polls_test.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// Guards against departures of nodes that poll another relay, or that a paused relay has only failed to hear; and
+// against dead nodes that stay members. The trace says which line guards against what.
+func TestPollsTrace(t *testing.T) {
+	f, err := os.Open("testdata/polls.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	start := time.Unix(0, 0)
+	p, heard := newPolls(start), true
+	for scan := bufio.NewScanner(f); scan.Scan(); {
+		var l struct {
+			At, Age     float64
+			Event, Node string
+			Want        []string
+			Why         string
+		}
+		if err := json.Unmarshal(scan.Bytes(), &l); err != nil {
+			t.Fatal(err)
+		}
+		now := start.Add(time.Duration(l.At * float64(time.Second)))
+		switch l.Event {
+		case "poll":
+			p.polled(now, membership.Instance{ID: membership.InstanceID(l.Node)}, syncer.ConfigState{})
+		case "report":
+			p.reported(now, membership.InstanceID(l.Node), time.Duration(l.Age*float64(time.Second)))
+		case "deaf", "heard":
+			heard = l.Event == "heard"
+		case "pause":
+			p.floor = now
+		}
+		var members []membership.Record
+		for _, id := range []string{"a", "b", "c"} {
+			members = append(members, membership.Record{Instance: membership.Instance{ID: membership.InstanceID(id)}, JoinedAge: now.Sub(start)})
+		}
+		got := []string{}
+		for _, i := range p.overdue(now, members, heard) {
+			got = append(got, string(i.ID))
+		}
+		if !slices.Equal(got, l.Want) {
+			t.Errorf("at %v (%s): overdue %v, want %v", l.At, l.Why, got, l.Want)
+		}
+	}
+}
+
+// Guards against a chain of deltas that leads from another history or has a gap.
+func TestChain(t *testing.T) {
+	testDelta := func(v int) config.Delta { return config.Delta{From: config.Version(v), To: config.Version(v + 1)} }
+	var c chain
+	for v := 1; v <= chainLength+10; v++ {
+		c = c.add(testDelta(v), "h")
+	}
+	if ds, ok := c.from(chainLength+5, "h"); !ok || len(ds) != 6 {
+		t.Errorf("%d deltas, want 6", len(ds))
+	}
+	if _, ok := c.from(chainLength+5, "other"); ok {
+		t.Error("deltas from another history")
+	}
+	if _, ok := c.from(2, "h"); ok {
+		t.Error("deltas from a version that the chain has dropped")
+	}
+	if c = c.add(testDelta(chainLength+20), "h"); len(c) != 1 {
+		t.Errorf("%d links after a gap, want 1", len(c))
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +25,7 @@
 )
 
 // Slots is the number of relays in each availability zone.
-const Slots = 2
+const Slots = lease.Slots
 
 // Settings of the relay duty. Zero values mean the defaults.
 type Settings struct {
@@ -38,8 +37,8 @@
 	ColdSettle    time.Duration
 	LeaseDuration time.Duration
 	LeaseRenew    time.Duration
-	// PlatformRate and PlatformBurst bound the relay's calls to the platform. A relay needs about one a second; the
-	// burst covers taking up the duty.
+	// PlatformRate and PlatformBurst bound the relay's calls to the platform. A relay needs about one a second, and up
+	// to six while a herd of nodes restarts; the burst covers taking up the duty.
 	PlatformRate  float64
 	PlatformBurst int
 	// PlatformTimeout bounds one call of the platform other than a watch.
@@ -54,7 +53,7 @@
 	setDefault(&s.ColdSettle, 5*time.Second)
 	setDefault(&s.LeaseDuration, lease.DefaultDuration)
 	setDefault(&s.LeaseRenew, lease.DefaultRenew)
-	setDefault(&s.PlatformRate, 5)
+	setDefault(&s.PlatformRate, 8)
 	setDefault(&s.PlatformBurst, 20)
 	setDefault(&s.PlatformTimeout, 2*time.Second)
 	if s.Jitter == nil {
@@ -147,14 +146,11 @@
 
 func (r *Relay) self() membership.Instance { return r.node.Self() }
 
-func leaseName(zone string, slot uint8) string { return fmt.Sprintf("%s-%d", zone, slot) }
-
 // slotLease is the contender for one slot with the I/O around it.
 type slotLease struct {
 	relay     *Relay
 	slot      uint8
 	contender *lease.Contender
-	sawOther  string // version of the object when another holder was last seen
 	// version is that of the object as last written or read, for the release.
 	version string
 }
@@ -234,7 +230,7 @@
 }
 
 func (s *slotLease) name() string {
-	return leaseName(s.relay.self().AvailabilityZone, s.slot)
+	return lease.Name(s.relay.self().AvailabilityZone, s.slot)
 }
 
 // perform carries out a step and reports the result to the contender.
@@ -286,19 +282,11 @@
 	_ = json.Unmarshal(obj.Spec, &l)
 	s.version = obj.Version
 	s.contender.Saw(now, obj.Version, l)
-	s.hint(obj.Version, l)
-}
-
-// hint tells the node about a relay of its zone whose lease was seen to be renewed, when it knows none.
-func (s *slotLease) hint(version string, l lease.Lease) {
-	if _, other := s.contender.Other(); !other {
-		return
-	}
-	if s.sawOther != "" && s.sawOther != version && s.relay.node.ZoneRelays() == 0 {
+	if _, other := s.contender.Other(); other && s.relay.node.ZoneRelays() == 0 {
+		// The holder may live: the node tries it while the lease is observed.
 		zone := s.relay.self().AvailabilityZone
-		s.relay.node.AddRelays([]syncer.RelayInfo{{Zone: zone, Slot: s.slot, Node: instanceID(l.Holder), Address: l.Address}})
+		s.relay.node.AddRelays([]syncer.RelayInfo{{Zone: zone, Slot: s.slot, Node: membership.InstanceID(l.Holder), Address: l.Address}})
 	}
-	s.sawOther = version
 }
 
 // limited counts a platform call that the budget refused.
@@ -310,8 +298,6 @@
 	logWith(&r.log, event.RelayLimited, func(e *zerolog.Event) { e.Str("call", what) })
 }
 
-func instanceID(s string) membership.InstanceID { return membership.InstanceID(s) }
-
 func logWith(l *zerolog.Logger, e event.Event, fields func(*zerolog.Event)) {
 	z := e.Log(l)
 	fields(z)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -253,7 +253,7 @@
 		old.store.setDown(true)
 		spec, _ := json.Marshal(lease.Lease{Holder: "n0-3", Address: "n0-3", Incarnation: m.nodes["n0-3"].sync.Self().Incarnation})
 		slot, _ := old.relay.Holds()
-		o := platform.Object{Kind: platform.KindRelayLease, Name: leaseName("z0", slot), Spec: spec}
+		o := platform.Object{Kind: platform.KindRelayLease, Name: lease.Name("z0", slot), Spec: spec}
 		if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
 			t.Fatal(err)
 		}
@@ -321,16 +321,14 @@
 		defer m.stop()
 		n := plain(m, nodes, 0)
 		stale := n.sync.Self()
-		calls := 0
-		m.tamper = func(method string, _ any) {
-			if method == syncer.MethodAnnounce {
-				calls++
-			}
-		}
+		calls := m.called(syncer.MethodAnnounce)
 		drained := stale
 		drained.State = membership.StateDraining
 		n.sync.SetLocal(drained)
 		time.Sleep(3 * time.Second)
+		if m.called(syncer.MethodAnnounce) == calls {
+			t.Error("the drain was not announced")
+		}
 		for _, r := range m.relays(n.zone) { // a late copy of the older record
 			_ = n.Call(deadline(t), r.addr, syncer.MethodAnnounce, &syncer.AnnounceArgs{Instance: stale}, &syncer.AnnounceReply{})
 		}
@@ -339,9 +337,6 @@
 				t.Errorf("node %s sees state %d after 3 s, want draining", o.addr, got)
 			}
 		}
-		if calls == 0 {
-			t.Error("the drain was not announced")
-		}
 		if err := n.sync.Depart(deadline(t), true); err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/relay/status.go
+++ b/pkg/relay/status.go
@@ -10,11 +10,11 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
-	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/status"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
@@ -24,30 +24,6 @@
 	statusPeriod = 10 * time.Second
 )
 
-// zoneStatus is what the relay writes about the nodes that poll it.
-type zoneStatus struct {
-	Zone      string         `json:"zone"`
-	Slot      string         `json:"slot"`
-	Relay     string         `json:"relay"`
-	WrittenAt time.Time      `json:"writtenAt"`
-	Version   config.Version `json:"version"`
-	Nodes     []nodeStatus   `json:"nodes"`
-}
-
-type nodeStatus struct {
-	ID                string         `json:"id"`
-	Service           string         `json:"service"`
-	Version           config.Version `json:"version"`
-	Hash              string         `json:"hash"`
-	State             string         `json:"state"`
-	LastPollAgeMillis int64          `json:"lastPollAgeMillis"`
-}
-
-var stateNames = map[membership.State]string{
-	membership.StateStarting: "starting", membership.StateReady: "ready",
-	membership.StateDraining: "draining", membership.StateDeparted: "departed",
-}
-
 // statusLoop writes the status at a bounded rate.
 func (d *duty) statusLoop(ctx context.Context) {
 	version := ""
@@ -74,9 +50,9 @@
 	defer cancel()
 	spec, err := json.Marshal(d.status())
 	if err != nil {
-		panic("relay: " + err.Error()) // zoneStatus has only strings, numbers and times
+		panic("relay: " + err.Error()) // ZoneStatus has only strings, numbers and times
 	}
-	obj := platform.Object{Kind: platform.KindZoneStatus, Name: leaseName(d.info.Zone, d.info.Slot), Version: version, Spec: spec}
+	obj := platform.Object{Kind: platform.KindZoneStatus, Name: lease.Name(d.info.Zone, d.info.Slot), Version: version, Spec: spec}
 	if version == "" {
 		obj, err = d.createStatus(ctx, obj)
 	} else {
@@ -104,11 +80,11 @@
 	return d.store.Update(ctx, obj)
 }
 
-func (d *duty) status() zoneStatus {
+func (d *duty) status() status.ZoneStatus {
 	now := d.clock.Now()
-	s := zoneStatus{
+	s := status.ZoneStatus{
 		Zone: d.info.Zone, Slot: strconv.Itoa(int(d.info.Slot)), Relay: string(d.info.Node),
-		WrittenAt: now.UTC(), Version: d.acceptor.State().Version, Nodes: []nodeStatus{},
+		WrittenAt: now.UTC(), Version: d.acceptor.State().Version, Nodes: []status.NodeStatus{},
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -120,11 +96,11 @@
 		if known, ok := d.table.Get(id); ok && known.Incarnation >= i.Incarnation {
 			i = known
 		}
-		s.Nodes = append(s.Nodes, nodeStatus{
+		s.Nodes = append(s.Nodes, status.NodeStatus{
 			ID: string(id), Service: i.Service, Version: p.config.Version, Hash: p.config.Hash,
-			State: stateNames[i.State], LastPollAgeMillis: now.Sub(p.at).Milliseconds(),
+			State: status.StateName(i.State), LastPollAgeMillis: now.Sub(p.at).Milliseconds(),
 		})
 	}
-	slices.SortFunc(s.Nodes, func(a, b nodeStatus) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Nodes, func(a, b status.NodeStatus) int { return cmp.Compare(a.ID, b.ID) })
 	return s
 }
--- a/pkg/relay/sync.go
+++ b/pkg/relay/sync.go
@@ -34,14 +34,19 @@
 
 func (d *duty) serveSync(ctx context.Context, args *syncer.SyncArgs, reply *syncer.SyncReply) error {
 	d.polled(args)
+	allow := d.once()
 	if args.Confirm {
+		// A node that starts needs a complete answer; the platform is read only if it gets one.
+		if args.Config.Hash == "" && !allow() {
+			return d.putOff(args, reply)
+		}
 		reply.Confirmed = d.confirm(ctx)
 	}
 	timer := time.NewTimer(syncer.PollTime)
 	defer timer.Stop()
 	for {
 		changed := d.changes.wait()
-		if d.answer(args, reply) || args.NoWait {
+		if d.answer(args, reply, allow) || args.NoWait {
 			return d.finish(args, reply)
 		}
 		select {
@@ -60,6 +65,22 @@
 	}
 }
 
+// once returns a function that takes a token for complete answers at its first call. One token covers the whole
+// configuration and all records of one answer.
+func (d *duty) once() func() bool {
+	granted := false
+	return func() bool {
+		granted = granted || d.full.Allow()
+		return granted
+	}
+}
+
+func (d *duty) putOff(args *syncer.SyncArgs, reply *syncer.SyncReply) error {
+	reply.RetryAfter = d.retryAfter()
+	d.metrics.Counter("relay.full_put_off").Inc(1)
+	return d.finish(args, reply)
+}
+
 // polled notes the poll and takes the node's record.
 func (d *duty) polled(args *syncer.SyncArgs) {
 	now, i := d.clock.Now(), args.Instance
@@ -91,10 +112,10 @@
 }
 
 // answer fills in what the node lacks and reports whether there is anything.
-func (d *duty) answer(args *syncer.SyncArgs, reply *syncer.SyncReply) bool {
+func (d *duty) answer(args *syncer.SyncArgs, reply *syncer.SyncReply, allow func() bool) bool {
 	var putOff bool
-	reply.Update, putOff = d.update(args.Config, args.NeedWhole, d.full.Allow)
-	if putOff || !d.records(args, reply) {
+	reply.Update, putOff = d.update(args.Config, args.NeedWhole, allow)
+	if putOff || !d.records(args, reply, allow) {
 		reply.RetryAfter = d.retryAfter()
 		d.metrics.Counter("relay.full_put_off").Inc(1)
 	}
@@ -109,7 +130,7 @@
 }
 
 // records fills in the membership; false means that a complete answer is put off.
-func (d *duty) records(args *syncer.SyncArgs, reply *syncer.SyncReply) bool {
+func (d *duty) records(args *syncer.SyncArgs, reply *syncer.SyncReply, allow func() bool) bool {
 	wants := syncer.Subscription(d.acceptor.Current(), args.Instance.Service)
 	keep := func(i membership.Instance) bool { return wants(i.Service) && i != args.Instance }
 	reply.Mark = d.table.Mark()
@@ -122,7 +143,7 @@
 		reply.Records = append(reply.Records, d.fetch(args.Fetch, wants)...)
 		return true
 	}
-	if !d.full.Allow() {
+	if !allow() {
 		return false
 	}
 	d.metrics.Counter("relay.full_sent").Inc(1)
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -106,21 +106,14 @@
 	return c[0], s.relays.usable(c[0], now)
 }
 
-// attach turns to a relay. On a change of relay the sequence is raised, so that the relay that was left cannot win
-// with a departure that it declares after missed polls.
+// attach turns to a relay. The own record stays as it is, so that the digests of node and relay agree at once when a
+// herd of nodes turns to another relay; which node polls where travels between relays.
 func (s *Syncer) attach(r RelayInfo) {
 	s.link.lost = false
 	if s.link.relay == r {
 		return
 	}
-	first := s.link.relay.Address == ""
 	s.link.relay, s.link.mark, s.link.mismatches = r, membership.Mark{}, 0
-	if !first {
-		s.mu.Lock()
-		s.self.Sequence++
-		s.table.Put(s.self)
-		s.mu.Unlock()
-	}
 	e := event.SyncRelay
 	e.Write(e.Log(&s.log).Str("zone", r.Zone).Uint8("slot", r.Slot).Str("address", r.Address))
 }
@@ -165,7 +158,7 @@
 			continue
 		}
 		s.AddRelays(reply.Relays)
-		if s.ZoneRelays() > 0 {
+		if best, usable := s.bestRelay(); usable && best.Zone == args.Zone {
 			return
 		}
 	}
@@ -186,9 +179,6 @@
 		return err
 	}
 	s.link.failures, s.link.lastGood = 0, s.clock.Now()
-	s.mu.Lock()
-	s.relays.good(r.Address)
-	s.mu.Unlock()
 	s.take(args, &reply, r)
 	if reply.RetryAfter > 0 {
 		s.metrics.Refused(metric.RefusedSynchronisations)
@@ -226,11 +216,12 @@
 	}
 	s.answered(r.Address, reply.Config)
 	s.takeRecords(args, reply)
+	s.mu.Lock()
 	if reply.RelaysSent {
-		s.mu.Lock()
 		s.relays.set(reply.Relays)
-		s.mu.Unlock()
 	}
+	s.relays.answered(r.Address, s.clock.Now())
+	s.mu.Unlock()
 	s.table.SetUnreachable(reply.Unreachable)
 	var told []membership.Instance
 	for _, rec := range reply.Records {
--- a/pkg/syncer/relays.go
+++ b/pkg/syncer/relays.go
@@ -14,10 +14,16 @@
 // relay of its own zone before that relay records it as departed.
 const avoidFor = 5 * time.Second
 
+// vouchedFor is how long a relay counts after a relay that answered has listed it.
+const vouchedFor = 20 * time.Second
+
 // relayList is what a node knows about relays. It is not safe for concurrent use.
 type relayList struct {
 	all   []RelayInfo
 	avoid map[string]time.Time
+	// vouched holds when a relay was last listed by a relay that answered. Relays that the node has only been told of
+	// are tried, but do not count: they may have died long ago.
+	vouched map[string]time.Time
 }
 
 // set replaces the list by what a relay has sent.
@@ -26,6 +32,15 @@
 	SortRelays(l.all)
 }
 
+// answered notes that a relay has answered, whose list is that of the node now.
+func (l *relayList) answered(address string, now time.Time) {
+	delete(l.avoid, address)
+	l.vouched = make(map[string]time.Time, len(l.all))
+	for _, r := range l.all {
+		l.vouched[r.Address] = now
+	}
+}
+
 // add merges relays that another node knows of.
 func (l *relayList) add(relays []RelayInfo) {
 	for _, r := range relays {
@@ -44,10 +59,9 @@
 		l.avoid = make(map[string]time.Time)
 	}
 	l.avoid[address] = now.Add(avoidFor)
+	delete(l.vouched, address)
 }
 
-func (l *relayList) good(address string) { delete(l.avoid, address) }
-
 func (l *relayList) usable(r RelayInfo, now time.Time) bool { return l.avoidedUntil(r, now).IsZero() }
 
 // avoidedUntil returns the zero time for a usable relay.
@@ -81,11 +95,12 @@
 	return xxhash.Sum64String(string(node) + "|" + r.Address)
 }
 
-// inZone counts the usable relays of a zone.
+// inZone counts the relays of a zone that are known to live.
 func (l *relayList) inZone(now time.Time, zone string) int {
 	n := 0
 	for _, r := range l.all {
-		if r.Zone == zone && l.usable(r, now) {
+		at, ok := l.vouched[r.Address]
+		if ok && r.Zone == zone && now.Sub(at) < vouchedFor {
 			n++
 		}
 	}
@@ -109,7 +124,7 @@
 	return d.Sum64()
 }
 
-// ZoneRelays returns how many usable relays of its own zone the node knows.
+// ZoneRelays returns how many relays of its own zone the node knows to live.
 func (s *Syncer) ZoneRelays() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,7 +138,7 @@
 	return slices.Clone(s.relays.all)
 }
 
-// AddRelays adds relays that the node's own relay duty has learned of.
+// AddRelays adds relays to try, that the node has learned of otherwise than from a relay.
 func (s *Syncer) AddRelays(rs []RelayInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/syncer/start.go
+++ b/pkg/syncer/start.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
@@ -50,6 +52,35 @@
 		s.accept(ConfigUpdate{Whole: &w}, "platform")
 	}
 	s.quorum.platform = true
+	s.readLeases(ctx)
+}
+
+// readLeases learns relays of the own zone from the platform, when no other node has told any.
+func (s *Syncer) readLeases(ctx context.Context) {
+	if _, usable := s.bestRelay(); usable {
+		return
+	}
+	objects, err := s.store.List(ctx, platform.KindRelayLease)
+	if err != nil {
+		return
+	}
+	var found []RelayInfo
+	for _, o := range objects {
+		if r, ok := ParseLease(o); ok && r.Zone == s.settings.Instance.AvailabilityZone {
+			found = append(found, r)
+		}
+	}
+	s.AddRelays(found)
+}
+
+// ParseLease returns the relay that a lease object names.
+func ParseLease(o platform.Object) (RelayInfo, bool) {
+	zone, slot, ok := lease.ParseName(o.Name)
+	var l lease.Lease
+	if !ok || json.Unmarshal(o.Spec, &l) != nil {
+		return RelayInfo{}, false
+	}
+	return RelayInfo{Zone: zone, Slot: slot, Node: membership.InstanceID(l.Holder), Address: l.Address}, true
 }
 
 // ReadHead reads the head object. found is false if there is none.
--- /dev/null
+++ b/pkg/syncer/syncer_test.go
@@ -0,0 +1,149 @@
+package syncer
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a node that is ready before it has asked enough, or never although it has.
+func TestQuorum(t *testing.T) {
+	f, err := os.Open("testdata/start.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for scan := bufio.NewScanner(f); scan.Scan(); {
+		var l struct {
+			Platform, Ready bool
+			Answered, Peers int
+			Why             string
+		}
+		if err := json.Unmarshal(scan.Bytes(), &l); err != nil {
+			t.Fatal(err)
+		}
+		q := quorum{platform: l.Platform, answered: make(map[string]bool)}
+		for i := range l.Answered {
+			q.answered[fmt.Sprint(i)] = true
+		}
+		if got := q.reached(l.Peers); got != l.Ready {
+			t.Errorf("%s: ready %v, want %v", l.Why, got, l.Ready)
+		}
+	}
+}
+
+func whole(v config.Version, names ...string) WholeConfig {
+	c := config.Configuration{Services: map[string]config.Service{}}
+	for _, n := range names {
+		c.Services[n] = config.Service{Name: n}
+	}
+	h, _ := c.Hash()
+	return WholeConfig{Version: v, Hash: h, Configuration: c}
+}
+
+// Guards against a version that falls, one version with two contents, and a configuration in force that does not have
+// its hash, whatever is offered in whatever order.
+func TestAcceptorHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewAcceptor()
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			before := a.Current()
+			w := whole(config.Version(rapid.IntRange(1, 6).Draw(t, "version")), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
+			u := ConfigUpdate{Whole: &w}
+			if before != nil && rapid.Bool().Draw(t, "delta") {
+				from := config.Version(rapid.IntRange(1, 6).Draw(t, "from"))
+				u = ConfigUpdate{Deltas: []config.Delta{config.NewDelta(from, before.Configuration, w.Version, w.Hash, w.Configuration)}}
+			}
+			if rapid.IntRange(0, 3).Draw(t, "damage") == 0 {
+				if u.Whole != nil {
+					w.Configuration = whole(1, "damaged").Configuration
+				} else {
+					u.Deltas[0].Upsert = config.Items{}
+				}
+			}
+			verdict, err := a.Update(u)
+			check(t, before, a.Current(), verdict, err)
+		}
+	})
+}
+
+func check(t *rapid.T, before, after *config.Snapshot, v Verdict, err error) {
+	if (err == nil) != (v == Accepted || v == Unchanged) {
+		t.Fatalf("verdict %d with error %v", v, err)
+	}
+	if after == nil {
+		return
+	}
+	if h, _ := after.Configuration.Hash(); h != after.Hash {
+		t.Fatalf("version %d is in force without its hash", after.Version)
+	}
+	if before == nil {
+		return
+	}
+	if after.Version < before.Version || after.Version == before.Version && after.Hash != before.Hash {
+		t.Fatalf("version %d (%.8s) gave way to %d (%.8s)", before.Version, before.Hash, after.Version, after.Hash)
+	}
+	if (v == Accepted) != (after != before) {
+		t.Fatalf("verdict %d, snapshot changed: %v", v, after != before)
+	}
+}
+
+// Guards against a configuration that refers to a service which it lacks and is put in force.
+func TestInvalidConfigurationIsRefused(t *testing.T) {
+	a := NewAcceptor()
+	good, bad := whole(1, "a"), whole(2, "a")
+	bad.Configuration.Routes = map[string]config.Route{"r": {Name: "r", PathPrefix: "/", Service: "missing", Policy: "missing"}}
+	bad.Hash, _ = bad.Configuration.Hash()
+	if v, err := a.Whole(good); v != Accepted || err != nil {
+		t.Fatalf("verdict %d, %v", v, err)
+	}
+	if v, _ := a.Whole(bad); v != Invalid || a.Current().Version != 1 || a.State().Refused != 2 {
+		t.Errorf("verdict %d, version %d in force, %d refused", v, a.Current().Version, a.State().Refused)
+	}
+	if v, err := a.Whole(whole(3, "a")); v != Accepted {
+		t.Errorf("the next version: verdict %d, %v", v, err)
+	}
+}
+
+// Guards against relays that count although nobody has vouched for them for long, and against a node that keeps to a
+// relay which has just failed.
+func TestRelayList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := RelayInfo{Zone: "z", Slot: 0, Address: "a"}, RelayInfo{Zone: "z", Slot: 1, Address: "b"}
+	far := RelayInfo{Zone: "y", Address: "far"}
+	var l relayList
+	l.add([]RelayInfo{a, far})
+	if l.inZone(now, "z") != 0 || l.candidates(now, "n", "z")[0] != a {
+		t.Error("a relay that was only told of counts, or is not tried")
+	}
+	l.set([]RelayInfo{a, b, far})
+	l.answered("a", now)
+	if l.inZone(now, "z") != 2 {
+		t.Error("relays listed by a relay that answered do not count")
+	}
+	first := l.candidates(now, "n", "z")[0]
+	l.failed(first.Address, now)
+	if c := l.candidates(now, "n", "z"); c[0].Zone != "z" || c[0] == first || c[2] != first || l.inZone(now, "z") != 1 {
+		t.Errorf("candidates after %s failed: %v", first.Address, c)
+	}
+	if l.inZone(now.Add(vouchedFor), "z") != 0 {
+		t.Error("relays count that nobody has vouched for since")
+	}
+}
