Ask a neighbour at start even if the platform has answered

Cause: a starting node took the platform's answer for the newest version. After a restore of the platform to an older state, a node that restarted while it could reach no relay served the older version again.

Change: the start asks peers, at most eight in a round, until one that serves a configuration has answered, also after the platform has answered.

Ruled out: requiring a peer for readiness; a first node has none, and an outage of all peers must not keep a node from starting.

Conclusion: a restarted node is behind its neighbours only if it can reach none of them.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -117,6 +117,33 @@
 	})
 }
 
+// Guards against a restarted node that takes the platform's word for the newest version after a restore, while a
+// neighbour that it can reach serves a newer one.
+func TestStartAfterRestoreAsksNeighbours(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, _ := settled(t, 2, 3)
+		defer m.stop()
+		m.publish(configuration(2, 2))
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		m.writeHead(2, configuration(2, 2))
+		neighbour := m.nodes["n1-1"]
+		m.nodes["n0-2"].kill()
+		late := m.add("n0-2", "z0", "s0", "n0-0", "n1-0", "n1-1")
+		m.setCut(func(a, b *node) bool { return a == late && b != neighbour })
+		late.start()
+		for range 120 {
+			time.Sleep(500 * time.Millisecond)
+			if c := late.sync.Current(); c != nil && c.Version < 3 {
+				t.Fatalf("serves version %d after it had served 3", c.Version)
+			}
+		}
+		if !late.sync.Ready() {
+			t.Error("not ready although platform and a neighbour answered")
+		}
+	})
+}
+
 // Guards against a node that becomes ready in an outage of the platform after asking one peer of several, and one that
 // never becomes ready although it has asked enough.
 func TestStartInOutage(t *testing.T) {
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -41,7 +41,7 @@
 	if !s.quorum.platform {
 		s.askPlatform(ctx)
 	}
-	if !s.quorum.platform {
+	if !s.quorum.platform || len(s.quorum.answered) == 0 {
 		s.askPeers(ctx)
 	}
 	s.settle()
--- a/pkg/syncer/start.go
+++ b/pkg/syncer/start.go
@@ -19,6 +19,8 @@
 	platform bool
 	// answered holds the peers that told their configuration.
 	answered map[string]bool
+	// asked counts the questions to peers.
+	asked int
 }
 
 // minPeers is how many peers must have answered in an outage of the platform.
@@ -105,9 +107,16 @@
 	return WholeConfig{Version: h.Version, Hash: h.Hash, Configuration: h.Configuration}, nil
 }
 
-// askPeers asks the known peers for their configuration until enough have answered.
+// maxAsked bounds the questions to peers in one round. The next round goes on with the peers that follow.
+const maxAsked = 8
+
+// askPeers asks the known peers for their configuration until enough have answered. One is asked even if the platform
+// has answered: a platform that was restored to an older state is behind the nodes.
 func (s *Syncer) askPeers(ctx context.Context) {
-	for _, addr := range s.peers() {
+	peers := s.peers()
+	for range min(maxAsked, len(peers)) {
+		addr := peers[s.quorum.asked%len(peers)]
+		s.quorum.asked++
 		if s.quorum.answered[addr] {
 			continue
 		}
@@ -119,7 +128,7 @@
 			s.accept(reply.Update, addr)
 		}
 		s.answered(addr, reply.Config)
-		if s.quorum.reached(len(s.peers())) {
+		if len(s.quorum.answered) > 0 && s.quorum.reached(len(peers)) {
 			return
 		}
 	}
