Measure admission by replay and keep shares exact

Change: internal/replay runs a service on a virtual clock with generated or recorded arrivals; mlload policy prints its tables, mlload retries those of a chain of calls. In the queue, debt is bounded per slot of the share, a rank with credit may hold one slot more than its share, an overdue rank goes before owed ones, a common arrear is dropped, each rank with a share keeps some places, headroom ends a second after the last urgent work, and waiting work is judged by mean plus two deviations. Property tests cover slots, deadlines, shares, lending, displacement and wake-ups.

--- a/cmd/mlload/main.go
+++ b/cmd/mlload/main.go
@@ -22,8 +22,10 @@
 )
 
 type commands struct {
-	Run    runCommand    `cmd:"" help:"Send the load of a profile."`
-	Replay replayCommand `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
+	Run     runCommand     `cmd:"" help:"Send the load of a profile."`
+	Replay  replayCommand  `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
+	Retries retriesCommand `cmd:"" help:"Model the load that retries add in a chain of calls."`
+	Policy  policyCommand  `cmd:"" help:"Replay floods against admission policies on a virtual clock."`
 }
 
 type output struct {
--- /dev/null
+++ b/cmd/mlload/main_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+const profile = `{duration: 50ms, classes: [{name: a, path: /a, rate: 200, target: 1s}]}`
+
+// Guards against a run that reports success although an answer was crossed, and against a trace that
+// cannot be replayed.
+func TestRunAndReplay(t *testing.T) {
+	crossed := false
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/_standin/counts":
+			fmt.Fprint(w, `{"keys":{}}`)
+		case crossed:
+			fmt.Fprint(w, "another")
+		default:
+			fmt.Fprint(w, r.URL.Path)
+		}
+	}))
+	defer srv.Close()
+	dir := t.TempDir()
+	file, trace := filepath.Join(dir, "profile.yaml"), filepath.Join(dir, "trace.jsonl")
+	if err := os.WriteFile(file, []byte(profile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	address := []string{srv.Listener.Addr().String()}
+	run := runCommand{Profile: file, output: output{Target: address, Counts: address, Trace: trace}}
+	if err := run.Run(context.Background()); err != nil {
+		t.Fatalf("good answers: %v", err)
+	}
+	again := replayCommand{File: trace, MaxInFlight: 10, output: output{Target: address, JSON: true}}
+	if err := again.Run(context.Background()); err != nil {
+		t.Fatalf("replay: %v", err)
+	}
+	crossed = true
+	if err := again.Run(context.Background()); !errors.Is(err, errBroken) {
+		t.Fatalf("crossed answers: error %v, want %v", err, errBroken)
+	}
+	if err := os.WriteFile(file, []byte(strings.Replace(profile, "200", "-1", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := run.Run(context.Background()); !fault.Is(err, fault.Invalid) {
+		t.Fatalf("bad profile: error %v, want kind invalid", err)
+	}
+}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -54,6 +54,8 @@
 	Timeout config.Duration `yaml:"timeout"`
 	Rank    int             `yaml:"rank"`
 	Worth   int             `yaml:"worth"`
+	// GuaranteedShare is the fraction of slot time that the rank keeps; only policy replays use it.
+	GuaranteedShare float64 `yaml:"guaranteedShare"`
 	// ServiceTime is the mean service time that the backend stand-in is asked for; 0 leaves it to the stand-in.
 	ServiceTime config.Duration `yaml:"serviceTime"`
 	// Opaque answers do not repeat the request's id, so crossed answers cannot be told.
@@ -119,6 +121,7 @@
 		bad(c.Target > 0, at+"target is not above 0", "state the time within which an answer is in target")
 		bad(c.Timeout > 0 && c.Timeout.Std() <= time.Minute, at+"timeout is out of range", "use a time up to 1m")
 		bad(c.Rank >= 0 && c.Rank <= config.MaxRank, at+"rank is out of range", fmt.Sprintf("use 0 to %d", config.MaxRank))
+		bad(c.GuaranteedShare >= 0 && c.GuaranteedShare <= 1, at+"guaranteedShare is out of range", "use 0 to 1")
 		bad(c.ServiceTime >= 0, at+"serviceTime is below 0", "use 0 or more")
 		if f := c.Flood; f != nil {
 			bad(f.Factor > 0 && f.Factor*c.Rate <= maxRate, at+"flood factor is out of range", fmt.Sprintf("keep factor x rate up to %d", maxRate))
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,154 @@
+package replay
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/load"
+	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
+)
+
+func scenario(t *testing.T, deployment, flood string, factor float64) Scenario {
+	t.Helper()
+	data, err := os.ReadFile("../../examples/load/" + deployment + ".yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := load.ParseProfile(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Scenario{Profile: p, Instances: 4, Slots: 20, Flood: flood, Factor: factor, Seed: 1}
+}
+
+func misses(t *testing.T, s Scenario, fifo bool) []string {
+	t.Helper()
+	r, err := s.Run(fifo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.MaxInUse > s.Slots {
+		t.Errorf("%d of %d slots in use", r.MaxInUse, s.Slots)
+	}
+	var w Summary
+	w.Add(r, Shares(s.Profile))
+	return w.Misses(s.FloodRank())
+}
+
+// Guards the goals of section 1.7 of the design against floods of the least and the most urgent work, and against goals
+// so weak that FIFO reaches them as well.
+func TestFloods(t *testing.T) {
+	for _, c := range []struct{ deployment, flood string }{
+		{"nairobi", "archive-listing"}, {"nairobi", "lookup"}, {"galway", "stay-history"}, {"galway", "fridge-record"},
+	} {
+		for _, factor := range []float64{1.5, 3, 10} {
+			s := scenario(t, c.deployment, c.flood, factor)
+			if m := misses(t, s, false); len(m) > 0 {
+				t.Errorf("%s, %g times %s: missed %v", c.deployment, factor, c.flood, m)
+			}
+			if len(misses(t, s, true)) == 0 {
+				t.Errorf("%s, %g times %s: FIFO reaches the goals too", c.deployment, factor, c.flood)
+			}
+		}
+	}
+}
+
+// Guards against headroom or estimates that idle the slots when only the least urgent work floods.
+func TestFloodWithLittleUrgentWork(t *testing.T) {
+	for _, rate := range []float64{0.001, 0.5, 5} {
+		s := scenario(t, "nairobi", "archive-listing", 3)
+		s.Profile.Classes = slices.DeleteFunc(s.Profile.Classes, func(c load.Class) bool { return c.Rank > 0 && c.Rank < 7 })
+		s.Profile.Classes[0].Rate = rate
+		if m := misses(t, s, false); len(m) > 0 {
+			t.Errorf("%g lookups a second and instance: missed %v", rate, m)
+		}
+	}
+}
+
+type outcome struct {
+	Instances, Slots int
+	FromUs, ToUs     int64
+	Shares           map[int]float64
+	MinGoodput       float64
+	MinInTarget      map[int]float64
+	MinKept          map[int]float64
+	FifoMisses       []string
+}
+
+func (o outcome) misses(r Result) (out []string) {
+	if g := r.Goodput(); g < o.MinGoodput {
+		out = append(out, "goodput")
+	}
+	for rank := range r.Ranks {
+		name := "rank " + string(rune('0'+rank))
+		if r.Ranks[rank].InTargetPart() < o.MinInTarget[rank] {
+			out = append(out, name+" in target")
+		}
+		if r.Kept(rank, o.Shares[rank]) < o.MinKept[rank] {
+			out = append(out, name+" kept")
+		}
+	}
+	return out
+}
+
+// Guards against a recorded flood that ends otherwise than stated beside its trace.
+func TestRecordedTraces(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.jsonl")
+	if len(files) == 0 {
+		t.Fatal("no traces")
+	}
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		records, err := load.ReadTrace(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(strings.TrimSuffix(file, ".jsonl") + ".outcome.json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var o outcome
+		if err := json.Unmarshal(text, &o); err != nil {
+			t.Fatal(err)
+		}
+		set := Settings{Instances: o.Instances, Slots: o.Slots, From: time.Duration(o.FromUs) * time.Microsecond, To: time.Duration(o.ToUs) * time.Microsecond}
+		cfg := admission.Settings{Slots: o.Slots, Warm: true, Shares: o.Shares}
+		set.New = func() admission.Discipline { return admission.New(cfg) }
+		ranked := Run(slices.Values(records), set)
+		if m := o.misses(ranked); len(m) > 0 {
+			t.Errorf("%s: ranked queue missed %v (goodput %.3f)", file, m, ranked.Goodput())
+		}
+		set.New = func() admission.Discipline { return admission.NewFIFO(cfg) }
+		if m := o.misses(Run(slices.Values(records), set)); !slices.Equal(m, o.FifoMisses) {
+			t.Errorf("%s: FIFO missed %v, stated are %v", file, m, o.FifoMisses)
+		}
+	}
+}
+
+// Guards against retries that add more than a tenth to the load of a chain of 14 calls, and against a model in which
+// unlimited retries are harmless.
+func TestRetriesInChain(t *testing.T) {
+	for _, failing := range []int{1, 14} {
+		for _, failure := range []float64{0.01, 0.1, 0.5, 1} {
+			c := Chain{Depth: 14, Calls: 20_000, Failing: failing, Failure: failure, Seed: 1, Limit: 5_000_000, MarkDenied: true}
+			c.Decide, c.Succeeded = Budget(c.Depth, 0.1, 3)
+			if l := c.Run(); l.Added() > 0.10 || l.AddedAtWorst() > 0.10 {
+				t.Errorf("last %d levels fail at %g: load +%.3f, at the worst level +%.3f", failing, failure, l.Added(), l.AddedAtWorst())
+			}
+		}
+	}
+	c := Chain{Depth: 14, Calls: 100, Failing: 1, Failure: 1, Seed: 1, Limit: 5_000_000}
+	c.Decide, c.Succeeded = Unlimited(1)
+	if l := c.Run(); l.AddedAtWorst() < 1000 {
+		t.Errorf("one retry at each of 14 levels adds %.1f times the load, want 2^14 calls for one", l.AddedAtWorst())
+	}
+}
--- /dev/null
+++ b/internal/replay/scenario.go
@@ -0,0 +1,96 @@
+package replay
+
+import (
+	"fmt"
+	"iter"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/load"
+	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+)
+
+// Times of a scenario: the measured window starts after the flood has been on for a second, so that it shows the
+// flood and not its first moments, and ends with it.
+const (
+	floodStart  = 2 * time.Second
+	windowStart = 3 * time.Second
+	floodEnd    = 8 * time.Second
+	duration    = 9 * time.Second
+	// referenceSlots is the number of slots per instance that the rates of a profile are written for.
+	referenceSlots = 20
+)
+
+// Scenario is a profile at the size of a service, in which one class floods.
+type Scenario struct {
+	Profile   load.Profile
+	Instances int
+	Slots     int
+	// Flood names the class that floods; its load is Factor times the capacity of all instances.
+	Flood    string
+	Factor   float64
+	Seed     uint64
+	Settings admission.Settings
+}
+
+// Arrivals returns the requests of the scenario.
+func (s Scenario) Arrivals() (iter.Seq[load.Record], error) {
+	p := s.Profile
+	p.Seed, p.Duration = s.Seed, config.Duration(duration)
+	p.Classes = append([]load.Class(nil), p.Classes...)
+	found := false
+	for i := range p.Classes {
+		c := &p.Classes[i]
+		c.Rate *= float64(s.Instances*s.Slots) / referenceSlots
+		c.Flood = nil
+		if c.Name == s.Flood && c.ServiceTime > 0 {
+			found = true
+			capacity := float64(s.Instances*s.Slots) / c.ServiceTime.Std().Seconds()
+			c.Flood = &load.Flood{Factor: s.Factor * capacity / c.Rate, Start: config.Duration(floodStart), End: config.Duration(floodEnd)}
+		}
+	}
+	if !found {
+		return nil, fault.New(fault.Invalid, "scenario", fmt.Sprintf("class %q with a serviceTime does not exist", s.Flood),
+			"name a class of the profile")
+	}
+	return p.Arrivals(), nil
+}
+
+// Shares returns the guaranteed share of each rank. A share counts once per rank, so the largest of its classes holds.
+func Shares(p load.Profile) map[int]float64 {
+	shares := make(map[int]float64)
+	for _, c := range p.Classes {
+		shares[c.Rank] = max(shares[c.Rank], c.GuaranteedShare)
+	}
+	return shares
+}
+
+// Run replays the scenario under the ranked queue, or under FIFO.
+func (s Scenario) Run(fifo bool) (Result, error) {
+	arrivals, err := s.Arrivals()
+	if err != nil {
+		return Result{}, err
+	}
+	return Run(arrivals, Settings{Instances: s.Instances, Slots: s.Slots, Seed: s.Seed, From: windowStart, To: floodEnd,
+		New: s.discipline(fifo)}), nil
+}
+
+func (s Scenario) discipline(fifo bool) func() admission.Discipline {
+	set := s.Settings
+	set.Slots, set.Warm, set.Shares = s.Slots, true, Shares(s.Profile)
+	if fifo {
+		return func() admission.Discipline { return admission.NewFIFO(set) }
+	}
+	return func() admission.Discipline { return admission.New(set) }
+}
+
+// FloodRank returns the rank of the flooding class.
+func (s Scenario) FloodRank() int {
+	for _, c := range s.Profile.Classes {
+		if c.Name == s.Flood {
+			return c.Rank
+		}
+	}
+	return 0
+}
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -58,19 +58,20 @@
 	return &e.ranks[w.Rank]
 }
 
-// service returns the estimated service time of w.
+// service returns the estimated service time of w, on the high side.
 func (e *estimates) service(w Work) time.Duration {
 	a := e.of(w)
 	return seconds(a.mean + e.deviations*a.deviation)
 }
 
-// tooSlow reports whether w could not finish in time even if it started now, and lets the estimate fall if so.
+// tooSlow reports whether w could not finish in time even if it started now, and lets the estimate fall if so. It goes
+// by the mean alone: a free slot is better used for work that may be late than for none.
 func (e *estimates) tooSlow(now time.Time, w Work) bool {
-	if w.Deadline.IsZero() || now.Add(e.service(w)).Before(w.Deadline) {
+	a := e.of(w)
+	if w.Deadline.IsZero() || now.Add(seconds(a.mean)).Before(w.Deadline) {
 		return false
 	}
 	if now.Before(w.Deadline) {
-		a := e.of(w)
 		a.mean *= refusalDecay
 		a.deviation *= refusalDecay
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -24,6 +24,7 @@
 	queues    [Ranks][]waiting
 	queued    int
 	inUse     int
+	lastTop   time.Time
 	lastID    Ticket
 	notices   []Notice
 }
@@ -32,14 +33,9 @@
 
 // New returns an empty queue.
 func New(s Settings) *Queue {
-	if s.HeadroomRanks <= 0 {
-		s.HeadroomRanks = DefaultHeadroomRanks
-	}
-	if !(s.QueueFactor > 0) {
-		s.QueueFactor = DefaultQueueFactor
-	}
+	s = s.withDefaults()
 	q := &Queue{settings: s, limit: newSlotLimit(s.Slots, s.ColdSlots, s.Warm)}
-	q.estimates = estimates{deviations: max(s.Deviations, 0), policies: make(map[string]*average)}
+	q.estimates = estimates{deviations: s.Deviations, policies: make(map[string]*average)}
 	q.SetShares(time.Time{}, s.Shares)
 	return q
 }
@@ -47,13 +43,17 @@
 // Offer asks for a slot.
 func (q *Queue) Offer(now time.Time, w Work) Decision {
 	w.Rank = clampRank(w.Rank)
+	if w.Rank < q.settings.HeadroomRanks {
+		q.lastTop = now
+	}
 	switch {
 	case q.limit.announced == 0:
 		return q.refuse(metric.RefusedNotReady)
 	case q.estimates.tooSlow(now, w):
 		return q.refuse(metric.RefusedDeadline)
-	case len(q.queues[w.Rank]) == 0 && q.mayStart(w.Rank):
-		// Other ranks that wait here could not use the slot: every call that frees one hands it out at once.
+	case len(q.queues[w.Rank]) == 0 && q.mayStart(now, w.Rank):
+		// Other ranks that wait could not use the slot, unless the headroom has run out since: every call that frees one
+		// hands it out at once.
 		q.start(now, w.Rank)
 		return Decision{Verdict: Run}
 	case q.tooLate(now, w):
@@ -138,8 +138,10 @@
 
 // SetShares changes the guaranteed shares. Values outside 0 to 1 are clamped, and a sum over 1 is scaled down.
 func (q *Queue) SetShares(now time.Time, shares map[int]float64) {
-	for r, s := range cleanShares(shares) {
-		q.account(now, r).share = s
+	clean, margin := cleanShares(shares)
+	for r, s := range clean {
+		a := q.account(now, r)
+		a.share, a.margin = s, margin
 	}
 }
 
@@ -158,19 +160,31 @@
 }
 
 // mayStart reports whether a slot is free for the rank. Ranks below the top ones leave the headroom alone.
-func (q *Queue) mayStart(rank int) bool {
+func (q *Queue) mayStart(now time.Time, rank int) bool {
 	limit := q.limit.slots()
 	if q.inUse >= limit {
 		return false
 	}
-	if rank < q.settings.HeadroomRanks || q.settings.Headroom <= 0 {
+	headroom := q.headroom(now)
+	if rank < q.settings.HeadroomRanks || headroom == 0 {
 		return true
 	}
 	lower := 0
 	for _, a := range q.accounts[q.settings.HeadroomRanks:] {
 		lower += a.inUse
 	}
-	return lower < max(limit-q.settings.Headroom, 1)
+	return lower < max(limit-headroom, 1)
+}
+
+// headroomIdle is how long the headroom stays reserved after the last work of a top rank. Without the end, a flood
+// that meets no urgent work would leave the headroom idle.
+const headroomIdle = time.Second
+
+func (q *Queue) headroom(now time.Time) int {
+	if now.Sub(q.lastTop) > headroomIdle {
+		return 0
+	}
+	return int(q.settings.Headroom * q.limit.limit)
 }
 
 // dispatch hands free slots to waiting work.
@@ -190,21 +204,57 @@
 	}
 }
 
-// next returns the rank that gets the next slot.
+// next returns the rank that gets the next slot: of those that are overdue the one furthest behind, else the most urgent
+// of those that are owed a slot, else the most urgent of those that wait.
 func (q *Queue) next(now time.Time) (int, bool) {
-	best := -1
+	const none = -1
+	q.forgiveCommon(now)
+	overdue, owed, any := none, none, none
+	var furthest float64
 	for r := range q.queues {
-		if len(q.queues[r]) == 0 || !q.mayStart(r) {
+		if len(q.queues[r]) == 0 || !q.mayStart(now, r) {
 			continue
 		}
-		if q.account(now, r).owed(q.limit.limit) {
-			return r, true
+		if any == none {
+			any = r
+		}
+		a := q.account(now, r)
+		if !a.owed(q.limit.limit) {
+			continue
+		}
+		if owed == none {
+			owed = r
+		}
+		if behind := a.behind(q.limit.limit); behind >= overdueAfter.Seconds() && behind > furthest {
+			overdue, furthest = r, behind
+		}
+	}
+	switch {
+	case overdue != none:
+		return overdue, true
+	case owed != none:
+		return owed, true
+	}
+	return any, any != none
+}
+
+// forgiveCommon lowers the credit of all waiting ranks together when all of them are overdue. Slots cannot make up for
+// that, only the differences matter, and credit at its bound would lose them.
+func (q *Queue) forgiveCommon(now time.Time) {
+	least := math.Inf(1)
+	for r := range q.queues {
+		if a := &q.accounts[r]; a.share > 0 && len(q.queues[r]) > 0 {
+			least = min(least, q.account(now, r).behind(q.limit.limit))
 		}
-		if best < 0 {
-			best = r
+	}
+	if least < overdueAfter.Seconds() || math.IsInf(least, 1) {
+		return
+	}
+	for r := range q.queues {
+		if a := &q.accounts[r]; len(q.queues[r]) > 0 {
+			a.credit -= least * a.share * q.limit.limit
 		}
 	}
-	return best, best >= 0
 }
 
 func (q *Queue) remove(rank, i int) waiting {
@@ -227,15 +277,36 @@
 	return int(math.Ceil(q.accounts[rank].share * float64(q.capacity())))
 }
 
+// softPlaces is what a rank with a share keeps unless the places of others would go below their share. A rank with a
+// small share and few places runs dry between two of its arrivals in a flood, and its slot goes to others.
+func (q *Queue) softPlaces(rank int) int {
+	if q.accounts[rank].share == 0 {
+		return 0
+	}
+	few := min(q.settings.MinPlaces, q.capacity()/softFraction)
+	return max(q.places(rank), few)
+}
+
+// softFraction of the queue is the most that MinPlaces gives to one rank.
+const softFraction = 5
+
 // makeRoom finds a place for work of the rank. In a full queue it takes the newest place of the least urgent rank that
 // holds more than its own places: any such rank for a newcomer that is entitled to a place, otherwise a less urgent one.
+// A newcomer that is entitled by its share, or is the only one of its rank, also takes places beyond others' shares.
 func (q *Queue) makeRoom(rank int) (Ticket, bool) {
 	if q.queued < q.capacity() {
 		return 0, true
 	}
-	entitled := len(q.queues[rank]) < q.places(rank)
+	own := len(q.queues[rank])
+	if t, ok := q.displace(rank, own < q.softPlaces(rank), q.softPlaces); ok || own >= max(q.places(rank), 1) {
+		return t, ok
+	}
+	return q.displace(rank, own < q.places(rank), q.places)
+}
+
+func (q *Queue) displace(rank int, entitled bool, places func(int) int) (Ticket, bool) {
 	for r := Ranks - 1; r >= 0; r-- {
-		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= q.places(r) {
+		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= places(r) {
 			continue
 		}
 		return q.remove(r, len(q.queues[r])-1).ticket, true
--- /dev/null
+++ b/pkg/admission/queue_test.go
@@ -0,0 +1,378 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+var epoch = time.Unix(0, 0)
+
+// TestMain fixes the seed of generated tests, so that a failure is repeatable.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// held is work that the model gave a slot to.
+type held struct {
+	work    Work
+	started time.Time
+}
+
+// model drives a discipline with generated steps and checks it after each of them.
+type model struct {
+	t       *rapid.T
+	d       Discipline
+	now     time.Time
+	slots   int
+	waiting map[Ticket]Work
+	running []held
+	// granted and refused count the ends of each ticket.
+	granted, refused map[Ticket]int
+}
+
+func (m *model) run(w Work) {
+	if !w.Deadline.IsZero() && !m.now.Before(w.Deadline) {
+		m.t.Fatalf("work started %s after its deadline", m.now.Sub(w.Deadline))
+	}
+	m.running = append(m.running, held{w, m.now})
+	if len(m.running) > max(m.slots, 0) {
+		m.t.Fatalf("%d of %d slots in use", len(m.running), m.slots)
+	}
+}
+
+func (m *model) refuse(t Ticket) {
+	if _, ok := m.waiting[t]; !ok {
+		m.t.Fatalf("ticket %d was refused, but does not wait", t)
+	}
+	delete(m.waiting, t)
+	m.refused[t]++
+}
+
+func (m *model) notify(list []Notice) {
+	for _, n := range list {
+		if !n.Granted() {
+			m.refuse(n.Ticket)
+			continue
+		}
+		w, ok := m.waiting[n.Ticket]
+		if !ok {
+			m.t.Fatalf("ticket %d got a slot, but does not wait", n.Ticket)
+		}
+		delete(m.waiting, n.Ticket)
+		m.granted[n.Ticket]++
+		m.run(w)
+	}
+}
+
+func (m *model) offer() {
+	w := Work{Rank: rapid.IntRange(-2, 9).Draw(m.t, "rank"), Policy: fmt.Sprint(rapid.IntRange(0, 3).Draw(m.t, "policy")), Arrived: m.now}
+	if ms := rapid.IntRange(-5, 200).Draw(m.t, "deadline"); ms != 0 {
+		w.Deadline = m.now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	d := m.d.Offer(m.now, w)
+	if d.Displaced != 0 {
+		m.refuse(d.Displaced)
+	}
+	switch d.Verdict {
+	case Run:
+		m.run(w)
+	case Wait:
+		m.waiting[d.Ticket] = w
+	case Refuse:
+		if d.Refusal.Reason == "" {
+			m.t.Fatal("refusal without a reason")
+		}
+	}
+}
+
+func (m *model) done() {
+	if len(m.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "which")
+	h := m.running[i]
+	m.running = append(m.running[:i], m.running[i+1:]...)
+	r := Result{Took: m.now.Sub(h.started)}
+	switch rapid.IntRange(0, 9).Draw(m.t, "end") {
+	case 0:
+		r.Shed = true
+	case 1:
+	default:
+		r.Served = true
+	}
+	m.notify(m.d.Done(m.now, h.work, r))
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(m.t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 9).Draw(m.t, "step") {
+	case 0, 1, 2, 3, 4:
+		m.offer()
+	case 5, 6, 7:
+		m.done()
+	case 8:
+		m.notify(m.d.Expire(m.now))
+	case 9:
+		for t := range m.waiting {
+			if !m.d.Cancel(m.now, t) || m.d.Cancel(m.now, t) {
+				m.t.Fatalf("cancel of waiting ticket %d: want true once", t)
+			}
+			delete(m.waiting, t)
+			break
+		}
+	}
+	l := m.d.Load()
+	if l.InUse != len(m.running) || l.Queued != len(m.waiting) || l.Limit > max(m.slots, 0) {
+		m.t.Fatalf("load %+v with %d running, %d waiting, %d slots", l, len(m.running), len(m.waiting), m.slots)
+	}
+	if l.Queued > 0 && l.InUse == 0 && l.Limit > 0 {
+		m.t.Fatal("work waits while no slot is in use")
+	}
+}
+
+// Guards against more work than slots, a start after the deadline, refused work that had a slot, cancelled work that
+// stays queued, and work that waits beside an idle instance, under hostile settings as well.
+func TestDisciplines(t *testing.T) {
+	for name, make := range map[string]func(Settings) Discipline{
+		"rank": func(s Settings) Discipline { return New(s) }, "fifo": func(s Settings) Discipline { return NewFIFO(s) },
+	} {
+		t.Run(name, rapid.MakeCheck(func(t *rapid.T) {
+			hostile := rapid.SampledFrom([]float64{-3, 0, 0.1, 0.5, 1, 40, math.NaN(), math.Inf(1)})
+			s := Settings{
+				Slots: rapid.IntRange(-3, 12).Draw(t, "slots"), Warm: rapid.Bool().Draw(t, "warm"), ColdSlots: rapid.IntRange(-2, 20).Draw(t, "cold"),
+				Headroom: hostile.Draw(t, "headroom"), HeadroomRanks: rapid.IntRange(-1, 9).Draw(t, "top"), Deviations: hostile.Draw(t, "deviations"),
+				QueueFactor: hostile.Draw(t, "queue"), MinPlaces: rapid.IntRange(-2, 50).Draw(t, "places"),
+				Shares: rapid.MapOfN(rapid.IntRange(-2, 9), hostile, 0, 6).Draw(t, "shares"),
+			}
+			m := &model{t: t, d: make(s), now: epoch, slots: s.Slots, waiting: map[Ticket]Work{}, granted: map[Ticket]int{}, refused: map[Ticket]int{}}
+			for range rapid.IntRange(1, 200).Draw(t, "steps") {
+				m.step()
+			}
+			for ticket := range m.refused {
+				if m.granted[ticket] > 0 || m.refused[ticket] > 1 {
+					t.Fatalf("ticket %d: %d slots and %d refusals", ticket, m.granted[ticket], m.refused[ticket])
+				}
+			}
+		}))
+	}
+}
+
+// Guards against shares that add up to more than the slots.
+func TestCleanShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := rapid.MapOfN(rapid.IntRange(-2, 9), rapid.Float64(), 0, 10).Draw(t, "shares")
+		var sum float64
+		shares, margin := cleanShares(in)
+		for _, s := range shares {
+			if !(s >= 0 && s <= 1) {
+				t.Fatalf("share %g", s)
+			}
+			sum += s
+		}
+		if sum > 1+1e-9 || sum*margin > 1+1e-9 || margin < 1 {
+			t.Fatalf("shares add up to %g with a margin of %g", sum, margin)
+		}
+	})
+}
+
+// flood keeps work of the ranks waiting, serves each piece for took, and returns the slot time of each rank from the
+// moment from to the moment to.
+func flood(q *Queue, ranks []int, took map[int]time.Duration, from, to time.Duration) (used [Ranks]time.Duration) {
+	type run struct {
+		rank int
+		ends time.Time
+	}
+	var running []run
+	now, waiting := epoch, map[Ticket]int{}
+	start := func(rank int) {
+		running = append(running, run{rank, now.Add(took[rank])})
+		held := min(now.Add(took[rank]).Sub(epoch), to) - max(now.Sub(epoch), from)
+		used[rank] += max(held, 0)
+	}
+	refill := func() {
+		for _, rank := range ranks {
+			for len(q.queues[rank]) < 3 {
+				d := q.Offer(now, Work{Rank: rank, Policy: fmt.Sprint(rank)})
+				if d.Verdict == Refuse {
+					break
+				}
+				if d.Verdict == Run {
+					start(rank)
+					continue
+				}
+				waiting[d.Ticket] = rank
+				delete(waiting, d.Displaced)
+			}
+		}
+	}
+	for refill(); now.Sub(epoch) < to; refill() {
+		first := 0
+		for i := range running {
+			if running[i].ends.Before(running[first].ends) {
+				first = i
+			}
+		}
+		r := running[first]
+		now = r.ends
+		running = append(running[:first], running[first+1:]...)
+		for _, n := range q.Done(now, Work{Rank: r.rank, Policy: fmt.Sprint(r.rank)}, Result{Served: true, Took: took[r.rank]}) {
+			start(waiting[n.Ticket])
+			delete(waiting, n.Ticket)
+		}
+	}
+	return used
+}
+
+// Guards against a rank that waits all the time and still gets less slot time than its share, or far more while urgent
+// work waits: over any span, what is missing is at most the rank's debt and the wait for slots to come free.
+func TestShareIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(4, 24).Draw(t, "slots")
+		low := rapid.IntRange(2, 6).Draw(t, "low")
+		share := rapid.Float64Range(0.02, 0.5).Draw(t, "share")
+		// The shares of all waiting ranks add up to 1 in some cases.
+		shares := map[int]float64{0: rapid.SampledFrom([]float64{0, 0.95 - share}).Draw(t, "share 0"), low: share, 7: 0.05}
+		took := map[int]time.Duration{}
+		var longest time.Duration
+		for r := range shares {
+			took[r] = time.Duration(rapid.IntRange(5, 100).Draw(t, fmt.Sprint("took ", r))) * time.Millisecond
+			longest = max(longest, took[r])
+		}
+		q := New(Settings{Slots: slots, Warm: true, Shares: shares, Headroom: -1})
+		const from, to = time.Second, 6 * time.Second
+		used := flood(q, []int{0, low, 7}, took, from, to)
+		for _, r := range []int{low, 7} {
+			want := shares[r] * float64(slots) * (to - from).Seconds()
+			slack := (math.Ceil(shares[r]*float64(slots)) + catchUpSlots) * (took[r] + longest).Seconds()
+			saved := shares[r] * float64(slots) * creditWindow.Seconds()
+			if got := used[r].Seconds(); got < want-slack || got > want*shareMargin+slack+saved {
+				t.Fatalf("rank %d got %.3f s of slot time, want %.3f s with at most %.3f s missing", r, got, want, slack)
+			}
+		}
+	})
+}
+
+// Guards against a waiting rank under its share that is passed over: when it has credit, the next slot is its own,
+// however much more urgent work over its share waits.
+func TestOwedRankGoesFirst(t *testing.T) {
+	q := New(Settings{Slots: 4, Warm: true, Shares: map[int]float64{0: 0.25, 6: 0.25}, Headroom: -1})
+	now := epoch.Add(time.Second)
+	for range 4 {
+		q.Offer(now, Work{Rank: 0})
+	}
+	q.Offer(now, Work{Rank: 0})
+	low := q.Offer(now, Work{Rank: 6})
+	now = now.Add(10 * time.Millisecond)
+	got := q.Done(now, Work{Rank: 0}, Result{Served: true, Took: 10 * time.Millisecond})
+	if len(got) != 1 || got[0].Ticket != low.Ticket || !got[0].Granted() {
+		t.Fatalf("after one slot came free: %+v, want ticket %d", got, low.Ticket)
+	}
+}
+
+// Guards against unused shares that stay idle, and against headroom that outlives the urgent work.
+func TestUnusedShareIsLent(t *testing.T) {
+	q := New(Settings{Slots: 10, Warm: true, Shares: map[int]float64{0: 0.9}})
+	now := epoch.Add(time.Hour)
+	for i := range 10 {
+		if d := q.Offer(now, Work{Rank: 7}); d.Verdict != Run {
+			t.Fatalf("offer %d of the only rank: %v, want a slot", i, d.Verdict)
+		}
+	}
+	q = New(Settings{Slots: 10, Warm: true})
+	if q.Offer(now, Work{Rank: 0}); q.Load().InUse != 1 {
+		t.Fatal("urgent work got no slot")
+	}
+	q.Done(now, Work{Rank: 0}, Result{})
+	for range 11 {
+		q.Offer(now, Work{Rank: 7})
+	}
+	if l := q.Load(); l.InUse != 9 || l.Queued != 2 {
+		t.Fatalf("just after urgent work: %+v, want one slot of headroom", l)
+	}
+	if got := q.Done(now.Add(2*headroomIdle), Work{Rank: 7}, Result{}); len(got) != 2 {
+		t.Fatalf("long after urgent work, one slot came free: %d grants, want it and the headroom", len(got))
+	}
+}
+
+// Guards against a full queue that refuses urgent work while less urgent work waits, and against displaced work that is
+// within its guaranteed places.
+func TestDisplacement(t *testing.T) {
+	q := New(Settings{Slots: 1, Warm: true, QueueFactor: 4, MinPlaces: -1, Shares: map[int]float64{7: 0.5}, Headroom: -1})
+	q.Offer(epoch, Work{Rank: 7})
+	for range 4 {
+		q.Offer(epoch, Work{Rank: 7})
+	}
+	if d := q.Offer(epoch, Work{Rank: 7}); d.Refusal.Reason != metric.RefusedQueueFull {
+		t.Fatalf("fifth work of the rank: %+v, want queue_full", d)
+	}
+	for i := range 4 {
+		d := q.Offer(epoch, Work{Rank: 0})
+		if displaced := d.Displaced != 0; displaced != (i < 2) || (d.Verdict == Wait) != (i < 2) {
+			t.Fatalf("urgent work %d: %+v, want it to displace two of four", i, d)
+		}
+	}
+}
+
+// Guards against a limit that ignores shedding, never recovers, or passes the announced slots, and a cold instance that
+// starts with all slots.
+func TestSlotLimit(t *testing.T) {
+	q := New(Settings{Slots: 20})
+	serve := func(rounds int, r Result) {
+		for range rounds {
+			for n := q.Load().Limit; n > q.Load().InUse; {
+				q.Offer(epoch, Work{})
+			}
+			for q.Load().InUse > 0 {
+				q.Done(epoch, Work{}, r)
+			}
+		}
+	}
+	if l := q.Load().Limit; l != 4 {
+		t.Fatalf("cold limit %d, want a fifth of 20", l)
+	}
+	serve(40, Result{Served: true})
+	if l := q.Load().Limit; l != 20 {
+		t.Fatalf("limit %d after success at full use, want 20", l)
+	}
+	for range 5 {
+		q.Offer(epoch, Work{})
+	}
+	q.Done(epoch, Work{}, Result{Shed: true})
+	if l := q.Load().Limit; l != 4 {
+		t.Fatalf("limit %d after shedding with 5 in flight, want 4", l)
+	}
+	q.SetSlots(epoch, 2)
+	if l := q.Load().Limit; l != 2 {
+		t.Fatalf("limit %d after 2 announced slots", l)
+	}
+}
+
+// Guards against one slow spell that makes a policy refused for ever.
+func TestHighEstimateRecovers(t *testing.T) {
+	q := New(Settings{Slots: 1, Warm: true})
+	w := Work{Policy: "p", Deadline: epoch.Add(100 * time.Millisecond)}
+	q.Offer(epoch, Work{Policy: "p"})
+	q.Done(epoch, Work{Policy: "p"}, Result{Served: true, Took: time.Minute})
+	if d := q.Offer(epoch, w); d.Refusal.Reason != metric.RefusedDeadline {
+		t.Fatalf("work that takes longer than its deadline allows: %+v, want refusal", d)
+	}
+	for range 1000 {
+		if q.Offer(epoch, w).Verdict == Run {
+			return
+		}
+	}
+	t.Fatal("still refused after 1000 offers")
+}
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -1,5 +1,8 @@
 package admission
 
+// coldFraction of the announced slots is the limit of a cold instance.
+const coldFraction = 5
+
 // slotLimit follows what the backend server can take, between one slot and the announced slots.
 type slotLimit struct {
 	announced int
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -3,6 +3,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
@@ -95,25 +96,54 @@
 	ColdSlots int
 	// Shares is the guaranteed share of slot time by rank.
 	Shares map[int]float64
-	// Headroom is the number of slots that ranks from HeadroomRanks on never hold together.
-	Headroom int
+	// Headroom is the part of the slots that ranks from HeadroomRanks on leave free while a top rank has had work in
+	// the last second; a negative value means none.
+	Headroom float64
 	// HeadroomRanks is the number of top ranks that may use the headroom.
 	HeadroomRanks int
-	// QueueFactor bounds the waiting work to this many times the announced slots.
+	// QueueFactor bounds the waiting work to this many times the announced slots; a negative value means no queue.
 	QueueFactor float64
-	// Deviations is how many mean deviations the estimate of service time adds to its mean.
+	// MinPlaces is how many places of the queue a rank with a share keeps, however small the share.
+	MinPlaces int
+	// Deviations is how many mean deviations the estimate of service time adds to its mean for work that waits; a
+	// negative value means none.
 	Deviations float64
 }
 
-// Defaults of Settings.
+// Defaults of Settings, chosen by measurement: docs/measurements/admission.md.
 const (
+	DefaultHeadroom      = 0.1
 	DefaultHeadroomRanks = 2
 	DefaultQueueFactor   = 2
-	// coldFraction of the announced slots is the limit of a cold instance.
-	coldFraction = 5
-	maxSlots     = 1 << 16
+	DefaultMinPlaces     = 8
+	DefaultDeviations    = 2
+	// maxSlots and maxQueueFactor bound values that an announcement or a setting gives.
+	maxSlots       = 1 << 16
+	maxQueueFactor = 64
 )
 
+// withDefaults replaces zero, negative and meaningless values.
+func (s Settings) withDefaults() Settings {
+	s.Headroom = min(orDefault(s.Headroom, DefaultHeadroom), 1)
+	s.QueueFactor = min(orDefault(s.QueueFactor, DefaultQueueFactor), maxQueueFactor)
+	s.Deviations = orDefault(s.Deviations, DefaultDeviations)
+	if s.HeadroomRanks <= 0 || s.HeadroomRanks > Ranks {
+		s.HeadroomRanks = DefaultHeadroomRanks
+	}
+	if s.MinPlaces == 0 {
+		s.MinPlaces = DefaultMinPlaces
+	}
+	return s
+}
+
+// orDefault returns the default for zero and for values that are no number, and zero for negative values.
+func orDefault(v, def float64) float64 {
+	if v == 0 || math.IsNaN(v) {
+		return def
+	}
+	return max(v, 0)
+}
+
 func clampRank(r int) int { return min(max(r, 0), Ranks-1) }
 
 func clampSlots(n int) int { return min(max(n, 0), maxSlots) }
