--- /dev/null
+++ b/pkg/relay/bench_test.go
@@ -0,0 +1,239 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+const benchZones = 4
+
+// fleet is a number of node cores in this process, connected by rpc over loopback, with the platform stand-in.
+type fleet struct {
+	b       *testing.B
+	server  *standin.Server
+	store   platform.Store
+	nodes   []*core
+	version config.Version
+}
+
+type core struct {
+	pool   *rpcwire.Pool
+	server *rpcwire.Server
+	sync   *syncer.Syncer
+	relay  *Relay
+	set    *metric.Set
+}
+
+// benchConfiguration has the 61 services of the design and routes of about 200 bytes each.
+func benchConfiguration(routes, serial int) config.Configuration {
+	c := config.Configuration{Services: map[string]config.Service{}, Policies: map[string]config.Policy{}, Routes: map[string]config.Route{}}
+	for i := range 61 {
+		name := fmt.Sprintf("service-%02d", i)
+		c.Services[name] = config.Service{Name: name}
+	}
+	c.Policies["urgent"] = config.Policy{Name: "urgent", Target: config.Duration(time.Second), Deadline: config.Duration(3 * time.Second), GuaranteedShare: 0.5}
+	for i := range routes {
+		name := fmt.Sprintf("county-capsule-registry-route-%05d", i)
+		c.Routes[name] = config.Route{Name: name, PathPrefix: fmt.Sprintf("/registry/%05d/entries", i), Methods: []string{"GET", "POST"},
+			Service: fmt.Sprintf("service-%02d", i%61), Policy: "urgent", Idempotent: i%7 == serial%7 && i < 7}
+	}
+	return c
+}
+
+func newFleet(b *testing.B, n int) *fleet {
+	f := &fleet{b: b, server: standin.NewServer()}
+	web := httptest.NewServer(f.server)
+	b.Cleanup(web.Close)
+	client, err := platform.NewClient(platform.Settings{BaseURL: web.URL})
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.store = client
+	f.publish()
+	var seeds []string
+	for i := range n {
+		c := f.add(i, seeds)
+		if i < benchZones {
+			seeds = append(seeds, c.server.Addr())
+		}
+	}
+	b.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) add(i int, seeds []string) *core {
+	c := &core{set: metric.NewSet()}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.b.Fatal(err)
+	}
+	c.server = rpcwire.NewServer(rpcwire.ServerSettings{Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}}, zerolog.Nop(), c.set)
+	c.pool = rpcwire.NewPool(rpcwire.PoolSettings{}, c.set)
+	inst := membership.Instance{ID: membership.InstanceID(fmt.Sprintf("node-%04d", i)), Service: fmt.Sprintf("service-%02d", i%61),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%benchZones), Region: "region", PeerAddress: ln.Addr().String(),
+		ControlAddress: ln.Addr().String(), Slots: 20, State: membership.StateReady}
+	c.sync = syncer.New(syncer.Settings{Instance: inst, Seeds: seeds}, f.store, c.pool, clock.System{}, zerolog.Nop(), c.set)
+	c.relay = New(Settings{}, c.sync, f.store, c.pool, clock.System{}, zerolog.Nop(), c.set)
+	c.sync.Register(c.server)
+	c.relay.Register(c.server)
+	c.server.Serve(ln)
+	_ = c.sync.Start(context.Background())
+	_ = c.relay.Start(context.Background())
+	f.nodes = append(f.nodes, c)
+	return c
+}
+
+func (f *fleet) stop() {
+	for _, c := range f.nodes {
+		_ = c.relay.Stop(context.Background())
+		_ = c.sync.Stop(context.Background())
+		c.pool.Close()
+		_ = c.server.Stop(context.Background())
+	}
+}
+
+// publish writes the next version; it changes about two routes.
+func (f *fleet) publish() {
+	f.version++
+	m := &mesh{t: f.b, version: f.version}
+	spec := m.headSpec(f.version, benchConfiguration(1000, int(f.version)))
+	ctx := context.Background()
+	o, err := f.store.Get(ctx, platform.KindConfiguration, platform.HeadName)
+	if err != nil {
+		_, err = f.store.Create(ctx, platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Spec: spec})
+	} else {
+		o.Spec = spec
+		_, err = f.store.Update(ctx, o)
+	}
+	if err != nil {
+		f.b.Fatal(err)
+	}
+}
+
+// settle waits until each zone has its relays and each node knows all others.
+func (f *fleet) settle() {
+	for {
+		relays, settled := 0, true
+		for _, c := range f.nodes {
+			if _, ok := c.relay.Holds(); ok {
+				relays++
+			}
+			settled = settled && c.sync.Ready() && c.sync.Table().Len() == len(f.nodes)
+		}
+		if settled && relays == Slots*benchZones {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// usage is what the nodes have used so far.
+type usage struct {
+	relayBytes, nodeBytes, platform float64
+	cpu                             time.Duration
+	at                              time.Time
+}
+
+func (f *fleet) usage() usage {
+	u := usage{platform: float64(f.server.Counts().Total()), at: time.Now()}
+	for _, c := range f.nodes {
+		s := c.set.Snapshot()
+		sum := float64(s["control.client.bytes_in"] + s["control.client.bytes_out"] + s["control.server.bytes_in"] + s["control.server.bytes_out"])
+		if _, ok := c.relay.Holds(); ok {
+			u.relayBytes += sum
+		} else {
+			u.nodeBytes += sum
+		}
+	}
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	return u
+}
+
+// report gives what each node used per second since before.
+func (f *fleet) report(before usage, prefix string) {
+	after := f.usage()
+	s := after.at.Sub(before.at).Seconds()
+	relays := float64(Slots * benchZones)
+	if plain := float64(len(f.nodes)) - relays; plain > 0 {
+		f.b.ReportMetric((after.nodeBytes-before.nodeBytes)/s/plain, prefix+"B/s/node")
+	}
+	f.b.ReportMetric((after.relayBytes-before.relayBytes)/s/relays, prefix+"B/s/relay")
+	f.b.ReportMetric((after.cpu-before.cpu).Seconds()/s/float64(len(f.nodes))*100, prefix+"%core/node")
+	f.b.ReportMetric((after.platform-before.platform)/s/relays, prefix+"platform-calls/s/relay")
+}
+
+// converge publishes a version and returns the time until each node serves it.
+func (f *fleet) converge() time.Duration {
+	begin := time.Now()
+	f.publish()
+	for _, c := range f.nodes {
+		for c.sync.Current().Version < f.version {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(begin)
+}
+
+const measureTime = 30 * time.Second
+
+// BenchmarkMesh measures the control work of whole nodes: idle, at one configuration change a second, and at one
+// membership change a second. The slopes in docs/CAPACITY.md come from it.
+func BenchmarkMesh(b *testing.B) {
+	for _, n := range []int{8, 32, 128} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := newFleet(b, n)
+			f.settle()
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n)/1024, "heapKB/node")
+			b.ReportMetric(float64(after.StackInuse-before.StackInuse)/float64(n)/1024, "stackKB/node")
+			u := f.usage()
+			time.Sleep(measureTime)
+			f.report(u, "idle-")
+			u = f.usage()
+			var times []time.Duration
+			for range int(measureTime / time.Second) {
+				d := f.converge()
+				times = append(times, d)
+				time.Sleep(max(0, time.Second-d))
+			}
+			f.report(u, "change-")
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "converge-p50-ms")
+			b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "converge-max-ms")
+			u = f.usage()
+			own := f.nodes[n-1].sync.Self()
+			for i := range int(measureTime / time.Second) {
+				own.Slots = 20 + i%2
+				f.nodes[n-1].sync.SetLocal(own)
+				time.Sleep(time.Second)
+			}
+			f.report(u, "member-")
+		})
+	}
+}
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -220,9 +220,17 @@
 	m.writeHead(m.version, c)
 }
 
-func (m *mesh) writeHead(v config.Version, c config.Configuration) {
+func (m *mesh) headSpec(v config.Version, c config.Configuration) []byte {
 	h, _ := c.Hash()
-	spec, _ := json.Marshal(config.Head{Version: v, Hash: h, Configuration: c})
+	spec, err := json.Marshal(config.Head{Version: v, Hash: h, Configuration: c})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return spec
+}
+
+func (m *mesh) writeHead(v config.Version, c config.Configuration) {
+	spec := m.headSpec(v, c)
 	o := platform.Object{Kind: platform.KindConfiguration, Name: platform.HeadName, Spec: spec}
 	if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
 		m.t.Fatal(err)
