Count the bytes of key claims apart and report a node's own use

Cause: the budget of 5 KB a second is for control messages, but claims of keyed requests share their connections and counters and grow with the callers' load. A node did not report its processor time or memory, so a measurement had to read /proc of another process.

Change: pkg/rpcwire counts whole frames by the service part of the method: control.{client,server}.bytes_{in,out} and keys.{client,server}.bytes_{in,out}. Answers do not name their method, so the client keeps it by sequence number. The node has the gauges process.cpu_micros, process.resident_bytes, process.started_unix_millis, runtime.heap_bytes and runtime.goroutines, read when /metrics is read.

Ruled out: a second connection for key claims, which would double the connections of a node; sending the method in answers, which costs bytes.

Before/after: the sum of both kinds is what control.* counted before, except that bytes of a frame that arrives in part are no longer counted.

Conclusion: the control budget can be judged under keyed load.

--- a/cmd/monsoonlatchd/node.go
+++ b/cmd/monsoonlatchd/node.go
@@ -56,6 +56,7 @@
 
 func newNode(s *Settings, log zerolog.Logger) (*node, error) {
 	n := &node{settings: s, log: log, clock: clock.System{}, metrics: metric.NewSet(), kernel: kernel.New()}
+	metric.WatchProcess(n.metrics)
 	var err error
 	if n.peers, err = network.Parse(s.PeerNetworks); err != nil {
 		return nil, err
--- a/pkg/rpcwire/codec.go
+++ b/pkg/rpcwire/codec.go
@@ -6,19 +6,30 @@
 )
 
 // clientCodec implements rpc.ClientCodec on frames.
-type clientCodec struct{ *frames }
+type clientCodec struct {
+	*frames
+	// methods holds the method of each call without an answer by its sequence number: answers do not name it.
+	methods sync.Map
+}
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	c.methods.Store(r.Seq, r.ServiceMethod)
+	return c.write(r.ServiceMethod, r, body)
+}
 
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	if err := c.next(); err != nil {
 		return err
 	}
-	return c.decode(r)
+	err := c.decode(r)
+	method, _ := c.methods.LoadAndDelete(r.Seq)
+	name, _ := method.(string)
+	c.counters.of(name).in.Inc(int64(c.size))
+	return err
 }
 
-func (c clientCodec) ReadResponseBody(body any) error { return c.decode(body) }
-func (c clientCodec) Close() error                    { return c.close() }
+func (c *clientCodec) ReadResponseBody(body any) error { return c.decode(body) }
+func (c *clientCodec) Close() error                    { return c.close() }
 
 // methodSuffix is the method that net/rpc finds on the receiver of each registered name; see Handle.
 const methodSuffix = ".Call"
@@ -45,19 +56,19 @@
 	if err := c.next(); err != nil {
 		return err
 	}
-	if err := c.decode(r); err != nil {
-		return err
-	}
+	err := c.decode(r)
+	c.counters.of(r.ServiceMethod).in.Inc(int64(c.size))
 	r.ServiceMethod += methodSuffix
-	return nil
+	return err
 }
 
 func (c *serverCodec) ReadRequestBody(body any) error { return c.decode(body) }
 
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	<-c.slots
+	method := r.ServiceMethod
 	r.ServiceMethod = ""
-	return c.write(r, body)
+	return c.write(method, r, body)
 }
 
 func (c *serverCodec) Close() error {
--- a/pkg/rpcwire/frame.go
+++ b/pkg/rpcwire/frame.go
@@ -46,21 +46,24 @@
 	buf    []byte
 	dec    *gob.Decoder
 	broken atomic.Bool
+	// size is the number of bytes of the frame that was read last.
+	size     int
+	counters byteCounters
 	// lastRead is when the last frame arrived, in Unix nanoseconds.
 	lastRead atomic.Int64
 }
 
-func newFrames(conn net.Conn, maxFrame int, writeTimeout, readTimeout time.Duration) *frames {
-	f := &frames{conn: conn, maxFrame: maxFrame, writeTimeout: writeTimeout, readTimeout: readTimeout}
+func newFrames(conn net.Conn, maxFrame int, writeTimeout, readTimeout time.Duration, counters byteCounters) *frames {
+	f := &frames{conn: conn, maxFrame: maxFrame, writeTimeout: writeTimeout, readTimeout: readTimeout, counters: counters}
 	f.enc = gob.NewEncoder(&f.out)
 	f.dec = gob.NewDecoder(&f.in)
 	f.lastRead.Store(time.Now().UnixNano())
 	return f
 }
 
-// write sends one frame with the given values. After an error the streams at both ends may differ, so the connection
-// is closed.
-func (f *frames) write(values ...any) (err error) {
+// write sends one frame of the method with the given values. After an error the streams at both ends may differ, so
+// the connection is closed.
+func (f *frames) write(method string, values ...any) (err error) {
 	if f.broken.Load() {
 		return errBroken
 	}
@@ -79,10 +82,10 @@
 			return fmt.Errorf("encode: %w", err)
 		}
 	}
-	return f.flush()
+	return f.flush(method)
 }
 
-func (f *frames) flush() error {
+func (f *frames) flush(method string) error {
 	size := f.out.Len() - frameHeader
 	if size > f.maxFrame {
 		return fault.New(fault.Limited, "send frame", fmt.Sprintf("%d bytes are over the limit of %d", size, f.maxFrame),
@@ -96,7 +99,8 @@
 	if err := f.conn.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
-	_, err := f.conn.Write(f.out.Bytes())
+	n, err := f.conn.Write(f.out.Bytes())
+	f.counters.of(method).out.Inc(int64(n))
 	if f.out.Cap() > keptBuffer {
 		// The encoder holds a pointer to f.out, so the buffer is replaced in place.
 		f.out = bytes.Buffer{}
@@ -134,6 +138,7 @@
 		return f.fail(err)
 	}
 	f.in.Reset(f.buf)
+	f.size = frameHeader + size
 	f.lastRead.Store(time.Now().UnixNano())
 	return nil
 }
--- a/pkg/rpcwire/pool.go
+++ b/pkg/rpcwire/pool.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
@@ -50,7 +48,7 @@
 type Pool struct {
 	settings PoolSettings
 	metrics  *metric.Set
-	in, out  metrics.Counter
+	counters byteCounters
 
 	mu     sync.Mutex
 	links  map[string]*link
@@ -78,7 +76,7 @@
 // NewPool returns an empty pool and starts its probes; Close ends them.
 func NewPool(settings PoolSettings, set *metric.Set) *Pool {
 	p := &Pool{settings: settings.withDefaults(), metrics: set, links: make(map[string]*link), stop: make(chan struct{}),
-		in: set.Counter("control.client.bytes_in"), out: set.Counter("control.client.bytes_out")}
+		counters: newByteCounters(set, "client")}
 	p.wg.Go(p.probeLoop)
 	return p
 }
@@ -193,8 +191,8 @@
 		return
 	}
 	p.metrics.Counter("control.client.dials").Inc(1)
-	l.frames = newFrames(counted(conn, p.in, p.out), p.settings.MaxFrame, p.settings.WriteTimeout, 0)
-	l.client = rpc.NewClientWithCodec(clientCodec{l.frames})
+	l.frames = newFrames(conn, p.settings.MaxFrame, p.settings.WriteTimeout, 0, p.counters)
+	l.client = rpc.NewClientWithCodec(&clientCodec{frames: l.frames})
 }
 
 func (p *Pool) remove(l *link) {
--- a/pkg/rpcwire/server.go
+++ b/pkg/rpcwire/server.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
@@ -60,7 +59,7 @@
 	metrics  *metric.Set
 	rpc      *rpc.Server
 	handlers map[string]func(ctx context.Context, args, reply any) error
-	in, out  metrics.Counter
+	counters byteCounters
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -82,8 +81,8 @@
 	s := &Server{
 		settings: settings.withDefaults(), log: log, metrics: set, rpc: rpc.NewServer(),
 		handlers: make(map[string]func(context.Context, any, any) error), ctx: ctx, cancel: cancel,
-		conns: make(map[net.Conn]struct{}),
-		in:    set.Counter("control.server.bytes_in"), out: set.Counter("control.server.bytes_out"),
+		conns:    make(map[net.Conn]struct{}),
+		counters: newByteCounters(set, "server"),
 	}
 	Handle(s, pingMethod, func(_ context.Context, args *Ping, reply *Ping) error { *reply = *args; return nil })
 	return s
@@ -190,7 +189,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	f := newFrames(counted(conn, s.in, s.out), s.settings.MaxFrame, s.settings.WriteTimeout, s.settings.ReadTimeout)
+	f := newFrames(conn, s.settings.MaxFrame, s.settings.WriteTimeout, s.settings.ReadTimeout, s.counters)
 	s.rpc.ServeCodec(newServerCodec(f, s.settings.MaxCalls))
 	s.mu.Lock()
 	delete(s.conns, conn)
@@ -202,23 +201,3 @@
 	e := event.ControlPanic
 	e.Write(e.Log(&s.log).Str("method", method).Interface("panic", p).Bytes("stack", debug.Stack()))
 }
-
-// countedConn counts the bytes of a connection in each direction.
-type countedConn struct {
-	net.Conn
-	in, out metrics.Counter
-}
-
-func counted(c net.Conn, in, out metrics.Counter) net.Conn { return countedConn{c, in, out} }
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.in.Inc(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.out.Inc(int64(n))
-	return n, err
-}
