Measure convergence and the cost of control over real node processes

Cause: nothing measured the time from an accepted release note to its version in force at every node, nor what control costs in a node.

One backend stand-in process can now serve several nodes.

Ruled out: reading note status, whose objects are written once a second at most; one stand-in process for each node, which doubles the processes.

Conclusion: convergence and the budgets of a node can be measured in one run.

--- a/cmd/backend-standin/main.go
+++ b/cmd/backend-standin/main.go
@@ -12,12 +12,13 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
 )
 
 type settings struct {
-	Listen           string        `help:"Address to listen on." default:"127.0.0.1:0" env:"STANDIN_LISTEN"`
+	Listen           []string      `help:"Address to listen on. With several, one backend server runs at each, beside the node at the same place of --node-admin and --node-callers." default:"127.0.0.1:0" env:"STANDIN_LISTEN"`
 	Service          string        `help:"Service that is announced." required:"" env:"STANDIN_SERVICE"`
 	Slots            int           `help:"Requests that run at the same time." default:"20" env:"STANDIN_SLOTS"`
 	ServiceTime      time.Duration `help:"Time of one run." default:"5ms" env:"STANDIN_SERVICE_TIME"`
@@ -25,8 +26,8 @@
 	ColdFactor       int           `help:"How many times slower cold runs are." default:"5" env:"STANDIN_COLD_FACTOR"`
 	Shed             bool          `help:"Answer 503 with Ml-Not-Run when no slot is free." env:"STANDIN_SHED"`
 	MisleadingHealth bool          `help:"Report good health in every state." env:"STANDIN_MISLEADING_HEALTH"`
-	NodeAdmin        string        `help:"Admin address of the own node, for announcements." env:"STANDIN_NODE_ADMIN"`
-	NodeCallers      string        `help:"Callers address of the own node, for nested calls." env:"STANDIN_NODE_CALLERS"`
+	NodeAdmin        []string      `help:"Admin address of the own node, for announcements." env:"STANDIN_NODE_ADMIN"`
+	NodeCallers      []string      `help:"Callers address of the own node, for nested calls." env:"STANDIN_NODE_CALLERS"`
 	Grace            time.Duration `help:"Longest time of a graceful shutdown." default:"10s" env:"STANDIN_GRACE"`
 	DrainDelay       time.Duration `help:"Time to go on answering after the drain was announced." default:"1s" env:"STANDIN_DRAIN_DELAY"`
 }
@@ -40,43 +41,75 @@
 	}
 }
 
+// instance is one backend server of the process.
+type instance struct {
+	settings settings
+	server   *backend.Server
+	web      *http.Server
+}
+
 func run(s settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	ln, err := net.Listen("tcp", s.Listen)
+	announceCtx, endAnnounce := context.WithCancel(context.Background())
+	defer endAnnounce()
+	failed := make(chan error, len(s.Listen))
+	var instances []*instance
+	for i := range s.Listen {
+		in, ln, err := newInstance(s, i)
+		if err != nil {
+			return err
+		}
+		instances = append(instances, in)
+		go func() { failed <- in.web.Serve(ln) }()
+		go in.server.Announce(announceCtx)
+		fmt.Println("listening on", ln.Addr())
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	var stops errgroup.Group
+	for _, in := range instances {
+		stops.Go(in.shutdown)
+	}
+	return stops.Wait()
+}
+
+// newInstance listens at the address at place i.
+func newInstance(s settings, i int) (*instance, net.Listener, error) {
+	ln, err := net.Listen("tcp", s.Listen[i])
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, nil, fmt.Errorf("listen: %w", err)
 	}
 	srv := backend.New(backend.Settings{
 		Service: s.Service, Address: ln.Addr().String(), Slots: s.Slots, ServiceTime: s.ServiceTime,
 		ColdStart: s.ColdStart, ColdFactor: s.ColdFactor, Shed: s.Shed, MisleadingHealth: s.MisleadingHealth,
-		NodeAdmin: s.NodeAdmin, NodeCallers: s.NodeCallers,
+		NodeAdmin: at(s.NodeAdmin, i), NodeCallers: at(s.NodeCallers, i),
 	})
 	web := &http.Server{Handler: srv, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
-	failed := make(chan error, 1)
-	go func() { failed <- web.Serve(ln) }()
-	announceCtx, endAnnounce := context.WithCancel(context.Background())
-	defer endAnnounce()
-	go srv.Announce(announceCtx)
-	fmt.Println("listening on", ln.Addr())
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
+	return &instance{settings: s, server: srv, web: web}, ln, nil
+}
+
+// at returns the item at place i, or nothing.
+func at(list []string, i int) string {
+	if i < len(list) {
+		return list[i]
 	}
-	return shutdown(s, srv, web)
+	return ""
 }
 
 // shutdown announces the drain, goes on answering while the news spreads, and ends when no request is left.
-func shutdown(s settings, srv *backend.Server, web *http.Server) error {
-	srv.Drain()
-	time.Sleep(s.DrainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace)
+func (in *instance) shutdown() error {
+	in.server.Drain()
+	time.Sleep(in.settings.DrainDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), in.settings.Grace)
 	defer cancel()
-	if err := web.Shutdown(ctx); err != nil {
+	if err := in.web.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
-	_ = srv.Depart(ctx)
-	srv.Close()
+	_ = in.server.Depart(ctx)
+	in.server.Close()
 	return nil
 }
--- a/cmd/mlload/main.go
+++ b/cmd/mlload/main.go
@@ -1,5 +1,6 @@
-// Command mlload sends open-loop load to the ingresses of a mesh and reports the service by rank. It exits with 1 if a
-// request was cut, crossed or doubled, and with 2 on bad usage.
+// Command mlload sends open-loop load to the ingresses of a mesh and reports the service by rank, and measures how fast
+// release notes come into force. It exits with 1 if a request was cut, crossed or doubled or a note did not come into
+// force, and with 2 on bad usage.
 package main
 
 import (
@@ -24,6 +25,9 @@
 type commands struct {
 	Run    runCommand    `cmd:"" help:"Send the load of a profile."`
 	Replay replayCommand `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
+
+	Compare     compareCommand     `cmd:"" help:"Print reports of convergence as one Markdown table."`
+	Convergence convergenceCommand `cmd:"" help:"Submit generated release notes and measure the time until each is in force at every node, and what control costs."`
 }
 
 type output struct {
--- /dev/null
+++ b/internal/convergence/convergence_test.go
@@ -0,0 +1,101 @@
+package convergence
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+// Guards against generated notes that are refused, or that depend on anything but the seed.
+func TestSeriesFits(t *testing.T) {
+	hash := ""
+	for range 2 {
+		head, err := config.NewHead()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewSeries("m1", 7)
+		for i := range 50 {
+			n := s.Next
+			if i == 0 {
+				n = func() config.ReleaseNote { return s.First([]string{"lookup-desk"}, 5) }
+			}
+			if head, err = release.Preview(head, n()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if hash != "" && head.Hash != hash {
+			t.Error("two series with one seed differ")
+		}
+		hash = head.Hash
+	}
+}
+
+// Guards against a slow, silent, restarted or reverting node that is left out of the figures.
+func TestConverge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	quick, slow, down, lost := &track{address: "q"}, &track{address: "s"}, &track{address: "d"}, &track{address: "l"}
+	quick.seen(at(-5), "quick", 1) // served before the submit returned
+	quick.seen(at(50), "quick", 3) // skips version 2
+	slow.seen(at(300), "slow", 1)
+	slow.seen(at(310), "slow", 2)
+	slow.seen(at(320), "slow", 1)
+	slow.seen(at(400), "slow", 3)
+	down.seen(at(10), "down", 1)
+	down.missed = append(down.missed, at(20), at(30))
+	down.seen(at(900), "down", 0) // restarted, without a configuration
+	down.seen(at(1000), "down", 3)
+	notes := []accepted{{1, at(0)}, {2, at(15)}, {3, at(40)}}
+
+	c := converge(notes, []*track{quick, slow, down}, at(2000))
+	if c.Slowest != "slow" || c.Reverts != 1 || c.Missing != 0 || c.Interrupted != 2 {
+		t.Errorf("%+v", c)
+	}
+	if c.Reached.Notes != 3 || !near(c.Reached.MaxUs, 360_000) || !near(c.All.MaxUs, 985_000) {
+		t.Errorf("%+v", c)
+	}
+	lost.seen(at(60), "lost", 2)
+	if c = converge(notes, []*track{quick, lost}, at(9000)); c.Missing != 1 || c.All.Notes != 2 || !near(c.Reached.MaxUs, 8_960_000) || c.Slowest != "lost" {
+		t.Errorf("a node that never serves the note: %+v", c)
+	}
+}
+
+func near(got, want int64) bool { return got >= want*995/1000 && got <= want*1005/1000 }
+
+// Guards against the use of a restarted node, whose counters begin at zero, in the figures of the others.
+func TestReportLeavesOutRestarted(t *testing.T) {
+	r := &run{Options: Options{Nodes: []string{"a", "b", "c"}}, tracks: []*track{{}, {}, {}}}
+	start := time.Unix(1000, 0)
+	before := sample{at: start, nodes: []usage{{started: 1, at: start}, {started: 2, control: 900, at: start}, {started: 3, at: start}}}
+	end := start.Add(10 * time.Second)
+	after := sample{at: end, nodes: []usage{{started: 1, control: 70_000, cpuMicros: 100_000, at: end}, {started: 4, at: end}, {}}}
+	p := r.report(before, after, end)
+	if p.Restarts != 2 || p.Control.Mean != 7000 || p.Control.MaxNode != "a" || p.Processor.Max != 0.01 {
+		t.Errorf("%+v", p)
+	}
+	if miss(p.Control.Max, BudgetControl) != "MISS" || miss(p.Processor.Max, BudgetProcessor) != "ok" {
+		t.Error("the budget is judged wrongly")
+	}
+}
+
+// Guards against runs without bounds.
+func TestCheckBounds(t *testing.T) {
+	good := Options{Nodes: []string{"a"}, Rate: 1, Poll: 50 * time.Millisecond, Wait: time.Second}
+	if err := good.Check(); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(*Options){
+		"notes": func(o *Options) { o.Notes = MaxNotes + 1 }, "rate": func(o *Options) { o.Rate = 0 },
+		"nodes": func(o *Options) { o.Nodes = nil }, "poll": func(o *Options) { o.Poll = 0 },
+		"duration": func(o *Options) { o.Duration = 2 * MaxDuration }, "routes": func(o *Options) { o.Routes = -1 },
+	} {
+		o := good
+		change(&o)
+		if o.Check() == nil {
+			t.Error("accepted bad " + name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/convergence/node.go
@@ -0,0 +1,91 @@
+package convergence
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+const (
+	// readTimeout bounds one read of a node; a node that takes longer counts as not reached.
+	readTimeout = 2 * time.Second
+	// maxAnswer bounds one answer of a node or of the platform stand-in.
+	maxAnswer = 1 << 20
+)
+
+// newClient returns the client of the polls, with one kept connection for each node.
+func newClient() *http.Client {
+	return &http.Client{Timeout: readTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2}}
+}
+
+func getJSON(ctx context.Context, c *http.Client, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s", url, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out); err != nil {
+		return fmt.Errorf("%s: %w", url, err)
+	}
+	return nil
+}
+
+func readState(ctx context.Context, c *http.Client, address string) (admin.State, error) {
+	var s admin.State
+	err := getJSON(ctx, c, "http://"+address+"/v1/state", &s)
+	return s, err
+}
+
+// usage is what a node has used since its start.
+type usage struct {
+	started               int64
+	control, keys         int64
+	cpuMicros             int64
+	residentBytes         int64
+	heapBytes, goroutines int64
+	at                    time.Time
+}
+
+// readUsage reads the metrics of a node. Counters carry "count" and gauges "value".
+func readUsage(ctx context.Context, c *http.Client, address string) (usage, error) {
+	var all map[string]struct {
+		Count int64 `json:"count"`
+		Value int64 `json:"value"`
+	}
+	if err := getJSON(ctx, c, "http://"+address+"/metrics", &all); err != nil {
+		return usage{}, err
+	}
+	sum := func(kind string) (n int64) {
+		for _, side := range []string{"client", "server"} {
+			n += all[kind+"."+side+".bytes_in"].Count + all[kind+"."+side+".bytes_out"].Count
+		}
+		return n
+	}
+	return usage{
+		started: all[metric.ProcessStarted].Value, control: sum("control"), keys: sum("keys"),
+		cpuMicros: all[metric.ProcessCPU].Value, residentBytes: all[metric.ProcessResident].Value,
+		heapBytes: all[metric.RuntimeHeap].Value, goroutines: all[metric.RuntimeGoroutines].Value, at: time.Now(),
+	}, nil
+}
+
+// platformCalls are the calls that the platform stand-in has counted, by kind.
+type platformCalls map[string]int64
+
+func readPlatformCalls(ctx context.Context, c *http.Client, base string) (platformCalls, error) {
+	var counts platformCalls
+	err := getJSON(ctx, c, base+"/_standin/counts", &counts)
+	return counts, err
+}
--- /dev/null
+++ b/internal/convergence/report.go
@@ -0,0 +1,151 @@
+package convergence
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Budgets of a node for control and of a note, from the design; a report marks figures that miss them.
+const (
+	BudgetConvergence = 7 * time.Second
+	BudgetControl     = 5_000 // bytes a second
+	BudgetProcessor   = 0.03  // of one core
+	BudgetResident    = 32_000_000
+)
+
+// PerNode is one figure over the nodes that ran all the time.
+type PerNode struct {
+	Mean float64 `json:"mean"`
+	P99  float64 `json:"p99"`
+	Max  float64 `json:"max"`
+	// MaxNode is the node with the largest value.
+	MaxNode string `json:"maxNode"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Nodes    int     `json:"nodes"`
+	Notes    int     `json:"notes"`
+	Refused  int     `json:"refused"`
+	Seconds  float64 `json:"seconds"`
+	PollMs   int64   `json:"pollMs"`
+	Restarts int     `json:"restarts"`
+
+	Convergence Convergence `json:"convergence"`
+	// Control and Keys are bytes a second and node, received and sent.
+	Control PerNode `json:"controlBytesPerSecond"`
+	Keys    PerNode `json:"keysBytesPerSecond"`
+	// Processor is the share of one core.
+	Processor PerNode `json:"processorShare"`
+	Resident  PerNode `json:"residentBytes"`
+	Heap      PerNode `json:"heapBytes"`
+	// Platform is the calls a second by kind.
+	Platform map[string]float64 `json:"platformCallsPerSecond,omitempty"`
+}
+
+func (r *run) report(before, after sample, polled time.Time) *Report {
+	seconds := after.at.Sub(before.at).Seconds()
+	p := &Report{Nodes: len(r.Nodes), Notes: len(r.notes), Refused: r.refused, Seconds: seconds, PollMs: r.Poll.Milliseconds(),
+		Convergence: converge(r.notes, r.tracks, polled)}
+	var control, keys, cpu, resident, heap []nodeValue
+	for i, b := range before.nodes {
+		a := after.nodes[i]
+		if a.started == 0 || a.started != b.started {
+			p.Restarts++
+			continue
+		}
+		took, name := a.at.Sub(b.at).Seconds(), cmp.Or(r.tracks[i].id, r.Nodes[i])
+		control = append(control, nodeValue{name, float64(a.control-b.control) / took})
+		keys = append(keys, nodeValue{name, float64(a.keys-b.keys) / took})
+		cpu = append(cpu, nodeValue{name, float64(a.cpuMicros-b.cpuMicros) / 1e6 / took})
+		resident = append(resident, nodeValue{name, float64(a.residentBytes)})
+		heap = append(heap, nodeValue{name, float64(a.heapBytes)})
+	}
+	p.Control, p.Keys, p.Processor = perNode(control), perNode(keys), perNode(cpu)
+	p.Resident, p.Heap = perNode(resident), perNode(heap)
+	if r.Counts {
+		p.Platform = make(map[string]float64)
+		for kind, n := range after.platform {
+			p.Platform[kind] = float64(n-before.platform[kind]) / seconds
+		}
+	}
+	return p
+}
+
+type nodeValue struct {
+	node  string
+	value float64
+}
+
+func perNode(values []nodeValue) PerNode {
+	if len(values) == 0 {
+		return PerNode{}
+	}
+	slices.SortFunc(values, func(a, b nodeValue) int { return cmp.Compare(a.value, b.value) })
+	sum := 0.0
+	for _, v := range values {
+		sum += v.value
+	}
+	last := values[len(values)-1]
+	return PerNode{Mean: sum / float64(len(values)), P99: values[(len(values)*99+99)/100-1].value, Max: last.value, MaxNode: last.node}
+}
+
+// miss marks a figure above its budget.
+func miss(value, budget float64) string {
+	if value > budget {
+		return "MISS"
+	}
+	return "ok"
+}
+
+// WriteTable writes the report as a table.
+func (p *Report) WriteTable(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%d nodes, %d notes (%d refused), %.0f s, polled every %d ms, %d nodes restarted or down\n",
+		p.Nodes, p.Notes, p.Refused, p.Seconds, p.PollMs, p.Restarts)
+	c := p.Convergence
+	if p.Notes > 0 {
+		fmt.Fprintln(w, "CONVERGENCE\tNOTES\tP50\tP99\tMAX\tBUDGET\t")
+		writeTimes(w, "nodes reached throughout", c.Reached)
+		writeTimes(w, "all nodes", c.All)
+		fmt.Fprintf(w, "slowest node %s, pairs of note and node interrupted %d, not in force %d, reverts %d\n", c.Slowest, c.Interrupted, c.Missing, c.Reverts)
+	}
+	fmt.Fprintln(w, "PER NODE\tMEAN\tP99\tMAX\tBUDGET\tMEAN\tMAX\tLARGEST AT")
+	writeRow(w, "control bytes/s", "%.0f", p.Control, BudgetControl)
+	writeRow(w, "key claim bytes/s", "%.0f", p.Keys, 0)
+	writeRow(w, "processor share", "%.4f", p.Processor, BudgetProcessor)
+	writeRow(w, "resident bytes", "%.0f", p.Resident, BudgetResident)
+	writeRow(w, "heap bytes", "%.0f", p.Heap, 0)
+	if len(p.Platform) > 0 {
+		fmt.Fprint(w, "platform calls/s:")
+		for _, kind := range slices.Sorted(maps.Keys(p.Platform)) {
+			fmt.Fprintf(w, " %s %.2f", kind, p.Platform[kind])
+		}
+		fmt.Fprintln(w)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+func writeTimes(w io.Writer, name string, t Times) {
+	micros := func(us int64) time.Duration { return (time.Duration(us) * time.Microsecond).Round(time.Millisecond) }
+	fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\n", name, t.Notes, micros(t.P50Us), micros(t.P99Us), micros(t.MaxUs), BudgetConvergence,
+		miss(float64(t.MaxUs), float64(BudgetConvergence.Microseconds())))
+}
+
+// writeRow writes one figure; a budget of 0 means that there is none.
+func writeRow(w io.Writer, name, format string, v PerNode, budget float64) {
+	cells := fmt.Sprintf("%s\t"+format+"\t"+format+"\t"+format, name, v.Mean, v.P99, v.Max)
+	if budget == 0 {
+		fmt.Fprintf(w, "%s\t\t\t\t%s\n", cells, v.MaxNode)
+		return
+	}
+	fmt.Fprintf(w, "%s\t"+format+"\t%s\t%s\t%s\n", cells, budget, miss(v.Mean, budget), miss(v.Max, budget), v.MaxNode)
+}
--- /dev/null
+++ b/internal/convergence/run.go
@@ -0,0 +1,264 @@
+package convergence
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/release"
+)
+
+// Bounds of a run.
+const (
+	MaxNotes    = 10_000
+	MaxNodes    = 1024
+	MaxRate     = 100
+	MaxDuration = time.Hour
+	minPoll     = 10 * time.Millisecond
+	// usageReaders bounds the reads of metrics at the same time.
+	usageReaders = 16
+)
+
+// Options of a run.
+type Options struct {
+	// Nodes are the admin addresses of all nodes.
+	Nodes []string
+	// Platform is the address of the platform; Counts states that it is the stand-in, which counts calls.
+	Platform string
+	Counts   bool
+	// Name begins the names and ids of the notes; it must not have been used on this platform before.
+	Name   string
+	Seed   uint64
+	Notes  int
+	Rate   float64
+	Routes int
+	// Poll is the time between two polls of one node, and so the resolution of the times.
+	Poll time.Duration
+	// Wait bounds the wait after the last note.
+	Wait time.Duration
+	// Duration is how long the use of resources is measured at least.
+	Duration time.Duration
+}
+
+// Check returns an error that names the first option out of bounds.
+func (o Options) Check() error {
+	bad := func(name, remedy string) error { return fault.New(fault.Invalid, "--"+name, "out of range", remedy) }
+	switch {
+	case len(o.Nodes) < 1 || len(o.Nodes) > MaxNodes:
+		return bad("node", fmt.Sprintf("give 1 to %d admin addresses", MaxNodes))
+	case o.Notes < 0 || o.Notes > MaxNotes:
+		return bad("notes", fmt.Sprintf("give 0 to %d", MaxNotes))
+	case o.Rate <= 0 || o.Rate > MaxRate:
+		return bad("rate", fmt.Sprintf("give a number above 0, at most %d", MaxRate))
+	case o.Routes < 0 || o.Routes > config.MaxRoutes/2:
+		return bad("routes", fmt.Sprintf("give 0 to %d", config.MaxRoutes/2))
+	case o.Poll < minPoll || o.Wait < o.Poll:
+		return bad("poll", fmt.Sprintf("give at least %s and at most --wait", minPoll))
+	case o.Wait > MaxDuration || o.Duration < 0 || o.Duration > MaxDuration:
+		return bad("duration", fmt.Sprintf("give at most %s for --duration and --wait", MaxDuration))
+	}
+	return nil
+}
+
+// run is the state of one Run.
+type run struct {
+	Options
+	client *http.Client
+	store  platform.Store
+	tracks []*track
+	// versions mirrors the last version of each track for the wait at the end.
+	versions []atomic.Uint64
+	notes    []accepted
+	refused  int
+}
+
+// Run submits the notes and measures. The first note of a series prepares the configuration and is not counted.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	store, err := platform.NewClient(platform.Settings{BaseURL: o.Platform})
+	if err != nil {
+		return nil, err
+	}
+	defer store.Close()
+	r := &run{Options: o, client: newClient(), store: store, versions: make([]atomic.Uint64, len(o.Nodes))}
+	defer r.client.CloseIdleConnections()
+	for _, address := range o.Nodes {
+		r.tracks = append(r.tracks, &track{address: address})
+	}
+	series := NewSeries(o.Name, o.Seed)
+	if o.Notes > 0 {
+		if err := r.prepare(ctx, series); err != nil {
+			return nil, err
+		}
+	}
+	return r.measure(ctx, series)
+}
+
+// prepare submits the first note and waits until it is in force.
+func (r *run) prepare(ctx context.Context, series *Series) error {
+	head, err := release.ReadHead(ctx, r.store)
+	if err != nil {
+		return err
+	}
+	var services []string
+	for _, address := range r.Nodes {
+		s, err := readState(ctx, r.client, address)
+		if err != nil {
+			return fmt.Errorf("read node %s: %w", address, err)
+		}
+		if _, ok := head.Configuration.Services[s.Service]; !ok && !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	result, err := release.Submit(ctx, r.store, series.First(services, r.Routes))
+	if err != nil {
+		return err
+	}
+	stop := r.startPolls(ctx)
+	defer stop()
+	if !r.await(ctx, result.Record.Version) {
+		return fault.New(fault.Unavailable, "first note", fmt.Sprintf("not in force at every node after %s", r.Wait),
+			"check with monsoonlatch nodes")
+	}
+	return nil
+}
+
+func (r *run) measure(ctx context.Context, series *Series) (*Report, error) {
+	before, err := r.sample(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if r.Notes > 0 {
+		stop := r.startPolls(ctx)
+		r.submitAll(ctx, series)
+		if len(r.notes) > 0 {
+			r.await(ctx, r.notes[len(r.notes)-1].version)
+		}
+		stop()
+	}
+	polled := time.Now()
+	pause(ctx, before.at.Add(r.Duration))
+	after, err := r.sample(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return r.report(before, after, polled), nil
+}
+
+// submitAll submits the notes at the rate. A late submit does not delay the due times of later ones.
+func (r *run) submitAll(ctx context.Context, series *Series) {
+	start := time.Now()
+	for i := range r.Notes {
+		pause(ctx, start.Add(time.Duration(float64(i)*float64(time.Second)/r.Rate)))
+		if ctx.Err() != nil {
+			return
+		}
+		result, err := release.Submit(ctx, r.store, series.Next())
+		if err != nil {
+			r.refused++
+			continue
+		}
+		r.notes = append(r.notes, accepted{result.Record.Version, time.Now()})
+	}
+}
+
+// startPolls polls each node until stop is called, which waits for the polls in progress.
+func (r *run) startPolls(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var polls sync.WaitGroup
+	for i, t := range r.tracks {
+		polls.Go(func() {
+			pause(ctx, time.Now().Add(r.Poll*time.Duration(i)/time.Duration(len(r.tracks)))) // spreads the polls
+			tick := time.NewTicker(r.Poll)
+			defer tick.Stop()
+			for ctx.Err() == nil {
+				r.poll(ctx, i, t)
+				select {
+				case <-tick.C:
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	return func() { cancel(); polls.Wait() }
+}
+
+func (r *run) poll(ctx context.Context, i int, t *track) {
+	s, err := readState(ctx, r.client, t.address)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		t.missed = append(t.missed, time.Now())
+		r.versions[i].Store(0)
+	default:
+		t.seen(time.Now(), s.ID, config.Version(s.Version))
+		r.versions[i].Store(s.Version)
+	}
+}
+
+// await returns when every node serves v, or false after the wait.
+func (r *run) await(ctx context.Context, v config.Version) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if !slices.ContainsFunc(r.serving(), func(n uint64) bool { return n < uint64(v) }) {
+			return true
+		}
+		pause(ctx, time.Now().Add(minPoll))
+	}
+	return false
+}
+
+func (r *run) serving() []uint64 {
+	out := make([]uint64, len(r.versions))
+	for i := range r.versions {
+		out[i] = r.versions[i].Load()
+	}
+	return out
+}
+
+func pause(ctx context.Context, until time.Time) {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// sample is the use of all nodes and of the platform at one time. A node that does not answer has a zero usage.
+type sample struct {
+	at       time.Time
+	nodes    []usage
+	platform platformCalls
+}
+
+func (r *run) sample(ctx context.Context) (sample, error) {
+	s := sample{at: time.Now(), nodes: make([]usage, len(r.Nodes))}
+	var g errgroup.Group
+	g.SetLimit(usageReaders)
+	for i, address := range r.Nodes {
+		g.Go(func() error {
+			s.nodes[i], _ = readUsage(ctx, r.client, address) // a node that is down counts as restarted
+			return nil
+		})
+	}
+	_ = g.Wait()
+	if !r.Counts {
+		return s, nil
+	}
+	var err error
+	s.platform, err = readPlatformCalls(ctx, r.client, r.Platform)
+	return s, err
+}
--- /dev/null
+++ b/internal/convergence/series.go
@@ -0,0 +1,70 @@
+// Package convergence measures how long accepted release notes take to come into force at every node of a mesh, and
+// what the control of the mesh costs meanwhile.
+package convergence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// Series generates release notes that fit on top of each other. Two series with different names do not meet.
+type Series struct {
+	name   string
+	random *rand.Rand
+	// routes are the routes that the series has added and not withdrawn.
+	routes []config.Route
+	added  int
+	notes  int
+}
+
+// NewSeries returns a series whose notes follow from the seed.
+func NewSeries(name string, seed uint64) *Series {
+	return &Series{name: name, random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// First returns the note that the others build on: a policy, the given services, one service of the series, and routes.
+func (s *Series) First(services []string, routes int) config.ReleaseNote {
+	n := s.note("services, a policy and routes")
+	n.Add.Services = []config.Service{{Name: s.name}}
+	for _, name := range services {
+		n.Add.Services = append(n.Add.Services, config.Service{Name: name})
+	}
+	n.Add.Policies = []config.Policy{{Name: s.name, Rank: config.MaxRank, Target: config.Duration(time.Second),
+		Deadline: config.Duration(5 * time.Second), Worth: 1}}
+	n.Add.Routes = s.add(routes)
+	return n
+}
+
+// Next returns a note that adds two routes, changes one and withdraws one, as an ordinary change does.
+func (s *Series) Next() config.ReleaseNote {
+	n := s.note("two routes added, one changed, one withdrawn")
+	if len(s.routes) > 2 {
+		s.random.Shuffle(len(s.routes), func(i, j int) { s.routes[i], s.routes[j] = s.routes[j], s.routes[i] })
+		s.routes[0].Idempotent = !s.routes[0].Idempotent
+		n.Change.Routes = []config.Route{s.routes[0]}
+		last := len(s.routes) - 1
+		n.Withdraw.Routes = []string{s.routes[last].Name}
+		s.routes = s.routes[:last]
+	}
+	n.Add.Routes = s.add(2)
+	return n
+}
+
+func (s *Series) note(summary string) config.ReleaseNote {
+	s.notes++
+	return config.ReleaseNote{ID: fmt.Sprintf("%s-%05d", s.name, s.notes), Author: "mlload", Summary: summary}
+}
+
+func (s *Series) add(n int) []config.Route {
+	from := len(s.routes)
+	for range n {
+		s.added++
+		name := fmt.Sprintf("%s-r%05d", s.name, s.added)
+		s.routes = append(s.routes, config.Route{Name: name, PathPrefix: "/" + name, Methods: []string{"GET"},
+			Service: s.name, Policy: s.name, Idempotent: true})
+	}
+	return append([]config.Route(nil), s.routes[from:]...)
+}
