Document each setting and hold the page against the code; add the token

Cause: operators had no page of flags and variables.

Conclusion: the page cannot differ from the code.

--- /dev/null
+++ b/cmd/monsoonlatch/settings_test.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/settingsdoc"
+)
+
+// Guards against a page of settings that lacks a flag or states another default.
+func TestSettingsPage(t *testing.T) {
+	if err := settingsdoc.Check("../../docs/settings.md", "monsoonlatch", &cli{}); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/monsoonlatchd/settings.go
+++ b/cmd/monsoonlatchd/settings.go
@@ -28,6 +28,7 @@
 	Slots         int    `env:"MONSOONLATCH_SLOTS" default:"20" help:"Upper bound on requests in progress at the backend server."`
 
 	Platform         string        `required:"" env:"MONSOONLATCH_PLATFORM" help:"URL of the platform's object API."`
+	PlatformToken    string        `env:"MONSOONLATCH_PLATFORM_TOKEN" help:"Bearer token for the platform."`
 	PlatformCallRate float64       `env:"MONSOONLATCH_PLATFORM_CALL_RATE" default:"10" help:"Calls a second that this node may make to the platform."`
 	PlatformTimeout  time.Duration `env:"MONSOONLATCH_PLATFORM_TIMEOUT" default:"2s" help:"Deadline of one platform call."`
 	Seeds            []string      `env:"MONSOONLATCH_SEEDS" help:"Control addresses of a few nodes to start from, best from several availability zones."`
