Document each refusal and retry reason and hold the page against the code

Cause: a caller that gets Ml-Reason had no page that says whether the request may be sent again.

Before/after: new page.

Conclusion: a new reason without an explanation fails the tests.

--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -12,8 +12,7 @@
 // Refusal is the reason why a request was refused.
 type Refusal string
 
-// Reasons of refusals. All but RefusedOutcomeUnknown, RefusedKeyRunning, RefusedAnswerNotKept and RefusedAnswerBroken
-// mean "not run".
+// Reasons of refusals. NotRun tells which of them mean "not run".
 const (
 	RefusedNotReady         Refusal = "not_ready"
 	RefusedNoRoute          Refusal = "no_route"
@@ -52,6 +51,15 @@
 	RefusedAnswerNotKept, RefusedVersionMismatch, RefusedSynchronisations,
 }
 
+// NotRun reports whether the reason means that the backend server has not run the request.
+func (r Refusal) NotRun() bool {
+	switch r {
+	case RefusedOutcomeUnknown, RefusedKeyRunning, RefusedAnswerNotKept, RefusedAnswerBroken:
+		return false
+	}
+	return true
+}
+
 // Retry is the reason why a request was sent again, or was not although it might have been.
 type Retry string
 
--- /dev/null
+++ b/pkg/proxy/reasons_test.go
@@ -0,0 +1,28 @@
+package proxy
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// Guards against a status on docs/reasons.md that differs from the one that callers get.
+func TestReasonsPageMatchesStatus(t *testing.T) {
+	page, err := os.ReadFile("../../docs/reasons.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range metric.Refusals {
+		rep := &reply{reason: r, outcome: idempotency.OutcomeUnknown}
+		if r.NotRun() {
+			rep.outcome = idempotency.OutcomeNotRun
+		}
+		if want := fmt.Sprintf("\n| `%s` | %d |", r, rep.refusalStatus()); !strings.Contains(string(page), want) {
+			t.Errorf("no row %q", want)
+		}
+	}
+}
