--- a/cmd/monsoonlatchd/node.go
+++ b/cmd/monsoonlatchd/node.go
@@ -100,11 +100,11 @@
 // buildControl makes what distributes configuration and membership.
 func (n *node) buildControl() error {
 	s := n.settings
-	client, err := platform.NewClient(platform.Settings{BaseURL: s.Platform, CallTimeout: s.PlatformTimeout})
+	client, err := platform.NewClient(platform.Settings{BaseURL: s.Platform, Token: s.PlatformToken, CallTimeout: s.PlatformTimeout})
 	if err != nil {
 		return err
 	}
-	n.store = platform.Limit(client, s.PlatformCallRate, platformBurst, n.metrics)
+	n.store = platform.Limit(platform.Observe(client, &n.log, n.metrics), s.PlatformCallRate, platformBurst, n.metrics)
 	n.caller = rpcwire.NewPool(rpcwire.PoolSettings{Dial: n.dial}, n.metrics)
 	n.control = rpcwire.NewServer(rpcwire.ServerSettings{Address: s.Control, Networks: n.peers}, n.log, n.metrics)
 	n.syncer = syncer.New(syncer.Settings{Instance: n.instance(), Seeds: s.Seeds, PlatformTimeout: s.PlatformTimeout},
