--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -117,6 +117,33 @@
 	})
 }
 
+// Guards against a restarted node that takes the platform's word for the newest version after a restore, while a
+// neighbour that it can reach serves a newer one.
+func TestStartAfterRestoreAsksNeighbours(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, _ := settled(t, 2, 3)
+		defer m.stop()
+		m.publish(configuration(2, 2))
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		m.writeHead(2, configuration(2, 2))
+		neighbour := m.nodes["n1-1"]
+		m.nodes["n0-2"].kill()
+		late := m.add("n0-2", "z0", "s0", "n0-0", "n1-0", "n1-1")
+		m.setCut(func(a, b *node) bool { return a == late && b != neighbour })
+		late.start()
+		for range 120 {
+			time.Sleep(500 * time.Millisecond)
+			if c := late.sync.Current(); c != nil && c.Version < 3 {
+				t.Fatalf("serves version %d after it had served 3", c.Version)
+			}
+		}
+		if !late.sync.Ready() {
+			t.Error("not ready although platform and a neighbour answered")
+		}
+	})
+}
+
 // Guards against a node that becomes ready in an outage of the platform after asking one peer of several, and one that
 // never becomes ready although it has asked enough.
 func TestStartInOutage(t *testing.T) {
@@ -253,7 +280,7 @@
 		old.store.setDown(true)
 		spec, _ := json.Marshal(lease.Lease{Holder: "n0-3", Address: "n0-3", Incarnation: m.nodes["n0-3"].sync.Self().Incarnation})
 		slot, _ := old.relay.Holds()
-		o := platform.Object{Kind: platform.KindRelayLease, Name: leaseName("z0", slot), Spec: spec}
+		o := platform.Object{Kind: platform.KindRelayLease, Name: lease.Name("z0", slot), Spec: spec}
 		if _, err := m.store.write("test", o, func(platform.Object, bool) bool { return true }); err != nil {
 			t.Fatal(err)
 		}
@@ -321,16 +348,14 @@
 		defer m.stop()
 		n := plain(m, nodes, 0)
 		stale := n.sync.Self()
-		calls := 0
-		m.tamper = func(method string, _ any) {
-			if method == syncer.MethodAnnounce {
-				calls++
-			}
-		}
+		calls := m.called(syncer.MethodAnnounce)
 		drained := stale
 		drained.State = membership.StateDraining
 		n.sync.SetLocal(drained)
 		time.Sleep(3 * time.Second)
+		if m.called(syncer.MethodAnnounce) == calls {
+			t.Error("the drain was not announced")
+		}
 		for _, r := range m.relays(n.zone) { // a late copy of the older record
 			_ = n.Call(deadline(t), r.addr, syncer.MethodAnnounce, &syncer.AnnounceArgs{Instance: stale}, &syncer.AnnounceReply{})
 		}
@@ -339,9 +364,6 @@
 				t.Errorf("node %s sees state %d after 3 s, want draining", o.addr, got)
 			}
 		}
-		if calls == 0 {
-			t.Error("the drain was not announced")
-		}
 		if err := n.sync.Depart(deadline(t), true); err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/syncer/start.go
+++ b/pkg/syncer/start.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
@@ -17,6 +19,8 @@
 	platform bool
 	// answered holds the peers that told their configuration.
 	answered map[string]bool
+	// asked counts the questions to peers.
+	asked int
 }
 
 // minPeers is how many peers must have answered in an outage of the platform.
@@ -50,6 +54,35 @@
 		s.accept(ConfigUpdate{Whole: &w}, "platform")
 	}
 	s.quorum.platform = true
+	s.readLeases(ctx)
+}
+
+// readLeases learns relays of the own zone from the platform, when no other node has told any.
+func (s *Syncer) readLeases(ctx context.Context) {
+	if _, usable := s.bestRelay(); usable {
+		return
+	}
+	objects, err := s.store.List(ctx, platform.KindRelayLease)
+	if err != nil {
+		return
+	}
+	var found []RelayInfo
+	for _, o := range objects {
+		if r, ok := ParseLease(o); ok && r.Zone == s.settings.Instance.AvailabilityZone {
+			found = append(found, r)
+		}
+	}
+	s.AddRelays(found)
+}
+
+// ParseLease returns the relay that a lease object names.
+func ParseLease(o platform.Object) (RelayInfo, bool) {
+	zone, slot, ok := lease.ParseName(o.Name)
+	var l lease.Lease
+	if !ok || json.Unmarshal(o.Spec, &l) != nil {
+		return RelayInfo{}, false
+	}
+	return RelayInfo{Zone: zone, Slot: slot, Node: membership.InstanceID(l.Holder), Address: l.Address}, true
 }
 
 // ReadHead reads the head object. found is false if there is none.
@@ -74,9 +107,16 @@
 	return WholeConfig{Version: h.Version, Hash: h.Hash, Configuration: h.Configuration}, nil
 }
 
-// askPeers asks the known peers for their configuration until enough have answered.
+// maxAsked bounds the questions to peers in one round. The next round goes on with the peers that follow.
+const maxAsked = 8
+
+// askPeers asks the known peers for their configuration until enough have answered. One is asked even if the platform
+// has answered: a platform that was restored to an older state is behind the nodes.
 func (s *Syncer) askPeers(ctx context.Context) {
-	for _, addr := range s.peers() {
+	peers := s.peers()
+	for range min(maxAsked, len(peers)) {
+		addr := peers[s.quorum.asked%len(peers)]
+		s.quorum.asked++
 		if s.quorum.answered[addr] {
 			continue
 		}
@@ -88,7 +128,7 @@
 			s.accept(reply.Update, addr)
 		}
 		s.answered(addr, reply.Config)
-		if s.quorum.reached(len(s.peers())) {
+		if len(s.quorum.answered) > 0 && s.quorum.reached(len(peers)) {
 			return
 		}
 	}
