Let the parts of the node find each other by name in the kernel

Cause: the node was one struct that passed every part to every other, and the kernel's Find was used in tests only.

Change: each part has a build function that finds what it needs by name once; kernel.Provide adds parts without a lifecycle; node.go is split by duty into node, control, datapath, status and drainer.

Ruled out: look-ups at run time; a part keeps what it has found.

Before/after: behaviour is the same; make demo passes before and after.

Conclusion: a part can be replaced by registering another under its name.

--- /dev/null
+++ b/cmd/monsoonlatchd/control.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+	"github.com/monsoonlatch/monsoonlatch/pkg/relay"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// platformBurst lets a relay read head, leases and statuses at once when it takes up its duty.
+const platformBurst = 20
+
+func buildPlatform(b *builder) {
+	s, metrics := b.settings, find[*metric.Set](b, nameMetrics)
+	client, err := platform.NewClient(platform.Settings{BaseURL: s.Platform, Token: s.PlatformToken, CallTimeout: s.PlatformTimeout})
+	if err != nil {
+		b.fail(err)
+		return
+	}
+	b.provide(namePlatform, platform.Limit(platform.Observe(client, &b.log, metrics), s.PlatformCallRate, platformBurst, metrics))
+}
+
+func buildControl(b *builder) {
+	metrics := find[*metric.Set](b, nameMetrics)
+	b.provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: find[dialFunc](b, nameDial)}, metrics))
+	b.register(rpcwire.NewServer(rpcwire.ServerSettings{
+		Address: b.settings.Control, Networks: find[network.Set](b, namePeers),
+	}, b.log, metrics))
+}
+
+func buildSyncer(b *builder) {
+	s, now := b.settings, find[clock.Clock](b, nameClock)
+	own := membership.Instance{
+		ID: membership.InstanceID(s.ID), Service: s.Service, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+		PeerAddress: orElse(s.AdvertisePeers, s.Peers), ControlAddress: orElse(s.AdvertiseControl, s.Control),
+		Slots: s.Slots, Incarnation: uint64(now.Now().UnixMilli()), Sequence: 1,
+	}
+	node := syncer.New(syncer.Settings{Instance: own, Seeds: s.Seeds, PlatformTimeout: s.PlatformTimeout},
+		find[platform.Store](b, namePlatform), find[rpcwire.Caller](b, nameCaller), now, b.log, find[*metric.Set](b, nameMetrics))
+	node.Register(find[*rpcwire.Server](b, nameControl))
+	b.register(node)
+}
+
+func orElse(v, other string) string {
+	if v == "" {
+		return other
+	}
+	return v
+}
+
+func buildRelay(b *builder) {
+	duty := relay.New(relay.Settings{PlatformTimeout: b.settings.PlatformTimeout}, find[*syncer.Syncer](b, nameSyncer),
+		find[platform.Store](b, namePlatform), find[rpcwire.Caller](b, nameCaller), find[clock.Clock](b, nameClock), b.log,
+		find[*metric.Set](b, nameMetrics))
+	duty.Register(find[*rpcwire.Server](b, nameControl))
+	b.register(duty)
+}
+
+func buildIdempotency(b *builder) {
+	node := find[*syncer.Syncer](b, nameSyncer)
+	self := func() idempotency.Claimant {
+		own := node.Self()
+		return idempotency.Claimant{ID: own.ID, Incarnation: own.Incarnation}
+	}
+	keys := idempotency.New(idempotency.Options{
+		Self: self, Service: b.settings.Service, View: node, Caller: find[rpcwire.Caller](b, nameCaller),
+		Store: find[platform.Store](b, namePlatform), Clock: find[clock.Clock](b, nameClock),
+		Metrics: find[*metric.Set](b, nameMetrics), Log: b.log, Slack: b.settings.MembershipLag,
+	})
+	handleKeys(find[*rpcwire.Server](b, nameControl), keys.Keys())
+	b.register(keys)
+}
+
+// handleKeys registers the methods through which other nodes claim keys here.
+func handleKeys(server *rpcwire.Server, keys *idempotency.Keys) {
+	handle(server, "Claim", keys.Claim)
+	handle(server, "Outcome", keys.Outcome)
+	handle(server, "Withdraw", keys.Withdraw)
+	handle(server, "HandOver", keys.HandOver)
+}
+
+func handle[A, R any](server *rpcwire.Server, method string, f func(*A, *R) error) {
+	rpcwire.Handle(server, idempotency.KeysService+"."+method, func(_ context.Context, args *A, reply *R) error {
+		return f(args, reply)
+	})
+}
--- /dev/null
+++ b/cmd/monsoonlatchd/datapath.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
+	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
+	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
+	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
+	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
+)
+
+// buildAnnounce takes the backend server's announcements and passes them on to admission and to the other nodes.
+func buildAnnounce(b *builder) {
+	s, now, node := b.settings, find[clock.Clock](b, nameClock), find[*syncer.Syncer](b, nameSyncer)
+	if b.err != nil {
+		return
+	}
+	slots := admission.NewGate(discipline(s), now)
+	b.provide(nameGate, slots)
+	b.provide(nameAnnounce, announce.New(announce.Settings{
+		Instance: node.Self(), Backend: netip.MustParseAddrPort(s.BackendServer).Addr(), Clock: now, Log: b.log,
+		OnChange: func(i membership.Instance) {
+			i.Slots = min(i.Slots, s.Slots)
+			if i.State == membership.StateReady {
+				slots.SetSlots(i.Slots)
+			}
+			node.SetLocal(i)
+		},
+	}))
+}
+
+func discipline(s *Settings) admission.Discipline {
+	settings := admission.Settings{Slots: s.Slots}
+	if s.Admission == "fifo" {
+		return admission.NewFIFO(settings)
+	}
+	return admission.New(settings)
+}
+
+// buildEgress makes the part that hands calls to the backend server, with its listener for other nodes.
+func buildEgress(b *builder) {
+	now, metrics, own := find[clock.Clock](b, nameClock), find[*metric.Set](b, nameMetrics), find[*announce.Service](b, nameAnnounce)
+	if b.err != nil {
+		return
+	}
+	calls := proxy.NewCalls()
+	egress := proxy.NewEgress(proxy.EgressSettings{
+		Own: own, Gate: gate{find[*admission.Gate](b, nameGate)}, Guard: find[idempotency.Guard](b, nameIdempotency),
+		Backend: upstream.NewPool(upstream.Settings{Clock: now, MaxOpen: b.settings.Slots}), Calls: calls, Metrics: metrics,
+		Clock: now, Log: b.log,
+	})
+	filter := &network.Listener{Allowed: find[network.Set](b, namePeers), Refused: func(remote string) {
+		metrics.Refused(metric.RefusedForbidden)
+		event.SourceRefused.Write(event.SourceRefused.Log(&b.log).Str("remote", remote))
+	}}
+	b.provide(nameCalls, calls)
+	b.provide(nameEgress, egress)
+	b.register(newListener("peers", b.settings.Peers, filter, egress, b.log, own.Run))
+}
+
+// buildIngress makes the part that takes callers' requests, with its listener.
+func buildIngress(b *builder) {
+	s, now, node := b.settings, find[clock.Clock](b, nameClock), find[*syncer.Syncer](b, nameSyncer)
+	ingress := proxy.NewIngress(proxy.IngressSettings{
+		Self: membership.InstanceID(s.ID), Source: node, View: node, Guard: find[idempotency.Guard](b, nameIdempotency),
+		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
+		Peers:  upstream.NewPool(upstream.Settings{Clock: now, Dial: find[dialFunc](b, nameDial)}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: s.AvailabilityZone, Random: s.Choice == "random"}),
+		Retry:  retry.New(retry.Settings{Unlimited: s.Retries == "unlimited"}), Metrics: find[*metric.Set](b, nameMetrics),
+		Clock: now, Log: b.log,
+	})
+	b.provide(nameIngress, ingress)
+	follow := &shares{source: node, gate: find[*admission.Gate](b, nameGate)}
+	b.register(newListener("callers", s.Callers, nil, ingress, b.log, ingress.Run, every(sharesPeriod, follow.update)))
+}
+
+// sharesPeriod bounds how long a changed guaranteed share waits to take effect.
+const sharesPeriod = time.Second
+
+// shares passes the guaranteed shares of a new configuration on to admission.
+type shares struct {
+	source config.Source
+	gate   *admission.Gate
+	seen   config.Version
+}
+
+func (sh *shares) update() {
+	snap := sh.source.Current()
+	if snap == nil || snap.Version == sh.seen {
+		return
+	}
+	sh.seen = snap.Version
+	sh.gate.SetShares(sharesOf(snap))
+}
+
+// sharesOf gives each rank the largest share of its policies.
+func sharesOf(snap *config.Snapshot) map[int]float64 {
+	byRank := make(map[int]float64)
+	for _, p := range snap.Configuration.Policies {
+		byRank[p.Rank] = max(byRank[p.Rank], p.GuaranteedShare)
+	}
+	return byRank
+}
+
+// gate makes an admission gate usable by the egress; proxy and admission do not know each other.
+type gate struct{ *admission.Gate }
+
+func (g gate) Acquire(ctx context.Context, w proxy.Work) (func(served, shed bool, took time.Duration), *proxy.Refusal) {
+	release, refusal := g.Gate.Acquire(ctx, admission.Work{Rank: w.Rank, Policy: w.Policy, Arrived: w.Arrived, Deadline: w.Deadline})
+	if refusal != nil {
+		return nil, &proxy.Refusal{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	}
+	return release, nil
+}
+
+func (g gate) Load() proxy.Load { return proxy.Load(g.Gate.Load()) }
--- a/cmd/monsoonlatchd/drainer.go
+++ b/cmd/monsoonlatchd/drainer.go
@@ -31,6 +31,13 @@
 	log     zerolog.Logger
 }
 
+func buildDrainer(b *builder) {
+	b.register(&drainer{
+		syncer: find[*syncer.Syncer](b, nameSyncer), ingress: find[*proxy.Ingress](b, nameIngress),
+		egress: find[*proxy.Egress](b, nameEgress), keys: find[idempotency.Guard](b, nameIdempotency), log: b.log,
+	})
+}
+
 func (d *drainer) Name() string { return "drainer" }
 
 func (d *drainer) Start(context.Context) error { return nil }
--- a/cmd/monsoonlatchd/listener.go
+++ b/cmd/monsoonlatchd/listener.go
@@ -14,20 +14,20 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 )
 
-// listener is the kernel service of one HTTP address of the data path. background runs beside it until Stop.
+// listener is the kernel service of one HTTP address of the data path. The duties run beside it until Stop.
 type listener struct {
-	name       string
-	address    string
-	filter     *network.Listener
-	server     *http.Server
-	background func(context.Context)
-	log        zerolog.Logger
-	cancel     context.CancelFunc
+	name    string
+	address string
+	filter  *network.Listener
+	server  *http.Server
+	duties  []background
+	log     zerolog.Logger
+	cancel  context.CancelFunc
 }
 
 // newListener returns a service that takes connections from the filter's networks; a nil filter takes all.
-func newListener(name, address string, filter *network.Listener, h http.Handler, background func(context.Context), log zerolog.Logger) *listener {
-	return &listener{name: name, address: address, filter: filter, server: proxy.NewServer(h), background: background, log: log}
+func newListener(name, address string, filter *network.Listener, h http.Handler, log zerolog.Logger, duties ...background) *listener {
+	return &listener{name: name, address: address, filter: filter, server: proxy.NewServer(h), duties: duties, log: log}
 }
 
 func (l *listener) Name() string { return l.name }
@@ -42,7 +42,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	go l.background(ctx)
+	for _, duty := range l.duties {
+		go duty(ctx)
+	}
 	go func() {
 		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			event.ListenerFailed.Write(event.ListenerFailed.Log(&l.log).Err(err).Str("listener", l.name))
--- a/cmd/monsoonlatchd/main.go
+++ b/cmd/monsoonlatchd/main.go
@@ -31,9 +31,9 @@
 	}
 	level, _ := zerolog.ParseLevel(s.LogLevel)
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("node", s.ID).Logger()
-	n, err := newNode(&s, log)
+	node, err := newNode(&s, log)
 	if err == nil {
-		err = n.run(log, s.StopGrace)
+		err = runNode(node, &s, log)
 	}
 	if err != nil {
 		event.NodeFailed.Write(event.NodeFailed.Log(&log).Err(err))
--- /dev/null
+++ b/cmd/monsoonlatchd/status.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
+	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/relay"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// status tells operators the state of the node.
+type status struct {
+	kernel *kernel.Kernel
+	syncer *syncer.Syncer
+	relay  *relay.Relay
+	clock  clock.Clock
+	// settle is how long the membership must have been complete before keyed requests run.
+	settle time.Duration
+}
+
+func buildAdmin(b *builder) {
+	st := &status{
+		kernel: b.kernel, syncer: find[*syncer.Syncer](b, nameSyncer), relay: find[*relay.Relay](b, nameRelay),
+		clock: find[clock.Clock](b, nameClock), settle: max(b.settings.MembershipLag, idempotency.DefaultSettle),
+	}
+	b.register(admin.New(admin.Settings{
+		Listen: b.settings.Admin, Operators: b.networks(b.settings.OperatorNetworks), State: st.state, Ready: st.ready,
+		Announce: find[*announce.Service](b, nameAnnounce), Metrics: find[*metric.Set](b, nameMetrics), Log: b.log,
+	}))
+}
+
+func (st *status) ready() bool { return st.syncer.Ready() && st.kernel.State() == kernel.StateRunning }
+
+func (st *status) state() admin.State {
+	self := st.syncer.Self()
+	out := admin.State{
+		ID: string(self.ID), Service: self.Service, AvailabilityZone: self.AvailabilityZone,
+		Lifecycle: st.kernel.State(), BackendServer: self.State.String(),
+	}
+	if snap := st.syncer.Current(); snap != nil {
+		out.Version, out.Hash = uint64(snap.Version), snap.Hash
+	}
+	_, out.Relay = st.relay.Holds()
+	since, complete := st.syncer.Synchronised()
+	out.MembershipSettled = complete && st.clock.Now().Sub(since) > st.settle
+	return out
+}
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -1,4 +1,4 @@
-// Package kernel starts and stops the services of a process in order and lets them find each other by name.
+// Package kernel starts and stops the services of a process in order and lets its parts find each other by name.
 package kernel
 
 import (
@@ -39,7 +39,7 @@
 // Kernel owns the services of a process. Register is for the time before Start; the registry is read-only after it.
 type Kernel struct {
 	services  []Service
-	byName    map[string]Service
+	byName    map[string]any
 	started   int
 	lifecycle *fsm.FSM
 }
@@ -47,7 +47,7 @@
 // New returns an empty kernel.
 func New() *Kernel {
 	return &Kernel{
-		byName: make(map[string]Service),
+		byName: make(map[string]any),
 		lifecycle: fsm.NewFSM(StateNew, fsm.Events{
 			{Name: eventStart, Src: []string{StateNew}, Dst: StateStarting},
 			{Name: eventStarted, Src: []string{StateStarting}, Dst: StateRunning},
@@ -59,18 +59,26 @@
 
 // Register adds a service. Services start in the order of registration and stop in the reverse order.
 func (k *Kernel) Register(s Service) error {
+	if err := k.Provide(s.Name(), s); err != nil {
+		return err
+	}
+	k.services = append(k.services, s)
+	return nil
+}
+
+// Provide adds a part that others can find but that has nothing to start or stop.
+func (k *Kernel) Provide(name string, part any) error {
 	if k.lifecycle.Current() != StateNew {
-		return fault.New(fault.Internal, "kernel: register "+s.Name(), "the kernel has started", "register services before Start")
+		return fault.New(fault.Internal, "kernel: register "+name, "the kernel has started", "register services before Start")
 	}
-	if _, ok := k.byName[s.Name()]; ok {
-		return fault.New(fault.Internal, "kernel: register "+s.Name(), "the name is taken", "give each service a name of its own")
+	if _, ok := k.byName[name]; ok {
+		return fault.New(fault.Internal, "kernel: register "+name, "the name is taken", "give each service a name of its own")
 	}
-	k.byName[s.Name()] = s
-	k.services = append(k.services, s)
+	k.byName[name] = part
 	return nil
 }
 
-// Find returns the service with the given name as type T. Services call it once, at start.
+// Find returns the part with the given name as type T. Services call it once, when they are built.
 func Find[T any](k *Kernel, name string) (T, error) {
 	var zero T
 	s, ok := k.byName[name]
