--- a/pkg/idempotency/handover.go
+++ b/pkg/idempotency/handover.go
@@ -151,7 +151,8 @@
 	spans = slices.DeleteFunc(spans, func(s membership.Span) bool { return s.Instance.ID == self.ID })
 	t := n.timing(0)
 	t.Slack, t.Window = n.o.Slack, -n.o.Slack
-	return NewRoster(spans, self, n.o.Clock.Now(), t)
+	since, _ := n.o.View.Synchronised()
+	return NewRoster(spans, self, since, n.o.Clock.Now(), t)
 }
 
 // sendBatches returns the entries, by index, that the holder took.
