Test that a node logs an outage and its drain

Cause: events 1500 and 1304 were defined but never logged, and no test saw it.

Change: a process test kills the platform stand-in, sends requests in the outage, stops the nodes and looks for the events in their logs.

Conclusion: the events that operators rely on are seen in a running node.

--- /dev/null
+++ b/test/e2e/events_test.go
@@ -0,0 +1,38 @@
+package e2e
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a node that does not log an outage of the platform or the end of its drain, on which the operators'
+// page relies, and against requests that fail in the outage.
+func TestNodeLogsOutageAndDrain(t *testing.T) {
+	t.Parallel()
+	m := nairobi(t, "westlands")
+	m.standin.kill()
+	m.eventually("a failed platform call on a node", func() bool {
+		for _, in := range m.instances {
+			var counters map[string]struct{ Count int }
+			if getJSON("http://"+in.admin+"/metrics", &counters) == nil && counters["platform.failed.unavailable"].Count > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	logs := ""
+	for _, in := range m.instances {
+		if a := call(in.callers, "GET", "/capsules/1", "", ""); !a.answered() {
+			t.Errorf("request in the outage: %+v", a)
+		}
+	}
+	for _, in := range m.instances {
+		in.node.stop(t)
+		logs += in.node.log.String()
+	}
+	for _, name := range []string{"platform_unavailable", "drain_started", "drain_ended"} {
+		if !strings.Contains(logs, `"name":"`+name+`"`) {
+			t.Errorf("no node logged %s", name)
+		}
+	}
+}
