--- a/cmd/mlload/main.go
+++ b/cmd/mlload/main.go
@@ -23,9 +23,10 @@
 )
 
 type commands struct {
-	Run    runCommand    `cmd:"" help:"Send the load of a profile."`
-	Replay replayCommand `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
-
+	Run         runCommand         `cmd:"" help:"Send the load of a profile."`
+	Replay      replayCommand      `cmd:"" help:"Send the requests of a recorded trace at their recorded times."`
+	Retries     retriesCommand     `cmd:"" help:"Model the load that retries add in a chain of calls."`
+	Policy      policyCommand      `cmd:"" help:"Replay floods against admission policies on a virtual clock."`
 	Compare     compareCommand     `cmd:"" help:"Print reports of convergence as one Markdown table."`
 	Convergence convergenceCommand `cmd:"" help:"Submit generated release notes and measure the time until each is in force at every node, and what control costs."`
 }
