--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,15 +85,18 @@
 	return r
 }
 
+var commonHeaders = [...]string{HeaderRequestID, HeaderRemaining, HeaderRank, HeaderConfigVersion, HeaderService,
+	HeaderRoute}
+
 // setCommon sets the headers that both the egress and the backend server get.
 func (c *call) setCommon(h http.Header, now time.Time, deadline time.Time) {
-	set(h, HeaderRequestID, c.id)
-	setInt(h, HeaderRemaining, wireRemaining(now, deadline))
-	setInt(h, HeaderRank, int64(c.rank))
-	setInt(h, HeaderAttempt, int64(c.attempt))
-	setInt(h, HeaderConfigVersion, int64(c.version))
-	set(h, HeaderService, c.service)
-	set(h, HeaderRoute, c.route)
+	values := []string{c.id, strconv.FormatInt(wireRemaining(now, deadline), 10), strconv.Itoa(c.rank),
+		strconv.FormatUint(uint64(c.version), 10), c.service, c.route}
+	for i, name := range commonHeaders {
+		// The values share one allocation.
+		h[name] = values[i : i+1 : i+1]
+	}
+	setCount(h, HeaderAttempt, int64(c.attempt))
 	setFlag(h, HeaderRetried, c.retried || c.attempt > 0)
 }
 
@@ -100,7 +104,7 @@
 func (c *call) setPeer(h http.Header) {
 	set(h, HeaderPolicy, c.policy)
 	setFlag(h, HeaderIdempotent, c.idempotent)
-	setInt(h, HeaderHops, int64(c.hops))
+	setCount(h, HeaderHops, int64(c.hops))
 	if c.keyed() {
 		setInt(h, HeaderWindow, c.window.Microseconds())
 	}
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -76,13 +76,13 @@
 		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1"}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(time.Hour/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
-	hops, ok3 := parseInt(h, HeaderHops, MaxHops)
+	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
 	if c.id == "" || c.service == "" || !ok1 || !ok2 || !ok3 {
 		return c, refuseUnread(metric.RefusedMalformed)
 	}
 	c.rank, c.hops = int(rank), int(hops)
 	c.deadline = now.Add(time.Duration(remaining) * time.Microsecond)
-	attempt, _ := parseInt(h, HeaderAttempt, 1<<20)
+	attempt, _ := parseCount(h, HeaderAttempt, 1<<20)
 	version, _ := parseInt(h, HeaderConfigVersion, 1<<62)
 	window, _ := parseInt(h, HeaderWindow, int64(24*time.Hour/time.Microsecond))
 	c.attempt, c.version, c.window = int(attempt), config.Version(version), time.Duration(window)*time.Microsecond
@@ -195,7 +195,7 @@
 		step = c.patience
 	}
 	ex.Patience = now.Add(step)
-	ex.OnWait = func(bool) time.Time {
+	ex.OnWait = func() time.Time {
 		switch {
 		case en.called.Load() && c.signal != nil:
 			c.signal()
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -170,14 +170,14 @@
 	c.setCommon(c.header, now, c.deadline)
 	c.setPeer(c.header)
 	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true,
-		Idempotent: c.idempotent, Deadline: c.deadline}
+		Idempotent: c.idempotent, Deadline: c.deadline.Add(hearGrace)}
 	if c.giveUp != nil {
 		ex.Patience = now.Add(c.patience)
-		ex.OnWait = func(alive bool) time.Time {
-			if !alive && c.giveUp() {
+		ex.OnWait = func() time.Time {
+			if c.giveUp() {
 				return time.Time{}
 			}
-			return c.deadline
+			return ex.Deadline
 		}
 	}
 	res := in.Peers.Do(c.workContext(ctx), target.PeerAddress, ex)
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
@@ -32,12 +33,24 @@
 }
 
 // String returns the form of HeaderLoad.
-func (l Load) String() string { return fmt.Sprintf("%d/%d/%d", l.InUse, l.Limit, l.Queued) }
+func (l Load) String() string {
+	b := make([]byte, 0, 24)
+	b = strconv.AppendInt(b, int64(l.InUse), 10)
+	b = strconv.AppendInt(append(b, '/'), int64(l.Limit), 10)
+	b = strconv.AppendInt(append(b, '/'), int64(l.Queued), 10)
+	return string(b)
+}
 
 // parseLoad reads the form of HeaderLoad.
 func parseLoad(s string) *balance.Load {
+	inUse, rest, _ := strings.Cut(s, "/")
+	limit, queued, _ := strings.Cut(rest, "/")
 	var l balance.Load
-	if n, err := fmt.Sscanf(s, "%d/%d/%d", &l.InUse, &l.Limit, &l.Queued); err != nil || n != 3 {
+	var err1, err2, err3 error
+	l.InUse, err1 = strconv.Atoi(inUse)
+	l.Limit, err2 = strconv.Atoi(limit)
+	l.Queued, err3 = strconv.Atoi(queued)
+	if err1 != nil || err2 != nil || err3 != nil {
 		return nil
 	}
 	return &l
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -101,6 +101,15 @@
 
 func setInt(h http.Header, name string, v int64) { h[name] = []string{strconv.FormatInt(v, 10)} }
 
+// setCount sets a header whose absence means zero: each header costs time at the next hop.
+func setCount(h http.Header, name string, v int64) {
+	if v == 0 {
+		delete(h, name)
+		return
+	}
+	setInt(h, name, v)
+}
+
 // setFlag sets a header to 1, or removes it.
 func setFlag(h http.Header, name string, on bool) {
 	if on {
@@ -112,14 +121,29 @@
 
 // parseInt reads a number that must be from 0 to most.
 func parseInt(h http.Header, name string, most int64) (int64, bool) {
+	if len(h[name]) == 0 {
+		return 0, false
+	}
 	n, err := strconv.ParseInt(first(h, name), 10, 64)
 	return n, err == nil && n >= 0 && n <= most
 }
 
+// parseCount reads a number whose absence means zero.
+func parseCount(h http.Header, name string, most int64) (int64, bool) {
+	if len(h[name]) == 0 {
+		return 0, true
+	}
+	return parseInt(h, name, most)
+}
+
 // hopMargin is the part of the remaining time that a hop keeps back, so that the next node's refusal for a passed
 // deadline still arrives in time: twice the way between availability zones, or a tenth of a short remaining time.
 const hopMargin = 4 * time.Millisecond
 
+// hearGrace is how long after the deadline the ingress still waits for the word of the egress. Without it a stall of a
+// few milliseconds turns a true "not run" into an unknown outcome.
+const hearGrace = 50 * time.Millisecond
+
 // wireRemaining is the time left for the next hop.
 func wireRemaining(now, deadline time.Time) int64 {
 	left := deadline.Sub(now)
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -51,15 +52,28 @@
 	return false
 }
 
-// Settings of the garbage collector. The live heap of a node is a few megabytes, so that the default would collect many
-// times a second and each collection slows calls down. The memory limit keeps the process small all the same.
-const (
-	gcPercent   = 400
-	memoryLimit = 192 << 20
-)
+// Tuning is the settings of the Go runtime for a node. Zero values leave the runtime's own.
+type Tuning struct {
+	Procs       int
+	GCPercent   int
+	MemoryLimit int64
+}
+
+// DefaultTuning suits a node beside a backend server. With a goroutine per request and one more per connection, each
+// call wakes idle threads: ten threads spent up to twice the processor time of one for a call. Two keep the data path
+// going while the other works on a configuration. The live heap is a few megabytes, so that the default percentage
+// would collect many times a second under load; the limit keeps the process small all the same.
+var DefaultTuning = Tuning{Procs: 2, GCPercent: 400, MemoryLimit: 192 << 20}
 
-// TuneRuntime applies the settings of the garbage collector to the process.
-func TuneRuntime() {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimit)
+// Apply changes the settings of the process.
+func (t Tuning) Apply() {
+	if t.Procs > 0 && t.Procs < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(t.Procs)
+	}
+	if t.GCPercent > 0 {
+		debug.SetGCPercent(t.GCPercent)
+	}
+	if t.MemoryLimit > 0 {
+		debug.SetMemoryLimit(t.MemoryLimit)
+	}
 }
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -26,8 +27,17 @@
 	quiet      bool
 	answeredAt time.Time
 	sent       int64
-	br         *bufio.Reader
-	bw         *bufio.Writer
+
+	// ctx and deadline are those of the exchange. Each change of a deadline costs a change of a runtime timer, so that
+	// reads are bounded by early until the rest of an answer must be waited for, and writes only when they can block.
+	ctx          context.Context
+	deadline     time.Time
+	early        bool
+	began        bool
+	writeBounded bool
+
+	br *bufio.Reader
+	bw *bufio.Writer
 }
 
 func newConn(nc net.Conn, h *host) *conn {
@@ -39,24 +49,69 @@
 	return c
 }
 
-// Write counts the bytes that the kernel took.
+// Write counts the bytes that the kernel took. The first buffer of a request goes into an empty socket buffer, which is
+// larger, and so never blocks.
 func (c *conn) Write(p []byte) (int, error) {
+	if (c.sent > 0 || len(p) > bufferSize) && !c.writeBounded {
+		c.writeBounded = true
+		if err := c.SetWriteDeadline(c.deadline); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Write(p)
 	c.sent += int64(n)
 	return n, err
 }
 
+// Read extends an early deadline to that of the exchange once an answer has begun.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.early && c.began {
+		c.early = false
+		if err := c.waitUntil(c.deadline); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// begin sets the deadlines of an exchange.
+func (c *conn) begin(ctx context.Context, ex *Exchange) error {
+	c.ctx, c.deadline, c.began = ctx, ex.Deadline, false
+	if c.early = ex.OnWait != nil; c.early {
+		return c.Conn.SetReadDeadline(ex.Patience)
+	}
+	return c.Conn.SetReadDeadline(ex.Deadline)
+}
+
+// unboundWrites removes the write deadline of the last exchange.
+func (c *conn) unboundWrites() {
+	if c.writeBounded {
+		c.writeBounded = false
+		_ = c.SetWriteDeadline(time.Time{})
+	}
+}
+
+// waitUntil moves the deadline for reads. A cancellation sets a deadline too and must not be undone.
+func (c *conn) waitUntil(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.ctx.Err()
+}
+
 // attach gives the connection buffers for one exchange.
 func (c *conn) attach() {
 	c.sent = 0
 	c.br = readers.Get().(*bufio.Reader)
-	c.br.Reset(c.Conn)
+	c.br.Reset(c)
 	c.bw = writers.Get().(*bufio.Writer)
 	c.bw.Reset(c)
 }
 
 // detach returns the buffers.
 func (c *conn) detach() {
+	c.ctx = nil
+	c.unboundWrites()
 	if c.br == nil {
 		return
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -24,7 +24,7 @@
 // Exchange is one request. Its Request must carry a Host and a body of known length.
 type Exchange struct {
 	Request *http.Request
-	// RequestID is compared with the answer's.
+	// RequestID is compared with the answer's, unless it is empty.
 	RequestID string
 	// RequireEcho refuses an answer without a request id: peer nodes always echo it, backend servers may.
 	RequireEcho bool
@@ -33,9 +33,9 @@
 	// Deadline is when the exchange fails; zero means that only the context bounds it.
 	Deadline time.Time
 	// OnWait, if set, is called in the exchange's goroutine when no answer has begun at Patience. It returns until when
-	// to wait next, or zero to give up. The argument tells whether the peer has sent an informational answer, which
-	// shows that the connection is alive.
-	OnWait   func(alive bool) time.Time
+	// to wait next, or zero to give up. After an informational answer, which shows that the connection is alive, the
+	// exchange waits until its deadline.
+	OnWait   func() time.Time
 	Patience time.Time
 }
 
@@ -69,14 +69,14 @@
 
 func (p *Pool) connect(ctx context.Context, addr string, ex *Exchange, now time.Time) (*conn, Result) {
 	h, max := p.host(addr)
-	c := h.take(now, ex.Idempotent)
-	if c == nil {
-		var err error
-		if c, err = h.dial(ctx, max); err != nil {
-			return nil, failed(connectFailure(ctx, err), 0, err)
-		}
+	if c := h.take(ctx, ex, now); c != nil {
+		return c, Result{}
+	}
+	c, err := h.dial(ctx, max)
+	if err != nil {
+		return nil, failed(connectFailure(ctx, err), 0, err)
 	}
-	if err := c.SetDeadline(ex.Deadline); err != nil {
+	if err := c.begin(ctx, ex); err != nil {
 		h.drop(c)
 		return nil, failed(FailConnect, 0, err)
 	}
@@ -103,7 +103,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return failed(c.classify(ctx, err, FailWrite), c.sent, err)
 	}
-	resp, err := c.readHead(ctx, ex)
+	resp, err := c.readHead(ex)
 	if err != nil {
 		return failed(c.classify(ctx, err, FailMalformed), c.sent, err)
 	}
@@ -127,13 +127,13 @@
 }
 
 // readHead reads the head of the final answer.
-func (c *conn) readHead(ctx context.Context, ex *Exchange) (*http.Response, error) {
-	for i := range maxInformational {
-		if ex.OnWait != nil {
-			if err := c.await(ctx, ex, i > 0); err != nil {
-				return nil, err
-			}
+func (c *conn) readHead(ex *Exchange) (*http.Response, error) {
+	if c.early {
+		if err := c.await(ex); err != nil {
+			return nil, err
 		}
+	}
+	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, ex.Request)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
@@ -145,38 +145,31 @@
 	return nil, errors.New("unexpected informational answer")
 }
 
-// await returns when the first byte of an answer has arrived, with the exchange's deadline set again.
-func (c *conn) await(ctx context.Context, ex *Exchange, alive bool) error {
-	until := ex.Patience
+// await returns when the first byte of an answer has arrived.
+func (c *conn) await(ex *Exchange) error {
 	for {
-		if err := c.waitUntil(ctx, until); err != nil {
-			return err
-		}
 		_, err := c.br.Peek(1)
 		if err == nil {
-			return c.waitUntil(ctx, ex.Deadline)
+			c.began = true
+			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil || !time.Now().Before(ex.Deadline) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.ctx.Err() != nil || !time.Now().Before(ex.Deadline) {
 			return err
 		}
-		if until = ex.OnWait(alive); until.IsZero() {
+		until := ex.OnWait()
+		if until.IsZero() {
+			return err
+		}
+		if err := c.waitUntil(until); err != nil {
 			return err
 		}
 	}
 }
 
-// waitUntil moves the deadline for reads. A cancellation sets a deadline too and must not be undone.
-func (c *conn) waitUntil(ctx context.Context, t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return ctx.Err()
-}
-
 // verifyHead checks that the answer belongs to the request and that its end can be recognised.
 func verifyHead(resp *http.Response, ex *Exchange) error {
 	id := resp.Header.Get(HeaderRequestID)
-	if id != ex.RequestID && (id != "" || ex.RequireEcho) {
+	if ex.RequestID != "" && id != ex.RequestID && (id != "" || ex.RequireEcho) {
 		return ErrMismatch
 	}
 	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -154,10 +154,10 @@
 
 // take returns a pooled connection that may carry the work, or nil. Non-idempotent work needs one that answered within
 // Settings.Liveness.
-func (h *host) take(now time.Time, idempotent bool) *conn {
+func (h *host) take(ctx context.Context, ex *Exchange, now time.Time) *conn {
 	for {
-		c := h.pop(now, idempotent)
-		if c == nil || c.usable() {
+		c := h.pop(now, ex.Idempotent)
+		if c == nil || (c.begin(ctx, ex) == nil && c.usable()) {
 			return c
 		}
 		h.drop(c)
