--- a/cmd/monsoonlatchd/node.go
+++ b/cmd/monsoonlatchd/node.go
@@ -114,7 +114,7 @@
 
 // runNode starts the services, waits for a signal, and stops them within the grace period.
 func runNode(k *kernel.Kernel, s *Settings, log zerolog.Logger) error {
-	proxy.TuneRuntime()
+	proxy.DefaultTuning.Apply()
 	ctx, cancel := untilStopped()
 	defer cancel()
 	event.NodeStarted.Write(event.NodeStarted.Log(&log).Str("service", s.Service).Str("zone", s.AvailabilityZone))
