Check at most once under random schedules, and show that the check rejects a naive guard

Cause: tests of single cases do not show that the rule holds when changes, partitions and lost messages come together.

Runs are counted in the model's backend server; porcupine judges each key: at most one run, "not run" is true, answers equal that of the run.

The platform's create and the read after a lost answer have a time limit each; one limit for both left no time for the read.

--- a/pkg/idempotency/attempt.go
+++ b/pkg/idempotency/attempt.go
@@ -141,6 +141,7 @@
 	if found.Answer == nil {
 		return unknown(metric.RefusedAnswerNotKept), false
 	}
+	a.node.o.Metrics.Counter("idempotency.replayed").Inc(1)
 	return Result{Outcome: OutcomeAnswered, Answer: found.Answer, Replayed: true}, false
 }
 
--- a/pkg/idempotency/claims.go
+++ b/pkg/idempotency/claims.go
@@ -72,9 +72,8 @@
 
 // claimPlatform takes the platform's claim. other is set if another claimant holds it.
 func (a *attempt) claimPlatform() (v Verdict, other Claimant) {
-	ctx, cancel := context.WithTimeout(a.ctx, a.node.o.ClaimTimeout)
-	defer cancel()
-	other, err := a.node.platform.claim(ctx, a.claim)
+	a.node.o.Metrics.Counter("idempotency.platform_claims").Inc(1)
+	other, err := a.node.platform.claim(a.ctx, a.claim)
 	a.onPlatform = !fault.Is(err, fault.Limited)
 	if err != nil {
 		event.KeyPlatformClaimFailed.Write(event.KeyPlatformClaimFailed.Log(&a.node.o.Log).Err(err))
--- a/pkg/idempotency/platform.go
+++ b/pkg/idempotency/platform.go
@@ -64,7 +64,9 @@
 	clock clock.Clock
 	log   zerolog.Logger
 	// retain is how long the claim of another claimant is left alone.
-	retain  time.Duration
+	retain time.Duration
+	// timeout bounds a create, and the reads after one whose answer was lost.
+	timeout time.Duration
 	creates *rate.Limiter
 	deletes *rate.Limiter
 
@@ -82,7 +84,7 @@
 
 func newPlatformClaims(o *Options) *platformClaims {
 	return &platformClaims{
-		store: o.Store, clock: o.Clock, log: o.Log, retain: o.MaxWindow + 2*o.Slack,
+		store: o.Store, clock: o.Clock, log: o.Log, retain: o.MaxWindow + 2*o.Slack, timeout: o.ClaimTimeout,
 		creates: rate.NewLimiter(o.PlatformRate, o.PlatformBurst),
 		deletes: rate.NewLimiter(o.PlatformRate, o.PlatformBurst), pending: make(map[pendingKey]pendingDelete),
 	}
@@ -101,7 +103,9 @@
 	if err != nil {
 		return Claimant{}, fault.Wrap(fault.Internal, op, err, "report this error")
 	}
-	obj, err := p.store.Create(ctx, platform.Object{Kind: platform.KindKeyClaim, Name: c.Key.String(), Spec: spec})
+	createCtx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	obj, err := p.store.Create(createCtx, platform.Object{Kind: platform.KindKeyClaim, Name: c.Key.String(), Spec: spec})
 	if err == nil {
 		p.remember(c, obj.Version)
 		return c.Claimant, nil
@@ -115,6 +119,8 @@
 // readBack finds out whose claim exists after a conflict or a lost answer. A claim of an earlier attempt of the same
 // claimant is updated, so that a deletion of that attempt which is still under way fails.
 func (p *platformClaims) readBack(ctx context.Context, c Claim, spec []byte) (Claimant, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
 	obj, err := p.store.Get(ctx, platform.KindKeyClaim, c.Key.String())
 	if err != nil {
 		return Claimant{}, err
--- /dev/null
+++ b/pkg/idempotency/random_test.go
@@ -0,0 +1,153 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+)
+
+// doer is the part of a guard that the model drives.
+type doer interface {
+	Do(ctx context.Context, req Request, run func(context.Context) Result) Result
+}
+
+// sent is one request of a caller, and seen what came of it.
+type sent struct{ key string }
+
+type seen struct {
+	outcome Outcome
+	answer  string
+	// ranAnswer is what the backend server answered to this request, if it ran it.
+	ran       bool
+	ranAnswer string
+}
+
+// service is the specification of one key: the answer of the one run, if there was one.
+type service struct {
+	ran    bool
+	answer string
+}
+
+// atMostOnce accepts histories in which a key runs at most once, "not run" is true of the request, and all answers
+// are those of the run.
+var atMostOnce = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			key := o.Input.(sent).key
+			byKey[key] = append(byKey[key], o)
+		}
+		return slices.Collect(maps.Values(byKey))
+	},
+	Init: func() any { return service{} },
+	Step: func(state, _, output any) (bool, any) {
+		s, o := state.(service), output.(seen)
+		if o.ran {
+			if s.ran || o.outcome == OutcomeNotRun {
+				return false, s
+			}
+			s = service{ran: true, answer: o.ranAnswer}
+		}
+		return o.outcome != OutcomeAnswered || s.ran && s.answer == o.answer, s
+	},
+}
+
+// Guards against any schedule of joins, crashes, restarts, planned stops, partitions, lost messages, stale views,
+// platform outages and resends in which a key runs twice, "not run" is false, or answers differ.
+func TestAtMostOnceUnderRandomSchedules(t *testing.T) {
+	counts := make(map[string]int)
+	rapid.Check(t, func(t *rapid.T) {
+		rapid.SyncTest(t, func(t *rapid.T) {
+			m := playRandom(t, func(h *host) doer { return h.node })
+			if !porcupine.CheckOperations(atMostOnce, m.history) {
+				t.Fatalf("the history is not at most once:\n%s", m.describe())
+			}
+			for _, o := range m.history {
+				counts[o.Output.(seen).kind()]++
+			}
+		})
+	})
+	if counts["ran"] == 0 || counts["replayed"] == 0 {
+		t.Errorf("the schedules check too little: %v", counts)
+	}
+	t.Log(counts)
+}
+
+// kind names what became of a request.
+func (o seen) kind() string {
+	switch {
+	case o.ran:
+		return "ran"
+	case o.outcome == OutcomeAnswered:
+		return "replayed"
+	case o.outcome == OutcomeNotRun:
+		return "not run"
+	}
+	return "unknown"
+}
+
+func (m *model) describe() string {
+	out := ""
+	for _, o := range m.history {
+		out += fmt.Sprintf("%d-%d key %s: %+v\n", o.Call/1e6%1e9, o.Return/1e6%1e9, o.Input.(sent).key, o.Output)
+	}
+	return out
+}
+
+// naiveGuard keeps the record at the home alone.
+type naiveGuard struct{ h *host }
+
+func (g naiveGuard) Do(ctx context.Context, req Request, run func(context.Context) Result) Result {
+	n := g.h.node
+	c := Claim{Key: NewKey(req.Service, req.Key), Claimant: g.h.identity(), Attempt: 1, Keep: req.Window}
+	if in, ok := n.Home(req.Service, req.Key); !ok || in.ID != membership.InstanceID(c.Claimant.ID) {
+		return notRun(metric.RefusedKeyNotHome)
+	}
+	done, mine := n.enter(c.Key)
+	if !mine {
+		return running()
+	}
+	defer n.leave(c.Key, done)
+	found := withTable(n, func(now time.Time, t *Table) Found { return t.Claim(now, c) })
+	switch {
+	case found.Status == ClaimConflict && found.State == StateDone && found.Answer != nil:
+		return Result{Outcome: OutcomeAnswered, Answer: found.Answer, Replayed: true}
+	case found.Status != ClaimGranted:
+		return unknown(metric.RefusedOutcomeUnknown)
+	}
+	res := run(ctx)
+	state := map[Outcome]State{OutcomeUnknown: StateUnknown, OutcomeAnswered: StateDone}[res.Outcome]
+	withTable(n, func(now time.Time, t *Table) bool {
+		if res.Outcome == OutcomeNotRun {
+			return t.Withdraw(now, c)
+		}
+		return t.Settle(now, c, state, res.Answer)
+	})
+	return res
+}
+
+// Guards against a check that accepts everything: a record at the home alone must be found to run keys twice.
+func TestNaiveGuardIsRejected(t *testing.T) {
+	rejected := 0
+	rapid.Check(t, func(t *rapid.T) {
+		rapid.SyncTest(t, func(t *rapid.T) {
+			m := playRandom(t, func(h *host) doer { return naiveGuard{h} })
+			if !porcupine.CheckOperations(atMostOnce, m.history) {
+				rejected++
+			}
+		})
+	})
+	if rejected == 0 {
+		t.Error("no schedule made the naive guard run a key twice")
+	}
+	t.Logf("%d schedules rejected", rejected)
+}
