--- a/pkg/idempotency/node_test.go
+++ b/pkg/idempotency/node_test.go
@@ -181,7 +181,14 @@
 		large := func(context.Context) Result { return answered(string(make([]byte, MaxAnswerBytes+1))) }
 		s.want(s.sendWith(home, "k", time.Second, large), OutcomeAnswered, "", 2, "k")
 		s.want(s.send(home, "k"), OutcomeUnknown, metric.RefusedAnswerNotKept, 2, "k")
-		key := s.keyWithHome(home)
+		key := s.keyWithHome(home) + "#"
+		for i := 0; s.home(home, key) != home; i++ {
+			key = fmt.Sprint("broken-", i)
+		}
+		broken := func(context.Context) Result { return unknown(metric.RefusedAnswerBroken) }
+		s.want(s.sendWith(home, key, time.Second, broken), OutcomeUnknown, metric.RefusedAnswerBroken, 1, key)
+		s.want(s.send(home, key), OutcomeUnknown, metric.RefusedOutcomeUnknown, 1, key)
+		key = s.keyWithHome(home)
 		func() {
 			defer func() { _ = recover() }()
 			s.sendWith(home, key, time.Second, func(context.Context) Result { panic("backend") })
