Report the nodes' versions at once after a restore of the platform

Cause: a restore takes back the status objects too. The next write of a relay then conflicted and was tried again only 10 s later, so that for up to 20 s note status showed an old version as in force everywhere, and note submit did not see that nodes serve a later version and gave that version to another note (seen by hand with one node: status 12 s after the restore was wrong, and a submit was accepted as version 2 while the node served 2).

Change: a relay that reads an older head writes its status at once, and a write that conflicts is made again on the version that is read.

Before/after: TestReportsAreRightAgainAfterRestore failed on all four reports 7 s after the restore; it passes with the change. A submit within the second or two before the relays have noticed can still be misled.

--- a/pkg/relay/head.go
+++ b/pkg/relay/head.go
@@ -61,7 +61,10 @@
 		syncer.LogVerdict(&d.log, d.metrics, syncer.Invalid, err, "platform", d.acceptor.State())
 		return
 	}
-	d.accept(syncer.ConfigUpdate{Whole: &w}, "platform")
+	if d.accept(syncer.ConfigUpdate{Whole: &w}, "platform") == syncer.Older {
+		// A restore has taken back the reports too; a submit detects the restore by them.
+		poke(d.statusNow)
+	}
 }
 
 // confirm reports whether the head was read after the call began. Nodes that start together share one read.
--- a/pkg/relay/status.go
+++ b/pkg/relay/status.go
@@ -55,8 +55,9 @@
 	obj := platform.Object{Kind: platform.KindZoneStatus, Name: lease.Name(d.info.Zone, d.info.Slot), Version: version, Spec: spec}
 	if version == "" {
 		obj, err = d.createStatus(ctx, obj)
-	} else {
-		obj, err = d.store.Update(ctx, obj)
+	} else if obj, err = d.store.Update(ctx, obj); fault.Is(err, fault.Conflict) {
+		// The platform was restored, or another holder has written: a stale report would hide it from a submit.
+		obj, err = d.createStatus(ctx, obj)
 	}
 	if err != nil {
 		d.limited(err, "status")
