--- a/pkg/metric/reasons_test.go
+++ b/pkg/metric/reasons_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -61,3 +63,47 @@
 		t.Errorf("the page lists %q, the code %q", retries, Retries)
 	}
 }
+
+// Guards against an operators' page that names a counter that no code counts. Counters made up of a prefix and a kind
+// are looked up by their prefix.
+func TestOperationsPageNamesCounters(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := NewSet().Snapshot()
+	source := readSources(t)
+	counters := regexp.MustCompile("`((?:refused|retry|relay|sync|config|platform|control)\\.[a-z_.]+)`").FindAllStringSubmatch(string(page), -1)
+	if len(counters) < 20 {
+		t.Fatalf("only %d counters found on the page", len(counters))
+	}
+	for _, c := range counters {
+		name := c[1]
+		_, ok := known[name]
+		prefix, last := name[:strings.LastIndex(name, ".")+1], name[strings.LastIndex(name, ".")+1:]
+		if !ok && !strings.Contains(source, `"`+name+`"`) && !(strings.Contains(source, `"`+prefix+`"`) && strings.Contains(source, `"`+last+`"`)) {
+			t.Errorf("no code counts %s", name)
+		}
+	}
+}
+
+// readSources returns the code of all packages without their tests.
+func readSources(t *testing.T) string {
+	t.Helper()
+	files, err := filepath.Glob("../*/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all.Write(data)
+	}
+	return all.String()
+}
