Bound streamed answers, refuse two keys, test announcements end to end

A caller that stops reading a long answer kept a slot of the backend server for good: nothing bounded the write. The stream now ends at the call's deadline. Expect is no longer passed on, since bodies are read whole, and a request with two idempotency keys is malformed.

--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -103,3 +105,30 @@
 		t.Errorf("a second service on the node: status %d, want 409", got)
 	}
 }
+
+// Guards against a backend stand-in and a node that disagree on the form of announcements.
+func TestStandinAnnouncesItself(t *testing.T) {
+	var changes []membership.Instance
+	s := newService(&manual{time.Unix(10, 0)}, &changes)
+	web := httptest.NewServer(s)
+	defer web.Close()
+	b := backend.New(backend.Settings{Service: "desk", Address: "127.0.0.1:81", Slots: 7, NodeAdmin: web.Listener.Addr().String()})
+	defer b.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { b.Announce(ctx); close(done) }()
+	awaitState := func(want membership.State) {
+		for rec, _ := s.Own(); rec.State != want || rec.Slots != 7; rec, _ = s.Own() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	awaitState(membership.StateReady)
+	b.Drain()
+	awaitState(membership.StateDraining)
+	cancel()
+	<-done
+	if err := b.Depart(context.Background()); err != nil {
+		t.Error(err)
+	}
+	awaitState(membership.StateDeparted)
+}
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -62,7 +62,7 @@
 	}
 	l := e.Gate.Load()
 	set(w.Header(), HeaderLoad, l.String())
-	if err := rep.write(w, r, c.id); err != nil {
+	if err := rep.write(w, r, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&e.Log).Err(err).Str("service", c.service).Str("request", c.id))
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -64,8 +64,8 @@
 	MaxKey = 256
 )
 
-// hopByHop is the headers that concern one connection only.
-var hopByHop = []string{headerConnection, "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+// hopByHop is the headers that concern one connection only. Expect is among them, since bodies are read whole first.
+var hopByHop = []string{headerConnection, "Expect", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
 // stripHopByHop removes the headers that concern one connection, and those that the connection header names.
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -65,7 +65,7 @@
 	parent := in.Calls.find(first(r.Header, HeaderCall))
 	if !in.track.enter(parent != nil) {
 		in.Metrics.Refused(metric.RefusedDraining)
-		_ = refuse(metric.RefusedDraining).write(w, r, "")
+		_ = refuse(metric.RefusedDraining).write(w, r, "", time.Time{})
 		return
 	}
 	defer in.track.leave()
@@ -76,7 +76,7 @@
 	if rep.reason != "" {
 		in.Metrics.Refused(rep.reason)
 	}
-	if err := rep.write(w, r, c.id); err != nil {
+	if err := rep.write(w, r, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&in.Log).Err(err).Str("service", c.service).Str("request", c.id))
 		panic(http.ErrAbortHandler)
 	}
@@ -93,7 +93,7 @@
 	if snap == nil {
 		return c, refuseUnread(metric.RefusedNotReady)
 	}
-	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || len(first(r.Header, headerKey)) > MaxKey {
+	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || badKey(r.Header[headerKey]) {
 		return c, refuseUnread(metric.RefusedMalformed)
 	}
 	m, ok := snap.Match(r.Method, r.URL.Path)
@@ -113,6 +113,11 @@
 	return c, c.load(r)
 }
 
+// badKey reports a key that is too long, or more than one key.
+func badKey(values []string) bool {
+	return len(values) > 1 || len(values) == 1 && len(values[0]) > MaxKey
+}
+
 // apply sets what the route and its policy say.
 func (c *call) apply(m *config.Match, version config.Version, now time.Time) {
 	c.version = version
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -127,7 +127,7 @@
 
 // write sends the reply. It aborts the connection if the rest of a long answer is cut, so that the receiver cannot take
 // the answer for complete; the returned error is then sent to the log by the caller before it aborts.
-func (rep *reply) write(w http.ResponseWriter, r *http.Request, id string) error {
+func (rep *reply) write(w http.ResponseWriter, r *http.Request, id string, deadline time.Time) error {
 	h := w.Header()
 	if rep.reason != "" {
 		rep.writeRefusal(w, h, id)
@@ -145,16 +145,22 @@
 		_, _ = w.Write(rep.body)
 		return nil
 	}
-	return rep.stream(w, r)
+	return rep.stream(w, r, deadline)
 }
 
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// stream sends an answer whose end has not been seen yet.
-func (rep *reply) stream(w http.ResponseWriter, r *http.Request) error {
+// stream sends an answer whose end has not been seen yet. The deadline bounds it: a receiver that stops reading would
+// hold a slot of the backend server otherwise.
+func (rep *reply) stream(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
 	defer rep.rest.Close()
+	rc := http.NewResponseController(w)
+	if err := rc.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	defer rc.SetWriteDeadline(time.Time{}) //nolint:errcheck // the connection is closed if it fails
 	if rep.length < 0 && !r.ProtoAtLeast(1, 1) {
 		return upstream.ErrNoEnd
 	}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -39,7 +39,7 @@
 		}
 		m.Refused(metric.RefusedForbidden)
 		event.PeerRefused.Write(event.PeerRefused.Log(&log).Str("remote", r.RemoteAddr))
-		_ = refuseUnread(metric.RefusedForbidden).write(w, r, "")
+		_ = refuseUnread(metric.RefusedForbidden).write(w, r, "", time.Time{})
 	})
 }
 
