--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 )
 
 // tracker counts calls in flight and refuses new ones during a drain.
@@ -40,6 +44,15 @@
 	t.mu.Unlock()
 }
 
+// finish waits until no call is in flight or ctx ends, and reports the end of the drain.
+func (t *tracker) finish(ctx context.Context, log *zerolog.Logger, part string) error {
+	if err := t.wait(ctx); err != nil {
+		return err
+	}
+	event.DrainEnded.Write(event.DrainEnded.Log(log).Str("part", part))
+	return nil
+}
+
 // wait returns when no call is in flight or ctx ends.
 func (t *tracker) wait(ctx context.Context) error {
 	t.mu.Lock()
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -48,7 +48,7 @@
 }
 
 // WaitIdle returns when no work is in flight or ctx ends.
-func (e *Egress) WaitIdle(ctx context.Context) error { return e.track.wait(ctx) }
+func (e *Egress) WaitIdle(ctx context.Context) error { return e.track.finish(ctx, &e.Log, "egress") }
 
 // ServeHTTP takes a call from another node.
 func (e *Egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -58,7 +58,9 @@
 
 // WaitIdle returns when no call is in flight or ctx ends. The egress must be idle first, since its work may still make
 // calls here.
-func (in *Ingress) WaitIdle(ctx context.Context) error { return in.track.wait(ctx) }
+func (in *Ingress) WaitIdle(ctx context.Context) error {
+	return in.track.finish(ctx, &in.Log, "ingress")
+}
 
 // ServeHTTP takes a call from a caller.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
