--- a/cmd/monsoonlatchd/drainer.go
+++ b/cmd/monsoonlatchd/drainer.go
@@ -31,6 +31,13 @@
 	log     zerolog.Logger
 }
 
+func buildDrainer(b *builder) {
+	b.register(&drainer{
+		syncer: find[*syncer.Syncer](b, nameSyncer), ingress: find[*proxy.Ingress](b, nameIngress),
+		egress: find[*proxy.Egress](b, nameEgress), keys: find[idempotency.Guard](b, nameIdempotency), log: b.log,
+	})
+}
+
 func (d *drainer) Name() string { return "drainer" }
 
 func (d *drainer) Start(context.Context) error { return nil }
@@ -45,6 +52,9 @@
 	d.syncer.SetLocal(own)
 	d.ingress.BeginDrain()
 	err := errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
+	if err == nil {
+		event.DrainEnded.Write(event.DrainEnded.Log(&d.log))
+	}
 	handedOver := d.handOver(ctx)
 	departCtx, cancel := context.WithTimeout(ctx, departTimeout)
 	defer cancel()
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -24,6 +24,7 @@
 	queues    [Ranks][]waiting
 	queued    int
 	inUse     int
+	lastTop   time.Time
 	lastID    Ticket
 	notices   []Notice
 }
@@ -32,14 +33,9 @@
 
 // New returns an empty queue.
 func New(s Settings) *Queue {
-	if s.HeadroomRanks <= 0 {
-		s.HeadroomRanks = DefaultHeadroomRanks
-	}
-	if !(s.QueueFactor > 0) {
-		s.QueueFactor = DefaultQueueFactor
-	}
+	s = s.withDefaults()
 	q := &Queue{settings: s, limit: newSlotLimit(s.Slots, s.ColdSlots, s.Warm)}
-	q.estimates = estimates{deviations: max(s.Deviations, 0), policies: make(map[string]*average)}
+	q.estimates = estimates{deviations: s.Deviations, policies: make(map[string]*average)}
 	q.SetShares(time.Time{}, s.Shares)
 	return q
 }
@@ -47,13 +43,17 @@
 // Offer asks for a slot.
 func (q *Queue) Offer(now time.Time, w Work) Decision {
 	w.Rank = clampRank(w.Rank)
+	if w.Rank < q.settings.HeadroomRanks {
+		q.lastTop = now
+	}
 	switch {
 	case q.limit.announced == 0:
 		return q.refuse(metric.RefusedNotReady)
 	case q.estimates.tooSlow(now, w):
 		return q.refuse(metric.RefusedDeadline)
-	case len(q.queues[w.Rank]) == 0 && q.mayStart(w.Rank):
-		// Other ranks that wait here could not use the slot: every call that frees one hands it out at once.
+	case len(q.queues[w.Rank]) == 0 && q.mayStart(now, w.Rank):
+		// Other ranks that wait could not use the slot, unless the headroom has run out since: every call that frees one
+		// hands it out at once.
 		q.start(now, w.Rank)
 		return Decision{Verdict: Run}
 	case q.tooLate(now, w):
@@ -138,8 +138,10 @@
 
 // SetShares changes the guaranteed shares. Values outside 0 to 1 are clamped, and a sum over 1 is scaled down.
 func (q *Queue) SetShares(now time.Time, shares map[int]float64) {
-	for r, s := range cleanShares(shares) {
-		q.account(now, r).share = s
+	clean, margin := cleanShares(shares)
+	for r, s := range clean {
+		a := q.account(now, r)
+		a.share, a.margin = s, margin
 	}
 }
 
@@ -157,22 +159,6 @@
 	q.inUse++
 }
 
-// mayStart reports whether a slot is free for the rank. Ranks below the top ones leave the headroom alone.
-func (q *Queue) mayStart(rank int) bool {
-	limit := q.limit.slots()
-	if q.inUse >= limit {
-		return false
-	}
-	if rank < q.settings.HeadroomRanks || q.settings.Headroom <= 0 {
-		return true
-	}
-	lower := 0
-	for _, a := range q.accounts[q.settings.HeadroomRanks:] {
-		lower += a.inUse
-	}
-	return lower < max(limit-q.settings.Headroom, 1)
-}
-
 // dispatch hands free slots to waiting work.
 func (q *Queue) dispatch(now time.Time) {
 	for q.queued > 0 {
@@ -190,21 +176,57 @@
 	}
 }
 
-// next returns the rank that gets the next slot.
+// next returns the rank that gets the next slot: of those that are overdue the one furthest behind, else the most urgent
+// of those that are owed a slot, else the most urgent of those that wait.
 func (q *Queue) next(now time.Time) (int, bool) {
-	best := -1
+	const none = -1
+	q.forgiveCommon(now)
+	overdue, owed, any := none, none, none
+	var furthest float64
 	for r := range q.queues {
-		if len(q.queues[r]) == 0 || !q.mayStart(r) {
+		if len(q.queues[r]) == 0 || !q.mayStart(now, r) {
 			continue
 		}
-		if q.account(now, r).owed(q.limit.limit) {
-			return r, true
+		if any == none {
+			any = r
+		}
+		a := q.account(now, r)
+		if !a.owed(q.limit.limit) {
+			continue
+		}
+		if owed == none {
+			owed = r
+		}
+		if behind := a.behind(q.limit.limit); behind >= overdueAfter.Seconds() && behind > furthest {
+			overdue, furthest = r, behind
+		}
+	}
+	switch {
+	case overdue != none:
+		return overdue, true
+	case owed != none:
+		return owed, true
+	}
+	return any, any != none
+}
+
+// forgiveCommon lowers the credit of all waiting ranks together when all of them are overdue. Slots cannot make up for
+// that, only the differences matter, and credit at its bound would lose them.
+func (q *Queue) forgiveCommon(now time.Time) {
+	least := math.Inf(1)
+	for r := range q.queues {
+		if a := &q.accounts[r]; a.share > 0 && len(q.queues[r]) > 0 {
+			least = min(least, q.account(now, r).behind(q.limit.limit))
 		}
-		if best < 0 {
-			best = r
+	}
+	if least < overdueAfter.Seconds() || math.IsInf(least, 1) {
+		return
+	}
+	for r := range q.queues {
+		if a := &q.accounts[r]; len(q.queues[r]) > 0 {
+			a.credit -= least * a.share * q.limit.limit
 		}
 	}
-	return best, best >= 0
 }
 
 func (q *Queue) remove(rank, i int) waiting {
@@ -217,32 +239,6 @@
 	return e
 }
 
-// capacity is the number of places for waiting work.
-func (q *Queue) capacity() int {
-	return int(math.Ceil(q.settings.QueueFactor * float64(q.limit.announced)))
-}
-
-// places is the part of the queue that a rank with a share keeps.
-func (q *Queue) places(rank int) int {
-	return int(math.Ceil(q.accounts[rank].share * float64(q.capacity())))
-}
-
-// makeRoom finds a place for work of the rank. In a full queue it takes the newest place of the least urgent rank that
-// holds more than its own places: any such rank for a newcomer that is entitled to a place, otherwise a less urgent one.
-func (q *Queue) makeRoom(rank int) (Ticket, bool) {
-	if q.queued < q.capacity() {
-		return 0, true
-	}
-	entitled := len(q.queues[rank]) < q.places(rank)
-	for r := Ranks - 1; r >= 0; r-- {
-		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= q.places(r) {
-			continue
-		}
-		return q.remove(r, len(q.queues[r])-1).ticket, true
-	}
-	return 0, false
-}
-
 // expired reports whether w cannot finish in time if it starts now.
 func (q *Queue) expired(now time.Time, w Work) bool {
 	return !w.Deadline.IsZero() && !now.Before(q.LatestStart(w))
