--- a/pkg/idempotency/plan_test.go
+++ b/pkg/idempotency/plan_test.go
@@ -203,6 +203,22 @@
 	}
 }
 
+// Guards against a plan that forgets a member while a claim that it holds can still matter: a run follows its plan by
+// up to the slack, and the next run comes up to a window later.
+func TestPlanReachesBack(t *testing.T) {
+	start := time.Now()
+	back := testTiming.Window + 2*testTiming.Slack
+	spans := []membership.Span{
+		{Instance: membership.Instance{ID: "gone", AvailabilityZone: "a"}, Departed: start.Add(-back)},
+		{Instance: membership.Instance{ID: "live", AvailabilityZone: "b"}, Joined: start.Add(-back)},
+	}
+	r := NewRoster(spans, Claimant{}, start.Add(-2*back), start, testTiming)
+	one, other := []Claimant{{ID: "gone"}, {ID: "live"}}, []Claimant{{ID: "live"}, {ID: "gone"}}
+	if !hasPair(r, Key{1}, one) && !hasPair(r, Key{1}, other) {
+		t.Errorf("the plan forgot a member that departed %v ago: %v", back, r.Plan(Key{1}).pairs)
+	}
+}
+
 // Guards against two sets of holders that satisfy a pair and do not meet: two of the three (home, second, platform).
 func TestPairNeedsTwoOfThree(t *testing.T) {
 	for _, c := range []struct {
