Let the watch bring a version before a relay asks others for it

A relay that was called by a quicker one a few milliseconds after a change fetched the whole configuration from it, although its own watch was about to bring it.

Change: a relay that is behind waits one second for its watch, and then takes deltas from a relay; only from a node that is no relay it takes the whole.

--- a/pkg/relay/duty.go
+++ b/pkg/relay/duty.go
@@ -35,8 +35,8 @@
 	// confirms holds nodes that wait for a read of the head. When it is full, a node is told that the head was not
 	// read and asks others.
 	confirms chan chan bool
-	// behind holds one address of a node with a newer configuration. When it is full, a catch-up is under way.
-	behind chan string
+	// behind holds one node or relay with a newer configuration. When it is full, a catch-up is under way.
+	behind chan source
 	// exchangeNow holds one value: there are changes to push. When it is full, a round is due anyway.
 	exchangeNow chan struct{}
 	// statusNow holds one value: the status has changed. When it is full, a write is due anyway.
@@ -65,7 +65,7 @@
 		acceptor: syncer.NewAcceptor(),
 		table:    membership.NewTable(r.clock, rand.Uint64(), config.DefaultIdempotencyWindow),
 		changes:  newBroadcast(), full: rate.NewLimiter(rate.Limit(r.settings.FullRate), r.settings.FullBurst),
-		confirms: make(chan chan bool, 256), behind: make(chan string, 1),
+		confirms: make(chan chan bool, 256), behind: make(chan source, 1),
 		exchangeNow: make(chan struct{}, 1), statusNow: make(chan struct{}, 1),
 		directory: make(directory), reach: reach{own: me.AvailabilityZone, contact: make(map[string]time.Time)},
 		polls: newPolls(now.Add(takeUpGrace)), targets: make(map[string]*target),
@@ -166,19 +166,27 @@
 	return syncer.ConfigUpdate{Whole: &syncer.WholeConfig{Version: cur.Version, Hash: cur.Hash, Configuration: cur.Configuration}}, false
 }
 
+// source is a node, or a relay, that has a newer configuration.
+type source struct {
+	address string
+	relay   bool
+	version config.Version
+}
+
 // newer asks the sender of a higher version for its configuration: a zone that is cut off from the platform, or a
 // relay that has just started, takes the newest version from where it is.
-func (d *duty) newer(c syncer.ConfigState, addr string) {
+func (d *duty) newer(c syncer.ConfigState, addr string, relay bool) {
 	if addr == "" || c.Version <= d.acceptor.State().Version {
 		return
 	}
 	select {
-	case d.behind <- addr:
+	case d.behind <- source{addr, relay, c.Version}:
 	default:
 	}
 }
 
-// catchUpPause bounds how often a relay asks others for a configuration.
+// catchUpPause is the time that the relay's own watch has to bring the version first, which it does in milliseconds
+// unless the zone is cut off from the platform.
 const catchUpPause = time.Second
 
 func (d *duty) catchUpLoop(ctx context.Context) {
@@ -186,17 +194,33 @@
 		select {
 		case <-ctx.Done():
 			return
-		case addr := <-d.behind:
-			var reply syncer.ConfigReply
-			err := d.call(ctx, addr, syncer.MethodConfig, &syncer.ConfigArgs{Config: d.acceptor.State()}, &reply)
-			if err == nil && !reply.Update.Empty() {
-				d.accept(reply.Update, addr)
+		case from := <-d.behind:
+			if sleep(ctx, catchUpPause) && from.version > d.acceptor.State().Version {
+				d.catchUp(ctx, from)
 			}
-			sleep(ctx, catchUpPause)
 		}
 	}
 }
 
+// catchUp takes deltas from a relay, or the whole configuration from a node.
+func (d *duty) catchUp(ctx context.Context, from source) {
+	d.metrics.Counter("relay.catch_ups").Inc(1)
+	var update syncer.ConfigUpdate
+	var err error
+	if from.relay {
+		args, reply := &syncer.ExchangeArgs{From: d.info, Config: d.acceptor.State(), Digest: d.table.Digest(everything)}, syncer.ExchangeReply{}
+		err = d.call(ctx, from.address, syncer.MethodExchange, args, &reply)
+		update = reply.Update
+	} else {
+		var reply syncer.ConfigReply
+		err = d.call(ctx, from.address, syncer.MethodConfig, &syncer.ConfigArgs{Config: d.acceptor.State()}, &reply)
+		update = reply.Update
+	}
+	if err == nil && !update.Empty() {
+		d.accept(update, from.address)
+	}
+}
+
 // callTimeout bounds a call to another relay or node.
 const callTimeout = 2 * time.Second
 
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -322,7 +322,7 @@
 func (d *duty) serveExchange(_ context.Context, args *syncer.ExchangeArgs, reply *syncer.ExchangeReply) error {
 	d.table.Merge(args.Records...)
 	d.heard(args.From, args.Polls)
-	d.newer(args.Config, args.From.Address)
+	d.newer(args.Config, args.From.Address, true)
 	reply.Config = d.state(args.Config)
 	if relays := d.zoneRelays(); syncer.RelaysDigest(relays) != args.Relays {
 		reply.Relays = relays
--- a/pkg/relay/sync.go
+++ b/pkg/relay/sync.go
@@ -101,7 +101,7 @@
 	d.mu.Unlock()
 	d.takeOwn(i)
 	d.table.Merge(args.Push...)
-	d.newer(args.Config, i.ControlAddress)
+	d.newer(args.Config, i.ControlAddress, false)
 	if changed {
 		poke(d.statusNow)
 	}
