Open the watch of the head again at once after its regular end

Cause: the platform ends each watch after 60 s.

Change: a watch that ends without an error after more than the pause is opened again at once and not logged. Errors and watches that end early still pause.

Ruled out: longer watches, which only make it rarer; no pause at all, which would let a platform that ends watches at once be called without bound.

--- a/internal/convergence/convergence_test.go
+++ b/internal/convergence/convergence_test.go
@@ -1,6 +1,7 @@
 package convergence
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +100,19 @@
 		}
 	}
 }
+
+// Guards against a comparison that hides a miss, or shows a figure of a part without notes.
+func TestComparisonMarksMisses(t *testing.T) {
+	var b strings.Builder
+	idle, notes := &Report{Resident: PerNode{Mean: 31e6, Max: 33e6}}, &Report{Notes: 1}
+	notes.Convergence.All.MaxUs = 7_001_000
+	if err := WriteComparison(&b, []string{"idle", "notes"}, []*Report{idle, notes}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"| figure | budget | idle | notes |\n|---|---|---|---|\n", "| convergence max, all nodes | 7s | - | 7.001s MISS |",
+		"node, mean | 32.0 MB | 31.0 MB | 0.0 MB |", "memory, largest node | 32.0 MB | 33.0 MB MISS |"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("no %q in\n%s", want, b.String())
+		}
+	}
+}
--- a/pkg/relay/head.go
+++ b/pkg/relay/head.go
@@ -30,10 +30,14 @@
 			sleep(ctx, noHeadPause+d.settings.Jitter(watchPause))
 			continue
 		}
+		began := d.clock.Now()
 		err := d.store.Watch(ctx, platform.KindConfiguration, platform.HeadName, version, func(o platform.Object) error {
 			d.head(o)
 			return nil
 		})
+		if err == nil && d.clock.Now().Sub(began) > watchPause {
+			continue // The platform ends each watch after a time; a pause would make the relay miss changes.
+		}
 		if ctx.Err() == nil {
 			d.limited(err, "watch")
 			logWith(&d.log, event.RelayWatchLost, func(e *zerolog.Event) { e.Err(err) })
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -26,12 +26,14 @@
 
 // memStore is a platform in memory with an outage switch.
 type memStore struct {
-	mu      sync.Mutex
-	n       int
-	down    bool
-	objects map[string]platform.Object
-	changed chan struct{}
-	calls   map[string]int
+	mu   sync.Mutex
+	n    int
+	down bool
+	// watchTime, if set, is when a watch ends regularly.
+	watchTime time.Duration
+	objects   map[string]platform.Object
+	changed   chan struct{}
+	calls     map[string]int
 }
 
 func newMemStore() *memStore {
@@ -138,6 +140,10 @@
 func (m *memStore) Watch(ctx context.Context, kind platform.ObjectKind, name, version string, handle func(platform.Object) error) error {
 	m.mu.Lock()
 	err := m.begin("watch")
+	var ended <-chan time.Time
+	if m.watchTime > 0 {
+		ended = time.After(m.watchTime)
+	}
 	m.mu.Unlock()
 	for err == nil {
 		m.mu.Lock()
@@ -153,6 +159,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-ended:
+			return nil
 		case <-changed:
 		}
 	}
--- a/pkg/relay/restore_test.go
+++ b/pkg/relay/restore_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 	"github.com/monsoonlatch/monsoonlatch/pkg/status"
 )
@@ -46,3 +47,20 @@
 		}
 	})
 }
+
+// Guards against relays that pause, and so miss changes, whenever the platform ends a watch at its regular time.
+func TestRegularEndOfWatchDelaysNothing(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m := newMesh(t, 1)
+		m.store.watchTime = 3 * time.Second
+		m.publish(configuration(2, 1))
+		grid(m, 1, 3)
+		defer m.stop()
+		time.Sleep(90 * time.Second)
+		for v := 2; v < 60; v++ {
+			m.publish(configuration(2, v))
+			time.Sleep(700 * time.Millisecond)
+			m.wantVersion(t, config.Version(v))
+		}
+	})
+}
