Count runs before the slow reader's request is sent

Cause: the test read the number of runs after it had sent its request. If the request had run by then, it waited for another run for good; one test run ended after 10 minutes. Change: the number is read first. Ruled out: a fault in the data path; the goroutine dump shows the wait of the test only. Conclusion: a fault of the test.

--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -292,8 +292,8 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		fmt.Fprintf(c, "GET /brief HTTP/1.1\r\nHost: x\r\n%s: 50000000\r\n\r\n", backend.HeaderBytes)
 		before := m.runs()
+		fmt.Fprintf(c, "GET /brief HTTP/1.1\r\nHost: x\r\n%s: 50000000\r\n\r\n", backend.HeaderBytes)
 		await(func() bool { return m.runs() > before })
 		await(func() bool { return len(m.nodes[0].gate.slots) == 0 })
 	}
