Count a membership as complete only with recent contact to most zones

Cause: the rule of at most once needs two conditions of the membership that were not built (docs/design-idempotency.md). A node counted as complete for 30 s after its last good poll, whatever zones its relay could reach, so both sides of a partition went on running keyed requests. A join that one side had dated during a partition kept that date on the other side, although no node there could have known of it.

Change: a table is complete for 10 s after each confirmation; a relay confirms while it has been in contact with more than half of all zones in the last 10 s; a complete table dates changes when it learns of them, and one that becomes complete again moves what it learned meanwhile to that moment.

Ruled out: dating by age with a clamp to the lag; a run planned just before the news would still see a set that no later plan covers.

Conclusion: in a mesh of two zones, or after an even split, keyed requests are refused 'not run' until most zones are in contact again.

--- a/cmd/monsoonlatchd/settings.go
+++ b/cmd/monsoonlatchd/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
@@ -81,8 +82,8 @@
 	if s.PlatformTimeout <= 0 {
 		add("platform-timeout", "the deadline must be positive", "give a duration such as 2s")
 	}
-	if s.MembershipLag < minMembershipLag {
-		add("membership-lag", s.MembershipLag.String()+" is shorter than a relay's exchange", "give at least 1s; 30s covers a missed poll and a missed exchange")
+	if s.MembershipLag < minMembershipLag || s.MembershipLag > membership.MaxLag {
+		add("membership-lag", s.MembershipLag.String()+" is out of range", "give 1s to 1m; 30s covers a missed poll and a missed exchange")
 	}
 	if len(s.Seeds) > maxSeeds {
 		add("seeds", fmt.Sprintf("%d seeds", len(s.Seeds)), fmt.Sprintf("give at most %d", maxSeeds))
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -76,7 +76,7 @@
 		t.insert(now, k, r)
 		return true
 	}
-	if joined := now.Add(-r.JoinedAge); joined.Before(e.joined) {
+	if joined := t.learned(now, r.JoinedAge); joined.Before(e.joined) {
 		e.joined = joined
 	}
 	if !newer(r.Instance, e.instance) && !e.missing {
@@ -99,13 +99,13 @@
 	if !r.Gone || e.gone() || r.Instance.Sequence < e.instance.Sequence {
 		return false
 	}
-	e.departed = now.Add(-r.DepartedAge)
+	e.departed = t.learned(now, r.DepartedAge)
 	t.record(e)
 	return true
 }
 
 func (t *Table) insert(now time.Time, k key, r Record) {
-	e := &entry{instance: r.Instance, joined: now.Add(-r.JoinedAge)}
+	e := &entry{instance: r.Instance, joined: t.learned(now, r.JoinedAge)}
 	e.element = t.log.PushBack(e)
 	t.entries[k] = e
 	latest, known := t.latest[k.id]
@@ -135,7 +135,7 @@
 	switch {
 	case r.Gone || e.instance.State == StateDeparted:
 		if !e.gone() {
-			e.departed = now.Add(-r.DepartedAge)
+			e.departed = t.learned(now, r.DepartedAge)
 		}
 	case latest > e.instance.Incarnation:
 		if !e.gone() {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -68,7 +68,9 @@
 	cutOff    map[string]bool
 	listeners []chan struct{}
 	touched   map[string]bool
+	// since is when the table became complete, confirmed when it was last known to be.
 	since     time.Time
+	confirmed time.Time
 
 	views atomic.Pointer[map[string]*serviceView]
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -108,21 +108,66 @@
 	return slices.Sorted(maps.Keys(t.cutOff))
 }
 
+// MaxLag is the largest bound that may be set on the time in which a change reaches every node.
+const MaxLag = time.Minute
+
+// MaxSilence is how long a table counts as complete without a confirmation. A node that hears nothing for longer may
+// have missed changes that all others know.
+const MaxSilence = 10 * time.Second
+
 // SetSynchronised states that the table is complete as of now, or that it may have missed changes.
 func (t *Table) SetSynchronised(complete bool) {
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case !complete:
+	if !complete {
 		t.since = time.Time{}
-	case t.since.IsZero():
-		t.since = t.clock.Now()
+		return
+	}
+	if !t.complete(now) {
+		t.since = now
+		t.redate(now)
+	}
+	t.confirmed = now
+	t.publish()
+}
+
+// complete reports whether the table has been confirmed recently. The lock is held.
+func (t *Table) complete(now time.Time) bool {
+	return !t.since.IsZero() && now.Sub(t.confirmed) <= MaxSilence
+}
+
+// redate moves changes that were learned while the table was not complete to now: nodes that were complete meanwhile
+// cannot have known of them earlier. Before the first confirmation the ages from other tables hold.
+func (t *Table) redate(now time.Time) {
+	if t.confirmed.IsZero() {
+		return
+	}
+	for _, e := range t.entries {
+		if e.joined.After(t.confirmed) {
+			e.joined = now
+			t.touched[e.instance.Service] = true
+		}
+		if e.departed.After(t.confirmed) {
+			e.departed = now
+			t.touched[e.instance.Service] = true
+		}
+	}
+}
+
+// learned dates a change whose age another table has told. A complete table takes the time at which it learns of the
+// change: the other one may have been cut off and have dated it before any node here could know of it.
+func (t *Table) learned(now time.Time, age time.Duration) time.Time {
+	if t.complete(now) {
+		return now
 	}
+	return now.Add(-age)
 }
 
 // Synchronised implements HistoryView.
 func (t *Table) Synchronised() (since time.Time, ok bool) {
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.since, !t.since.IsZero()
+	return t.since, t.complete(now)
 }
--- a/pkg/relay/directory.go
+++ b/pkg/relay/directory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
@@ -64,19 +65,43 @@
 type reach struct {
 	own     string
 	contact map[string]time.Time
+	// named is when a zone was first named. A zone without contact counts as unreachable only some time after it.
+	named map[string]time.Time
+}
+
+func newReach(own string) reach {
+	return reach{own: own, contact: make(map[string]time.Time), named: make(map[string]time.Time)}
+}
+
+// most reports whether more than half of all zones were in contact within membership.MaxSilence. Two relays for which
+// that holds share a zone, so changes reach both.
+func (r *reach) most(now time.Time, zones []string) bool {
+	near, all := 1, 1
+	for _, z := range zones {
+		if z == r.own {
+			continue
+		}
+		all++
+		if at, ok := r.contact[z]; ok && now.Sub(at) <= membership.MaxSilence {
+			near++
+		}
+	}
+	return 2*near > all
 }
 
 // seen notes a message exchanged with a node of the zone.
 func (r *reach) seen(now time.Time, zone string) { r.contact[zone] = now }
 
-// unreachable returns the zones without contact for unreachableAfter. A zone's time begins when it is first named.
+// unreachable returns the zones without contact for unreachableAfter.
 func (r *reach) unreachable(now time.Time, zones []string) []string {
 	var out []string
 	for _, z := range zones {
+		if _, ok := r.named[z]; !ok {
+			r.named[z] = now
+		}
 		at, ok := r.contact[z]
 		if !ok {
-			r.contact[z] = now
-			continue
+			at = r.named[z]
 		}
 		if z != r.own && now.Sub(at) > unreachableAfter {
 			out = append(out, z)
--- a/pkg/relay/duty.go
+++ b/pkg/relay/duty.go
@@ -63,11 +63,11 @@
 		Relay: r, started: now,
 		info:     syncer.RelayInfo{Zone: me.AvailabilityZone, Slot: slot, Node: me.ID, Address: me.ControlAddress},
 		acceptor: syncer.NewAcceptor(),
-		table:    membership.NewTable(r.clock, rand.Uint64(), config.DefaultIdempotencyWindow),
+		table:    membership.NewTable(r.clock, rand.Uint64(), syncer.Window(nil)),
 		changes:  newBroadcast(), full: rate.NewLimiter(rate.Limit(r.settings.FullRate), r.settings.FullBurst),
 		confirms: make(chan chan bool, 256), behind: make(chan source, 1),
 		exchangeNow: make(chan struct{}, 1), statusNow: make(chan struct{}, 1),
-		directory: make(directory), reach: reach{own: me.AvailabilityZone, contact: make(map[string]time.Time)},
+		directory: make(directory), reach: newReach(me.AvailabilityZone),
 		polls: newPolls(now.Add(takeUpGrace)), targets: make(map[string]*target),
 	}
 	for _, other := range r.node.Relays() {
@@ -261,8 +261,11 @@
 	}
 	d.polls.forget(now, config.DefaultIdempotencyWindow)
 	overdue := d.polls.overdue(now, members, d.otherHeard(now))
-	zones := d.reach.unreachable(now, d.zones())
+	named := d.zones()
+	zones := d.reach.unreachable(now, named)
+	complete := d.synchronised.Load() && d.reach.most(now, named)
 	d.mu.Unlock()
+	d.table.SetSynchronised(complete)
 	for _, i := range overdue {
 		d.depart(i)
 	}
--- a/pkg/relay/sync.go
+++ b/pkg/relay/sync.go
@@ -180,7 +180,8 @@
 func (d *duty) finish(args *syncer.SyncArgs, reply *syncer.SyncReply) error {
 	wants := syncer.Subscription(d.acceptor.Current(), args.Instance.Service)
 	reply.Config, reply.Digest = d.state(args.Config), d.table.Digest(wants)
-	reply.Synchronised, reply.Authoritative = d.synchronised.Load(), d.authoritative.Load()
+	_, reply.Synchronised = d.table.Synchronised()
+	reply.Authoritative = d.authoritative.Load()
 	reply.Unreachable = d.table.Unreachable()
 	return nil
 }
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -15,8 +15,6 @@
 	// tries before a relay counts MissedPolls.
 	backoffBase = 500 * time.Millisecond
 	backoffCap  = 4 * time.Second
-	// staleAfter is the time without an answer of a synchronised relay after which membership counts as incomplete.
-	staleAfter = 30 * time.Second
 	// repairAfter is how many polls in a row must end with another digest than the relay's before all records are
 	// requested; a single difference can come from a tombstone whose window ends.
 	repairAfter = 3
@@ -59,9 +57,6 @@
 	if err := s.polls.Wait(ctx); err != nil {
 		return false
 	}
-	if s.clock.Now().Sub(s.link.lastGood) > staleAfter {
-		s.table.SetSynchronised(false)
-	}
 	relay, ok := s.choose(ctx)
 	if !ok {
 		s.lost(ctx)
@@ -270,7 +265,6 @@
 	}
 	s.link.mark, s.link.push = reply.Mark, false
 	if reply.Synchronised {
-		s.link.lastGood = s.clock.Now()
 		s.table.SetSynchronised(true)
 	}
 	s.compareDigest(reply)
--- a/pkg/syncer/syncer.go
+++ b/pkg/syncer/syncer.go
@@ -107,7 +107,6 @@
 	push       bool                // the relay may lack records that the node has
 	mismatches int
 	failures   int
-	lastGood   time.Time
 }
 
 // New returns a syncer that has not started.
@@ -116,7 +115,7 @@
 	s := &Syncer{
 		settings: settings, store: store, caller: caller, clock: c, log: log, metrics: set,
 		acceptor: NewAcceptor(),
-		table:    membership.NewTable(c, rand.Uint64(), config.DefaultIdempotencyWindow),
+		table:    membership.NewTable(c, rand.Uint64(), Window(nil)),
 		polls:    rate.NewLimiter(rate.Limit(settings.PollRate), 4),
 		urgent:   make(chan struct{}, 1),
 		self:     settings.Instance,
@@ -138,7 +137,6 @@
 func (s *Syncer) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.link.lastGood = s.clock.Now()
 	s.wg.Go(func() { s.run(ctx) })
 	s.wg.Go(func() { s.announceLoop(ctx) })
 	s.wg.Go(func() { s.expireLoop(ctx) })
@@ -302,8 +300,13 @@
 	}
 }
 
-// Window returns the longest idempotency window of any policy: how long tombstones are kept.
+// Window returns how long tombstones are kept: the longest idempotency window of any policy, and what the plan of a key
+// looks back beyond it.
 func Window(c *config.Snapshot) time.Duration {
+	return longestWindow(c) + 2*membership.MaxLag + time.Second
+}
+
+func longestWindow(c *config.Snapshot) time.Duration {
 	w := config.DefaultIdempotencyWindow
 	if c == nil {
 		return w
--- a/pkg/syncer/wire.go
+++ b/pkg/syncer/wire.go
@@ -108,7 +108,8 @@
 	Complete bool
 	Mark     membership.Mark
 	Digest   uint64
-	// Synchronised states that the relay has exchanged its membership with the other relays that it can reach.
+	// Synchronised states that the relay's membership is complete: it has exchanged with the relays that it can reach,
+	// and these are in most zones.
 	Synchronised bool
 	// Authoritative states that what the relay lacks has departed.
 	Authoritative bool
