--- /dev/null
+++ b/pkg/idempotency/bench_test.go
@@ -0,0 +1,159 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+const (
+	benchInstances = 34
+	benchZones     = 16
+)
+
+func benchWorld(b *testing.B) (*world, *host) {
+	w := newWorld(time.Now)
+	w.timing.MaxRecords = 1 << 30
+	for i := range benchInstances {
+		h := w.join(fmt.Sprint("h", i), fmt.Sprint(i%benchZones), time.Now().Add(longAgo))
+		_ = h.node.Start(b.Context())
+		b.Cleanup(func() { _ = h.node.Stop(context.Background()) })
+	}
+	return w, w.hosts["h0"]
+}
+
+func benchKeys(h *host, count int) []string {
+	keys := make([]string, 0, count)
+	for i := 0; len(keys) < count; i++ {
+		key := fmt.Sprint("key-", i)
+		if in, _ := h.node.Home(testService, key); in.ID == h.self.ID {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func benchDo(b *testing.B, guard func(*host) doer, keys func(h *host, count int) func(i int) string) {
+	_, h := benchWorld(b)
+	ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+	defer cancel()
+	res := answered("answer")
+	g, key := guard(h), keys(h, b.N)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if r := g.Do(ctx, request(key(i)), func(context.Context) Result { return res }); r.Outcome != OutcomeAnswered {
+			b.Fatalf("%+v", r)
+		}
+	}
+}
+
+// BenchmarkDo measures the whole overhead of the guard with a transport that costs a function call.
+func BenchmarkDo(b *testing.B) {
+	fresh := func(h *host, count int) func(int) string {
+		keys := benchKeys(h, count)
+		return func(i int) string { return keys[i] }
+	}
+	same := func(h *host, _ int) func(int) string {
+		key := benchKeys(h, 1)[0]
+		return func(int) string { return key }
+	}
+	two := func(h *host) doer { return h.node }
+	b.Run("home-alone", func(b *testing.B) { benchDo(b, func(h *host) doer { return naiveGuard{h} }, fresh) })
+	b.Run("two-of-three", func(b *testing.B) { benchDo(b, two, fresh) })
+	b.Run("replay", func(b *testing.B) { benchDo(b, two, same) })
+}
+
+// benchSpans returns a service of which some instances restarted within the last window.
+func benchSpans(now time.Time, restarts int) []membership.Span {
+	rng := rand.New(rand.NewPCG(1, 1))
+	live := make([]membership.Span, benchInstances)
+	for i := range live {
+		live[i] = membership.Span{Joined: now.Add(longAgo), Instance: membership.Instance{
+			ID: membership.InstanceID(fmt.Sprint("h", i)), AvailabilityZone: fmt.Sprint(i % benchZones),
+			State: membership.StateReady, Incarnation: 1}}
+	}
+	var spans []membership.Span
+	window := testTiming.Memory()
+	for k := range restarts {
+		i := rng.IntN(benchInstances)
+		at := now.Add(-window + window*time.Duration(k)/time.Duration(restarts))
+		gone := live[i]
+		gone.Departed, gone.Instance.State, gone.Instance.HandedOver = at, membership.StateDeparted, true
+		spans = append(spans, gone)
+		live[i].Joined = at.Add(2 * time.Second)
+		live[i].Instance.Incarnation++
+	}
+	return append(spans, live...)
+}
+
+// BenchmarkPlan measures the cost of a key's home and plan, and of preparing the roster after a change.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Now()
+	for _, restarts := range []int{0, 1, 4, 230} {
+		spans := benchSpans(now, restarts)
+		build := func() *Roster { return NewRoster(spans, Claimant{}, now.Add(longAgo), now, testTiming) }
+		r := build()
+		name := fmt.Sprintf("restarts=%d", restarts)
+		b.Run("home/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r.Home(Key{byte(i), byte(i >> 8)})
+			}
+		})
+		b.Run("plan/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			pairs, holders := 0, 0
+			for i := 0; b.Loop(); i++ {
+				p := r.Plan(Key{byte(i), byte(i >> 8)})
+				pairs += len(p.pairs)
+				holders += len(p.Holders())
+			}
+			b.ReportMetric(float64(pairs)/float64(b.N), "pairs/plan")
+			b.ReportMetric(float64(holders)/float64(b.N), "holders/plan")
+		})
+		b.Run("roster/"+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				build()
+			}
+		})
+	}
+}
+
+// BenchmarkRecordMemory measures the heap that a record takes.
+func BenchmarkRecordMemory(b *testing.B) {
+	const records = 20_000
+	for _, body := range []int{0, 200} {
+		b.Run(fmt.Sprintf("records=%d/answer=%d", records, body), func(b *testing.B) {
+			for b.Loop() {
+				now := time.Now()
+				before := heapInUse()
+				tab := NewTable(now, MaxRecords, MaxAnswersBytes)
+				for i := range records {
+					c := Claim{Key: NewKey(testService, fmt.Sprint(i)), Claimant: Claimant{ID: "a", Incarnation: 1}, Keep: time.Hour}
+					tab.Claim(now, c)
+					if body > 0 {
+						tab.Settle(now, c, StateDone, &Answer{Status: 200, Body: make([]byte, body)})
+					} else {
+						tab.Settle(now, c, StateUnknown, nil)
+					}
+				}
+				b.ReportMetric(float64(heapInUse()-before)/records, "B/record")
+				runtime.KeepAlive(tab)
+			}
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/pkg/idempotency/plan.go
+++ b/pkg/idempotency/plan.go
@@ -49,8 +49,13 @@
 type Plan struct {
 	roster *Roster
 	pairs  []pair
+	// seen finds pairs in a long list.
+	seen map[pair]bool
 }
 
+// maxListedPairs is up to where a list is faster to search than a map.
+const maxListedPairs = 16
+
 // Plan computes every pair that some node may have seen as the pair of the key during the window.
 func (r *Roster) Plan(key Key) Plan {
 	order := r.order(key)
@@ -113,7 +118,20 @@
 }
 
 func (p *Plan) add(q pair) {
-	if !slices.Contains(p.pairs, q) {
+	if p.seen == nil && len(p.pairs) < maxListedPairs {
+		if !slices.Contains(p.pairs, q) {
+			p.pairs = append(p.pairs, q)
+		}
+		return
+	}
+	if p.seen == nil {
+		p.seen = make(map[pair]bool)
+		for _, old := range p.pairs {
+			p.seen[old] = true
+		}
+	}
+	if !p.seen[q] {
+		p.seen[q] = true
 		p.pairs = append(p.pairs, q)
 	}
 }
