--- /dev/null
+++ b/pkg/relay/members_test.go
@@ -0,0 +1,175 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
+)
+
+// Guards against a dead node that stays a member, and a node that was recorded as departed and stays away.
+func TestMissedPolls(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		dead, paused := plain(m, nodes, 0), plain(m, nodes, 1)
+		before := paused.sync.Self().Incarnation
+		dead.kill()
+		m.setCut(func(a, _ *node) bool { return a == paused })
+		time.Sleep(syncer.MissedPolls + 7*time.Second)
+		for _, n := range nodes {
+			if n.up && n != paused && n.members() != 6 {
+				t.Errorf("node %s knows %d instances, want 6", n.addr, n.members())
+			}
+		}
+		m.setCut(nil)
+		time.Sleep(20 * time.Second)
+		wantMembers(t, nodes, 7)
+		if got := paused.sync.Self().Incarnation; got <= before {
+			t.Errorf("incarnation %d after a recorded departure, %d before", got, before)
+		}
+	})
+}
+
+// plain returns the nth node that is not a relay.
+func plain(m *mesh, nodes []*node, nth int) *node {
+	for _, n := range nodes {
+		if _, ok := n.relay.Holds(); !ok && n.up {
+			if nth == 0 {
+				return n
+			}
+			nth--
+		}
+	}
+	return nil
+}
+
+// Guards against a drain that other nodes learn of too late, also when the announcement is lost, repeated or crossed
+// by an older record.
+func TestDrainIsUrgent(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 3, 4)
+		defer m.stop()
+		n := plain(m, nodes, 0)
+		stale := n.sync.Self()
+		calls := m.called(syncer.MethodAnnounce)
+		drained := stale
+		drained.State = membership.StateDraining
+		n.sync.SetLocal(drained)
+		time.Sleep(3 * time.Second)
+		if m.called(syncer.MethodAnnounce) == calls {
+			t.Error("the drain was not announced")
+		}
+		for _, r := range m.relays(n.zone) { // a late copy of the older record
+			_ = n.Call(deadline(t), r.addr, syncer.MethodAnnounce, &syncer.AnnounceArgs{Instance: stale}, &syncer.AnnounceReply{})
+		}
+		for _, o := range nodes {
+			if got := stateOf(o, n.addr); got != membership.StateDraining {
+				t.Errorf("node %s sees state %d after 3 s, want draining", o.addr, got)
+			}
+		}
+		if err := n.sync.Depart(deadline(t), true); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		wantMembers(t, nodes, 11)
+		for _, o := range nodes {
+			if h := spanOf(o, n.addr); !h.Instance.HandedOver || h.Departed.IsZero() {
+				t.Errorf("node %s has span %+v, want a departure with hand-over", o.addr, h)
+			}
+		}
+	})
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func spanOf(n *node, id string) membership.Span {
+	for _, service := range []string{"s0", "s1"} {
+		for _, s := range n.sync.History(service) {
+			if string(s.Instance.ID) == id {
+				return s
+			}
+		}
+	}
+	return membership.Span{}
+}
+
+func stateOf(n *node, id string) membership.State { return spanOf(n, id).Instance.State }
+
+// Guards against lost announcements: the next poll must carry the change.
+func TestLostAnnouncement(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 3)
+		defer m.stop()
+		n := plain(m, nodes, 0)
+		m.mu.Lock()
+		m.lost = func(method string) bool { return method == syncer.MethodAnnounce }
+		m.mu.Unlock()
+		i := n.sync.Self()
+		i.State = membership.StateDraining
+		n.sync.SetLocal(i)
+		time.Sleep(6 * time.Second)
+		for _, o := range nodes {
+			if stateOf(o, n.addr) != membership.StateDraining {
+				t.Errorf("node %s has not learned of the drain", o.addr)
+			}
+		}
+	})
+}
+
+// Guards against a delta that leads to another configuration and is served all the same, and against a node that does
+// not get the whole one then.
+func TestDeltaMismatchFetchesWhole(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 1, 4)
+		defer m.stop()
+		m.mu.Lock()
+		m.tamper = func(_ string, reply any) {
+			if r, ok := reply.(*syncer.SyncReply); ok && len(r.Update.Deltas) > 0 {
+				r.Update.Deltas[0].Upsert = config.Items{}
+			}
+		}
+		m.mu.Unlock()
+		whole := m.count("relay.whole_sent")
+		m.publish(configuration(2, 2))
+		time.Sleep(target7s)
+		m.wantVersion(t, 2)
+		if got := m.count("config.mismatch"); got != int64(len(nodes)) {
+			t.Errorf("%d mismatches reported, want one for each node", got)
+		}
+		if got := m.count("relay.whole_sent") - whole; got != int64(len(nodes)) {
+			t.Errorf("%d whole configurations sent, want %d", got, len(nodes))
+		}
+	})
+}
+
+// Guards against nodes that get instances of services which they cannot call, or lack those that they newly can.
+func TestSubscriptionFollowsCallableFrom(t *testing.T) {
+	run(t, func(t *testing.T) {
+		m, nodes := settled(t, 2, 4)
+		defer m.stop()
+		c := configuration(2, 2)
+		c.Services["s1"] = config.Service{Name: "s1", CallableFrom: []string{"s1"}}
+		m.publish(c)
+		time.Sleep(target7s)
+		for _, n := range nodes {
+			want := 8
+			if n.sync.Self().Service == "s0" {
+				want = 4
+			}
+			if n.members() != want {
+				t.Errorf("node %s of %s knows %d instances, want %d", n.addr, n.sync.Self().Service, n.members(), want)
+			}
+		}
+		m.publish(configuration(2, 3))
+		time.Sleep(target7s)
+		wantMembers(t, nodes, 8)
+	})
+}
--- a/pkg/relay/mesh_test.go
+++ b/pkg/relay/mesh_test.go
@@ -24,141 +24,6 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
-// memStore is a platform in memory with an outage switch.
-type memStore struct {
-	mu      sync.Mutex
-	n       int
-	down    bool
-	objects map[string]platform.Object
-	changed chan struct{}
-	calls   map[string]int
-}
-
-func newMemStore() *memStore {
-	return &memStore{objects: make(map[string]platform.Object), changed: make(chan struct{}), calls: make(map[string]int)}
-}
-
-// begin counts a call; with down it is an outage.
-func (m *memStore) begin(kind string) error {
-	m.calls[kind]++
-	if m.down {
-		return fault.New(fault.Unavailable, kind, "outage", "")
-	}
-	return nil
-}
-
-func (m *memStore) setDown(down bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.down = down
-	m.wake()
-}
-
-func (m *memStore) isDown() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.down
-}
-
-func (m *memStore) count(call string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.calls[call]
-}
-
-func (m *memStore) wake() { close(m.changed); m.changed = make(chan struct{}) }
-
-func id(kind platform.ObjectKind, name string) string { return string(kind) + "/" + name }
-
-func (m *memStore) Get(_ context.Context, kind platform.ObjectKind, name string) (platform.Object, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.begin("get"); err != nil {
-		return platform.Object{}, err
-	}
-	o, ok := m.objects[id(kind, name)]
-	if !ok {
-		return o, fault.New(fault.NotFound, "get", name, "")
-	}
-	return o, nil
-}
-
-func (m *memStore) List(_ context.Context, kind platform.ObjectKind) (out []platform.Object, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.begin("list"); err != nil {
-		return nil, err
-	}
-	for _, o := range m.objects {
-		if o.Kind == kind {
-			out = append(out, o)
-		}
-	}
-	return out, nil
-}
-
-func (m *memStore) write(call string, o platform.Object, ok func(old platform.Object, exists bool) bool) (platform.Object, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.begin(call); err != nil {
-		return o, err
-	}
-	old, exists := m.objects[id(o.Kind, o.Name)]
-	if !ok(old, exists) {
-		return o, fault.New(fault.Conflict, call, o.Name, "")
-	}
-	m.n++
-	o.Version = fmt.Sprint(m.n)
-	m.objects[id(o.Kind, o.Name)] = o
-	m.wake()
-	return o, nil
-}
-
-func (m *memStore) Create(_ context.Context, o platform.Object) (platform.Object, error) {
-	return m.write("create", o, func(_ platform.Object, exists bool) bool { return !exists })
-}
-
-func (m *memStore) Update(_ context.Context, o platform.Object) (platform.Object, error) {
-	return m.write("update", o, func(old platform.Object, exists bool) bool { return exists && old.Version == o.Version })
-}
-
-func (m *memStore) Delete(_ context.Context, kind platform.ObjectKind, name, version string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.begin("delete"); err != nil {
-		return err
-	}
-	if m.objects[id(kind, name)].Version != version {
-		return fault.New(fault.Conflict, "delete", name, "")
-	}
-	delete(m.objects, id(kind, name))
-	return nil
-}
-
-func (m *memStore) Watch(ctx context.Context, kind platform.ObjectKind, name, version string, handle func(platform.Object) error) error {
-	m.mu.Lock()
-	err := m.begin("watch")
-	m.mu.Unlock()
-	for err == nil {
-		m.mu.Lock()
-		o, changed, down := m.objects[id(kind, name)], m.changed, m.down
-		m.mu.Unlock()
-		if down {
-			return fault.New(fault.Unavailable, "watch", "outage", "")
-		}
-		if o.Version != version {
-			version, err = o.Version, handle(o)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
-	return err
-}
-
 // configuration has n services called s0, s1, ... and a serial number that changes its hash.
 func configuration(n, serial int) config.Configuration {
 	c := config.Configuration{Services: map[string]config.Service{}}
@@ -363,51 +228,45 @@
 	return nil
 }
 
-func (g *gate) Get(ctx context.Context, k platform.ObjectKind, name string) (platform.Object, error) {
+// through makes a call unless the node is cut off from the platform.
+func through[T any](g *gate, call func() (T, error)) (T, error) {
 	if err := g.err(); err != nil {
-		return platform.Object{}, err
+		var none T
+		return none, err
 	}
-	return g.Store.Get(ctx, k, name)
+	return call()
+}
+
+func (g *gate) Get(ctx context.Context, k platform.ObjectKind, name string) (platform.Object, error) {
+	return through(g, func() (platform.Object, error) { return g.Store.Get(ctx, k, name) })
 }
 
 func (g *gate) List(ctx context.Context, k platform.ObjectKind) ([]platform.Object, error) {
-	if err := g.err(); err != nil {
-		return nil, err
-	}
-	return g.Store.List(ctx, k)
+	return through(g, func() ([]platform.Object, error) { return g.Store.List(ctx, k) })
 }
 
 func (g *gate) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
-	if err := g.err(); err != nil {
-		return o, err
-	}
-	return g.Store.Create(ctx, o)
+	return through(g, func() (platform.Object, error) { return g.Store.Create(ctx, o) })
 }
 
 func (g *gate) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
-	if err := g.err(); err != nil {
-		return o, err
-	}
-	return g.Store.Update(ctx, o)
+	return through(g, func() (platform.Object, error) { return g.Store.Update(ctx, o) })
 }
 
 func (g *gate) Delete(ctx context.Context, k platform.ObjectKind, name, version string) error {
-	if err := g.err(); err != nil {
-		return err
-	}
-	return g.Store.Delete(ctx, k, name, version)
+	_, err := through(g, func() (bool, error) { return true, g.Store.Delete(ctx, k, name, version) })
+	return err
 }
 
 func (g *gate) Watch(ctx context.Context, k platform.ObjectKind, name, version string, h func(platform.Object) error) error {
-	if err := g.err(); err != nil {
-		return err
-	}
-	return g.Store.Watch(ctx, k, name, version, func(o platform.Object) error {
+	checked := func(o platform.Object) error {
 		if err := g.err(); err != nil {
 			return err
 		}
 		return h(o)
-	})
+	}
+	_, err := through(g, func() (bool, error) { return true, g.Store.Watch(ctx, k, name, version, checked) })
+	return err
 }
 
 // versions returns the lowest and highest version that running nodes serve.
