--- a/cmd/monsoonlatchd/drainer.go
+++ b/cmd/monsoonlatchd/drainer.go
@@ -52,9 +52,6 @@
 	d.syncer.SetLocal(own)
 	d.ingress.BeginDrain()
 	err := errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
-	if err == nil {
-		event.DrainEnded.Write(event.DrainEnded.Log(&d.log))
-	}
 	handedOver := d.handOver(ctx)
 	departCtx, cancel := context.WithTimeout(ctx, departTimeout)
 	defer cancel()
