Accept keyed requests with windows of up to an hour

Cause: a policy may set an idempotency window of up to config.MaxIdempotencyWindow (1 h), but the node left MaxWindow of the guard at its default of 10 minutes and refused every keyed request of a longer window as malformed. All keyed work of the Galway example (15 and 30 minutes) was refused with status 400. Change: the node passes config.MaxIdempotencyWindow to the guard. Ruled out: the headers between nodes (requests without a key and Nairobi's keyed requests passed through the same nodes). Before: TestResendAfterLostAnswer/galway, which follows, failed: every answer was "not-run, malformed". After: keyed wake-up orders, charges and bookings are answered. Conclusion: the limits of the configuration and the guard agree.

--- a/cmd/monsoonlatchd/control.go
+++ b/cmd/monsoonlatchd/control.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -73,6 +74,7 @@
 		Self: self, Service: b.settings.Service, View: node, Caller: find[rpcwire.Caller](b, nameCaller),
 		Store: find[platform.Store](b, namePlatform), Clock: find[clock.Clock](b, nameClock),
 		Metrics: find[*metric.Set](b, nameMetrics), Log: b.log, Slack: b.settings.MembershipLag,
+		MaxWindow: config.MaxIdempotencyWindow.Std(),
 	})
 	handleKeys(find[*rpcwire.Server](b, nameControl), keys.Keys())
 	b.register(keys)
