Announce a departure to a relay other than the leaving node

Cause: a node with the relay duty that stops counts itself among the relays of its zone. Its departure could go to its own relay duty, which ends with the process, so that other nodes learned of the end only from the next incarnation. They took the records as lost, although they had been handed over, and answered every key of the service with an unknown outcome for the whole window. Change: Depart leaves out the node's own relay duty where it knows another relay. Ruled out: an incomplete hand-over (all six nodes logged key_records_handed_over) and a lost Depart (no depart_failed was logged).

--- a/pkg/syncer/announce.go
+++ b/pkg/syncer/announce.go
@@ -68,6 +68,9 @@
 func (s *Syncer) announce(ctx context.Context) error {
 	s.mu.Lock()
 	relays := s.relays.candidates(s.clock.Now(), s.self.ID, s.settings.Instance.AvailabilityZone)
+	if s.departed {
+		relays = besides(s.self.ID, relays)
+	}
 	s.mu.Unlock()
 	err := error(fault.New(fault.Unavailable, "announce", "no relay is known", "check the seeds"))
 	for _, r := range relays {
@@ -81,6 +84,21 @@
 	return err
 }
 
+// besides leaves out the relay duty of the node itself: a departure that only a stopping process knows is lost with it,
+// and the others would take the records for lost as well. A node that knows no other relay has no one else to tell.
+func besides(self membership.InstanceID, relays []RelayInfo) []RelayInfo {
+	var others []RelayInfo
+	for _, r := range relays {
+		if r.Node != self {
+			others = append(others, r)
+		}
+	}
+	if len(others) == 0 {
+		return relays
+	}
+	return others
+}
+
 // Depart announces the end of the instance in a planned stop and returns when a relay has taken it. The node does not
 // announce itself again.
 func (s *Syncer) Depart(ctx context.Context, handedOver bool) error {
