Test processes under failure: at most once, herds, platform faults, callers

Cause: only three tests started the real binaries, and none judged whole histories of keyed requests. Versions are polled at every node through herds, pauses, restores and platform faults. The backend stand-in counts runs by the caller's name of a request; the forwarder cuts single sources. Each test run takes its own block of ports, since two runs on one machine had met on a port.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,8 +30,10 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	mode  Mode
+	mu   sync.Mutex
+	mode Mode
+	// from holds the modes of single sources; the other sources have the common mode.
+	from  map[string]Mode
 	delay time.Duration
 	links map[*link]struct{}
 }
@@ -39,6 +41,7 @@
 // link is one forwarded connection.
 type link struct {
 	client, server net.Conn
+	source         string
 	silent         bool
 }
 
@@ -48,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forwarder{listener: l, target: target, links: make(map[*link]struct{})}
+	f := &Forwarder{listener: l, target: target, from: make(map[string]Mode), links: make(map[*link]struct{})}
 	go f.serve()
 	return f, nil
 }
@@ -74,16 +77,41 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mode = m
+	clear(f.from)
 	for l := range f.links {
-		switch m {
-		case Cut:
-			l.close()
-		case Silent, Blackhole:
-			l.silent = true
+		l.apply(m)
+	}
+}
+
+// SetFrom changes the mode for open and new connections from one IP number, until the next Set.
+func (f *Forwarder) SetFrom(source string, m Mode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.from[source] = m
+	for l := range f.links {
+		if l.source == source {
+			l.apply(m)
 		}
 	}
 }
 
+// modeOf returns the mode for a source. The caller holds the lock.
+func (f *Forwarder) modeOf(source string) Mode {
+	if m, ok := f.from[source]; ok {
+		return m
+	}
+	return f.mode
+}
+
+func (l *link) apply(m Mode) {
+	switch m {
+	case Cut:
+		l.close()
+	case Silent, Blackhole:
+		l.silent = true
+	}
+}
+
 func (l *link) close() {
 	_ = l.client.Close()
 	if l.server != nil {
@@ -102,8 +130,9 @@
 }
 
 func (f *Forwarder) open(client net.Conn) {
+	source, _, _ := net.SplitHostPort(client.RemoteAddr().String())
 	f.mu.Lock()
-	mode := f.mode
+	mode := f.modeOf(source)
 	f.mu.Unlock()
 	if mode == Cut {
 		_ = client.Close()
@@ -114,8 +143,12 @@
 		_ = client.Close()
 		return
 	}
-	l := &link{client: client, server: server, silent: mode == Blackhole}
+	l := &link{client: client, server: server, source: source, silent: mode == Blackhole}
 	f.mu.Lock()
+	if f.modeOf(source) == Cut {
+		// The mode has changed since the connection was accepted.
+		l.close()
+	}
 	f.links[l] = struct{}{}
 	f.mu.Unlock()
 	var both sync.WaitGroup
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -37,7 +37,7 @@
 	s = s.withDefaults()
 	return &Server{
 		set: s, started: time.Now(), slots: make(chan struct{}, s.Slots),
-		tally:   tally{c: Counts{Runs: map[string]int{}, Keys: map[string]int{}}},
+		tally:   tally{c: Counts{Runs: map[string]int{}, Keys: map[string]int{}, Callers: map[string]int{}}},
 		drained: make(chan struct{}),
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Slots}},
 		late:    make(chan struct{}, 1024),
--- a/internal/standin/backend/settings.go
+++ b/internal/standin/backend/settings.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,6 +20,8 @@
 	HeaderDepth = "Standin-Depth"
 	// HeaderBytes is the size of the answer's body.
 	HeaderBytes = "Standin-Bytes"
+	// HeaderCaller is the caller's own name for the request, under which its runs are counted.
+	HeaderCaller = "Standin-Caller"
 	// HeaderStatus is the status of the answer.
 	HeaderStatus = "Standin-Status"
 )
@@ -86,9 +89,10 @@
 
 // Counts is what the backend server has seen.
 type Counts struct {
-	// Runs and Keys count runs by request id and by idempotency key.
+	// Runs, Keys and Callers count runs by request id, by idempotency key and by HeaderCaller.
 	Runs      map[string]int `json:"runs"`
 	Keys      map[string]int `json:"keys"`
+	Callers   map[string]int `json:"callers"`
 	Total     int            `json:"total"`
 	Shed      int            `json:"shed"`
 	Cancelled int            `json:"cancelled"`
@@ -119,6 +123,9 @@
 	if key := h.Get("Idempotency-Key"); key != "" {
 		t.c.Keys[key]++
 	}
+	if caller := h.Get(HeaderCaller); caller != "" {
+		t.c.Callers[caller]++
+	}
 	t.inUse++
 	t.c.MaxInUse = max(t.c.MaxInUse, t.inUse)
 }
@@ -139,13 +146,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := t.c
-	out.Runs, out.Keys = make(map[string]int, len(t.c.Runs)), make(map[string]int, len(t.c.Keys))
-	for k, v := range t.c.Runs {
-		out.Runs[k] = v
-	}
-	for k, v := range t.c.Keys {
-		out.Keys[k] = v
-	}
+	out.Runs, out.Keys, out.Callers = maps.Clone(t.c.Runs), maps.Clone(t.c.Keys), maps.Clone(t.c.Callers)
 	return out
 }
 
--- /dev/null
+++ b/test/e2e/deployment_test.go
@@ -0,0 +1,109 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/forwarder"
+)
+
+// deployment is one of the example deployments, as far as keyed work is concerned.
+type deployment struct {
+	note            string
+	zones, services []string
+	// keyed lists the paths of work that must run at most once.
+	keyed []string
+	// first is the service that runs the first of these paths.
+	first string
+}
+
+var (
+	nairobiKeyed = deployment{"nairobi/01-initial.yaml", []string{"westlands", "kasarani", "embakasi"},
+		[]string{"deposit-office", "sealing-office"}, []string{"/deposits", "/sealing-fees"}, "deposit-office"}
+	galwayKeyed = deployment{"galway/01-initial.yaml", []string{"ie-west-a", "ie-west-b", "ie-west-c"},
+		[]string{"wake-ledger", "intake-desk"}, []string{"/wake-ups", "/accounts/charges", "/bookings"}, "wake-ledger"}
+)
+
+// start returns a running mesh that takes keyed work.
+func (d deployment) start(t *testing.T) *mesh {
+	t.Helper()
+	m := newMesh(t, d.zones, d.services)
+	m.submit(d.note, 1)
+	m.waitSettled()
+	return m
+}
+
+// ingress returns an instance that is never the home of the first path's keys.
+func (m *mesh) ingress(d deployment) *instance {
+	for _, in := range m.instances {
+		if in.service != d.first {
+			return in
+		}
+	}
+	m.t.Fatal("no instance of another service")
+	return nil
+}
+
+// home waits for the backend server at which the run of a key began.
+func (m *mesh) home(key string) *instance {
+	m.t.Helper()
+	var home *instance
+	m.eventually("a run of "+key, func() bool {
+		for _, in := range m.instances {
+			if in.counts().Keys[key] > 0 {
+				home = in
+			}
+		}
+		return home != nil
+	})
+	return home
+}
+
+// platformFaults replaces the fault switches of the platform; see the stand-in's POST /_standin/faults.
+func (m *mesh) platformFaults(switches string) {
+	m.t.Helper()
+	m.post("http://"+m.platform+"/_standin/faults", switches)
+}
+
+// backendFault makes the next count requests at a backend server meet a fault.
+func (m *mesh) backendFault(in *instance, kind string, count int) {
+	m.t.Helper()
+	m.post(fmt.Sprintf("http://%s/_standin/fault?kind=%s&count=%d", in.address, kind, count), "")
+}
+
+func (m *mesh) post(url, body string) {
+	m.t.Helper()
+	resp, err := client.Post(url, "application/json", strings.NewReader(body))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		m.t.Fatalf("%s: %s", url, resp.Status)
+	}
+}
+
+// linkZone sets the links between a zone and the other zones and, if asked, between the zone and the platform.
+func (m *mesh) linkZone(zone string, mode forwarder.Mode, platform bool) {
+	for _, a := range m.instances {
+		for _, b := range m.instances {
+			if (a.zone == zone) != (b.zone == zone) {
+				a.peerLink.SetFrom(b.ip, mode)
+				a.controlLink.SetFrom(b.ip, mode)
+			}
+		}
+	}
+	if platform {
+		m.platformLinks[zone].Set(mode)
+	}
+}
+
+// linkControl sets the control links between one node and all others.
+func (m *mesh) linkControl(in *instance, mode forwarder.Mode) {
+	in.controlLink.Set(mode)
+	for _, other := range m.instances {
+		other.controlLink.SetFrom(in.ip, mode)
+	}
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/internal/forwarder"
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
 	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
 )
 
@@ -40,6 +41,12 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
+	reserved, err := reservePorts()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer reserved.Close()
 	out, err := exec.Command("go", "build", "-o", dir, "../../cmd/...").CombinedOutput()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
@@ -96,7 +103,7 @@
 
 // instance is a node with its backend server. Other nodes reach it through forwarders that a test can cut.
 type instance struct {
-	id, service, zone                       string
+	id, service, zone, ip                   string
 	callers, peers, control, admin, address string
 	peerLink, controlLink                   *forwarder.Forwarder
 	node, backend                           *process
@@ -105,21 +112,22 @@
 
 // mesh is a running system.
 type mesh struct {
-	t            *testing.T
-	platform     string
-	platformLink *forwarder.Forwarder
-	standin      *process
-	instances    []*instance
-	keys         int
+	t        *testing.T
+	platform string
+	standin  *process
+	// platformLinks holds the way to the platform of each availability zone.
+	platformLinks map[string]*forwarder.Forwarder
+	instances     []*instance
+	keys          int
 }
 
 // newMesh starts one instance of each service in each zone and waits until they know each other.
 func newMesh(t *testing.T, zones, services []string) *mesh {
 	t.Helper()
-	m := &mesh{t: t, platform: freeAddress(t)}
+	m := &mesh{t: t, platform: freeAddress(t, loopback), platformLinks: make(map[string]*forwarder.Forwarder)}
 	m.standin = start(t, "platform-standin", "--listen", m.platform)
-	m.platformLink = m.forward(m.platform)
 	for _, z := range zones {
+		m.platformLinks[z] = m.forward(m.platform)
 		for _, s := range services {
 			m.instances = append(m.instances, m.prepare(z, s))
 		}
@@ -141,10 +149,12 @@
 }
 
 func (m *mesh) prepare(zone, service string) *instance {
-	in := &instance{id: zone + "-" + service, service: service, zone: zone}
-	for _, a := range []*string{&in.callers, &in.peers, &in.control, &in.admin, &in.address} {
-		*a = freeAddress(m.t)
+	// A node dials others from the address of its peers listener, so that a forwarder can tell the nodes apart.
+	in := &instance{id: zone + "-" + service, service: service, zone: zone, ip: fmt.Sprintf("127.0.1.%d", len(m.instances)+1)}
+	for _, a := range []*string{&in.callers, &in.admin, &in.address} {
+		*a = freeAddress(m.t, loopback)
 	}
+	in.peers, in.control = freeAddress(m.t, in.ip), freeAddress(m.t, in.ip)
 	in.peerLink, in.controlLink = m.forward(in.peers), m.forward(in.control)
 	return in
 }
@@ -160,7 +170,7 @@
 	in.nodeArgs = []string{"--id", in.id, "--service", in.service, "--availability-zone", in.zone,
 		"--callers", in.callers, "--peers", in.peers, "--control", in.control, "--admin", in.admin,
 		"--advertise-peers", in.peerLink.Addr(), "--advertise-control", in.controlLink.Addr(),
-		"--backend-server", in.address, "--platform", "http://" + m.platformLink.Addr(), "--seeds", seeds,
+		"--backend-server", in.address, "--platform", "http://" + m.platformLinks[in.zone].Addr(), "--seeds", seeds,
 		"--membership-lag", keySlack}
 	m.startNode(in)
 	m.startBackend(in)
@@ -221,15 +231,11 @@
 	return st
 }
 
-// counts is what the backend stand-in has run.
-type counts struct {
-	Keys  map[string]int `json:"keys"`
-	Total int            `json:"total"`
-}
-
-func (in *instance) counts() counts {
-	var c counts
-	_ = getJSON("http://"+in.address+"/_standin/counts", &c)
+func (in *instance) counts() backend.Counts {
+	var c backend.Counts
+	if err := getJSON("http://"+in.address+"/_standin/counts", &c); err != nil {
+		panic(fmt.Sprintf("no counts at the backend server of %s, so no verdict: %v", in.id, err))
+	}
 	return c
 }
 
@@ -261,8 +267,8 @@
 	err             error
 }
 
-// call sends one request to a node as a caller does. The key may be empty.
-func call(callers, method, path, key, body string) answer {
+// call sends one request to a node as a caller does. The key may be empty. headers are names and values in turn.
+func call(callers, method, path, key, body string, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+callers+path, bytes.NewReader([]byte(body)))
@@ -274,6 +280,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
@@ -285,24 +294,44 @@
 
 func (a answer) answered() bool { return a.err == nil && a.status == http.StatusOK }
 
-// firstPort is below the range from which the system takes ports for outgoing connections, so that none of these can
-// take a port between its choice and the start of the process that listens there.
-const firstPort = 23000
+// Ports of listeners are below the range from which the system takes ports for outgoing connections, so that none of
+// these can take a port between its choice and the start of the process that listens there. Test runs on one machine
+// take different blocks of ports; each holds the first port of its block.
+const (
+	firstPort  = 11000
+	blockPorts = 1000
+	blocks     = 20
+)
 
 var lastPort atomic.Int32
 
+// reservePorts takes a block of ports until the listener is closed.
+func reservePorts() (net.Listener, error) {
+	for b := range int32(blocks) {
+		first := firstPort + b*blockPorts
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, first)); err == nil {
+			lastPort.Store(first)
+			return l, nil
+		}
+	}
+	return nil, fmt.Errorf("all %d blocks of ports from %d are in use", blocks, firstPort)
+}
+
+const loopback = "127.0.0.1"
+
 // freeAddress returns an address that no other test has got.
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1))
+		port := lastPort.Add(1)
+		if port%blockPorts == 0 {
+			t.Fatal("no free port is left in the block of this run")
+		}
+		address := fmt.Sprintf("%s:%d", ip, port)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			l.Close()
 			return address
 		}
-		if lastPort.Load() > 8000 {
-			t.Fatal("no free port")
-		}
 	}
 }
--- /dev/null
+++ b/test/e2e/herd_test.go
@@ -0,0 +1,186 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/forwarder"
+)
+
+// lookups sends lookups through the given nodes until it is stopped. Each whole answer must be the request's own, and
+// none may be cut; the nodes given here stay up.
+func (m *mesh) lookups(through []*instance) (stop func() (answered int)) {
+	stopping := make(chan struct{})
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	total := 0
+	for i, in := range through {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stopping:
+					return
+				default:
+				}
+				path := fmt.Sprintf("/capsules/%d-%d", i, n)
+				a := call(in.callers, http.MethodGet, path, "", "")
+				if a.err != nil || (a.answered() && !strings.HasPrefix(a.body, "ran GET "+path+" ")) {
+					m.t.Errorf("lookup %s at %s: %+v", path, in.id, a)
+				}
+				if a.answered() {
+					mu.Lock()
+					total++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() int { close(stopping); all.Wait(); return total }
+}
+
+// Guards against a node that serves an older version than its neighbours after most nodes were killed at once and
+// started again, with and without the platform, and against cut answers at the nodes that survive.
+func TestHerdOfRestarts(t *testing.T) {
+	t.Parallel()
+	m := nairobi(t, nairobiZones...)
+	versions := m.watchVersions()
+	m.submit("nairobi/02-school-term.yaml", 2)
+	versions.reached(2)
+	survivors := []*instance{m.instances[0], m.instances[3]}
+	stop := m.lookups(survivors)
+	for _, down := range []bool{false, true} {
+		m.platformFaults(fmt.Sprintf(`{"down":%v}`, down))
+		m.killAll(survivors)
+		for _, in := range m.instances {
+			if in != survivors[0] && in != survivors[1] {
+				m.startNode(in)
+			}
+		}
+		versions.reached(2)
+	}
+	m.platformFaults(`{}`)
+	if n := stop(); n == 0 {
+		t.Error("the surviving nodes answered no lookup")
+	}
+	m.submitUntilAccepted(m.noteFile("after-the-herd", "/herd"))
+	versions.reached(3)
+}
+
+// killAll kills all nodes but the survivors at once.
+func (m *mesh) killAll(survivors []*instance) {
+	for _, in := range m.instances {
+		if in != survivors[0] && in != survivors[1] {
+			in.node.signal(syscall.SIGKILL)
+		}
+	}
+	for _, in := range m.instances {
+		if in != survivors[0] && in != survivors[1] {
+			<-in.node.done
+		}
+	}
+}
+
+// relays returns the nodes of a zone that have the relay duty.
+func (m *mesh) relays(zone string) []*instance {
+	var out []*instance
+	for _, in := range m.instances {
+		if in.zone == zone && in.state().Relay {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// Guards against a relay that was paused past its lease and, when it goes on, keeps the duty beside its successor or
+// brings an old version back.
+func TestRelayPausedPastItsLease(t *testing.T) {
+	t.Parallel()
+	m := nairobi(t, nairobiZones...)
+	versions := m.watchVersions()
+	versions.reached(1)
+	zone := nairobiZones[0]
+	m.eventually("two relays", func() bool { return len(m.relays(zone)) == 2 })
+	paused := m.relays(zone)[0]
+	paused.node.signal(syscall.SIGSTOP)
+	m.submitUntilAccepted(m.noteFile("while-paused", "/paused"))
+	m.eventually("version 2 on all other nodes", func() bool { return m.othersServe(paused, 2) })
+	m.eventually("a successor of the paused relay", func() bool { return m.otherRelays(paused) == 2 })
+	paused.node.signal(syscall.SIGCONT)
+	versions.reached(2)
+	m.eventually("the end of the duty that was lost", func() bool { return len(m.relays(zone)) == 2 })
+	m.submitUntilAccepted(m.noteFile("after-the-pause", "/awake"))
+	versions.reached(3)
+}
+
+func (m *mesh) othersServe(except *instance, version uint64) bool {
+	for _, in := range m.instances {
+		if in != except && in.state().Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+// otherRelays counts the relays of the zone of a paused node, which does not answer.
+func (m *mesh) otherRelays(paused *instance) int {
+	n := 0
+	for _, in := range m.instances {
+		if in != paused && in.zone == paused.zone && in.state().Relay {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a zone that stops serving its own instances when it is cut off from the other zones and the platform,
+// or that does not take up the newest version after the cut.
+func TestZoneCutOffServesItsOwn(t *testing.T) {
+	t.Parallel()
+	m := nairobi(t, nairobiZones...)
+	versions := m.watchVersions()
+	versions.reached(1)
+	for _, mode := range []forwarder.Mode{forwarder.Cut, forwarder.Blackhole} {
+		m.cutOffAndBack(versions, mode)
+	}
+}
+
+func (m *mesh) cutOffAndBack(versions *versionWatch, mode forwarder.Mode) {
+	m.t.Helper()
+	zone := nairobiZones[1]
+	before := versions.lowest()
+	m.linkZone(zone, mode, true)
+	m.submitUntilAccepted(m.noteFile(fmt.Sprintf("during-cut-%d", mode), fmt.Sprintf("/cut%d", mode)))
+	for _, in := range m.instances {
+		if in.zone == zone {
+			m.ownLookups(in)
+		}
+	}
+	m.eventually("the new version in the other zone", func() bool {
+		for _, in := range m.instances {
+			if in.zone != zone && in.state().Version != before+1 {
+				return false
+			}
+		}
+		return true
+	})
+	m.linkZone(zone, forwarder.Pass, true)
+	versions.reached(before + 1)
+	m.eventually("a call of the new route in the zone that was cut", func() bool {
+		return call(m.instances[3].callers, http.MethodGet, fmt.Sprintf("/cut%d", mode), "", "").answered()
+	})
+}
+
+// ownLookups sends lookups through a node that is cut off: all run at the instance of its own zone.
+func (m *mesh) ownLookups(in *instance) {
+	m.t.Helper()
+	const lookups = 30
+	for n := range lookups {
+		if a := call(in.callers, http.MethodGet, fmt.Sprintf("/capsules/%d", n), "", ""); !a.answered() {
+			m.t.Errorf("lookup at %s in the zone that is cut off: %+v", in.id, a)
+		}
+	}
+}
