--- /dev/null
+++ b/test/proofs/proofs_test.go
@@ -0,0 +1,68 @@
+// Package proofs checks the page that lists what is proved.
+package proofs
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+var (
+	declared = regexp.MustCompile(`(?m)^func (Test\w+)\(`)
+	quoted   = regexp.MustCompile("`([^`\\s]+)`")
+)
+
+// Guards against a page that claims a proof by a test or a trace that has been renamed or removed.
+func TestProofsNameExistingTestsAndTraces(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "PROOFS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests, named := declaredTests(t), 0
+	for _, m := range quoted.FindAllStringSubmatch(string(page), -1) {
+		name := m[1]
+		switch {
+		case strings.HasPrefix(name, "Test"):
+			named++
+			if !tests[name] {
+				t.Errorf("no test is called %s", name)
+			}
+		case strings.Contains(name, "testdata/"):
+			if _, err := os.Stat(filepath.Join(root, name)); err != nil {
+				t.Errorf("trace: %v", err)
+			}
+		}
+	}
+	if named == 0 {
+		t.Error("the page names no test")
+	}
+	for point := '1'; point <= '9'; point++ {
+		if !strings.Contains(string(page), "\n| "+string(point)+". ") {
+			t.Errorf("the page has no row for point %c", point)
+		}
+	}
+}
+
+func declaredTests(t *testing.T) map[string]bool {
+	t.Helper()
+	tests := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range declared.FindAllSubmatch(text, -1) {
+			tests[string(m[1])] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tests
+}
