Ask again for the instances of services that a relay did not select

Cause: a node that accepted its first configuration asked its relay for the instances of the services it now reaches. A relay that had no configuration yet selected none of them, and the node took the empty answer for complete. Until the repair by digest, after three polls, its calls were refused with no_instance although instances were there. A run of the tests in a fresh clone failed in TestResendAfterDisruption, another in TestZoneCutOffServesItsOwn, both with no_instance for many calls in a row.

Change: an answer counts for the services asked for only if the relay has the node's configuration. The node is ready, and its membership settled, only when the instances of all its services are known.

Ruled out: the picker and the ejection; the refusal came before any attempt was made.

Conclusion: a node does not call itself ready with routes whose instances it does not know.

--- a/cmd/monsoonlatchd/status.go
+++ b/cmd/monsoonlatchd/status.go
@@ -34,7 +34,9 @@
 	}))
 }
 
-func (st *status) ready() bool { return st.syncer.Ready() && st.kernel.State() == kernel.StateRunning }
+func (st *status) ready() bool {
+	return st.syncer.Subscribed() && st.kernel.State() == kernel.StateRunning
+}
 
 func (st *status) state() admin.State {
 	self := st.syncer.Self()
@@ -47,6 +49,6 @@
 	}
 	_, out.Relay = st.relay.Holds()
 	since, complete := st.syncer.Synchronised()
-	out.MembershipSettled = complete && st.clock.Now().Sub(since) > st.settle
+	out.MembershipSettled = complete && st.syncer.Subscribed() && st.clock.Now().Sub(since) > st.settle
 	return out
 }
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -34,7 +34,8 @@
 	Version          uint64 `json:"version"`
 	Hash             string `json:"hash"`
 	Relay            bool   `json:"relay"`
-	// MembershipSettled states that the membership has been complete for long enough to run keyed requests.
+	// MembershipSettled states that the node knows the instances of all services that its routes reach, and that the
+	// membership has been complete for long enough to run keyed requests.
 	MembershipSettled bool `json:"membershipSettled"`
 }
 
@@ -116,7 +117,7 @@
 
 func (s *Server) writeHealth(w http.ResponseWriter, _ *http.Request) {
 	if !s.settings.Ready() {
-		http.Error(w, "not ready: no configuration accepted yet, or draining", http.StatusServiceUnavailable)
+		http.Error(w, "not ready: no configuration accepted yet, instances of its services not yet known, or draining", http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = w.Write([]byte("ready\n"))
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -259,7 +259,10 @@
 	} else {
 		s.table.Merge(reply.Records...)
 	}
-	s.fetched(args.Fetch)
+	if sameConfig {
+		// A relay with another configuration may not have selected all services that were asked for.
+		s.fetched(args.Fetch)
+	}
 	if sameConfig && (reply.Complete || s.digest() == reply.Digest) {
 		s.fetched(s.pendingFetch())
 	}
--- a/pkg/syncer/syncer.go
+++ b/pkg/syncer/syncer.go
@@ -261,6 +261,24 @@
 	}
 }
 
+// Subscribed reports whether the node has the records of all services that its routes can reach. Until then a call to a
+// service that has instances may be refused for lack of one.
+func (s *Syncer) Subscribed() bool {
+	c := s.Current()
+	if c == nil {
+		return false
+	}
+	wants := Subscription(c, s.settings.Instance.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range c.Configuration.Services {
+		if pending, known := s.fetch[name]; wants(name) && (!known || pending) {
+			return false
+		}
+	}
+	return true
+}
+
 // pendingFetch lists the services whose records are still to come.
 func (s *Syncer) pendingFetch() []string {
 	s.mu.Lock()
