Drop idle connections and serve peers as designed in the node

Cause: upstream.Pool drops idle connections in Run, and the node never called it, so they stayed open until they were found closed. The peers listener used the callers' server, whose read timeout costs a change of a runtime timer for each call. Change: both pools run beside their listeners; the peers listener uses proxy.NewPeerServer. Ruled out: sweeping in the request path. Before/after: found by reading; nothing called either function.

--- a/cmd/monsoonlatchd/datapath.go
+++ b/cmd/monsoonlatchd/datapath.go
@@ -56,10 +56,10 @@
 		return
 	}
 	calls := proxy.NewCalls()
+	backend := upstream.NewPool(upstream.Settings{Clock: now, MaxOpen: b.settings.Slots})
 	egress := proxy.NewEgress(proxy.EgressSettings{
 		Own: own, Gate: gate{find[*admission.Gate](b, nameGate)}, Guard: find[idempotency.Guard](b, nameIdempotency),
-		Backend: upstream.NewPool(upstream.Settings{Clock: now, MaxOpen: b.settings.Slots}), Calls: calls, Metrics: metrics,
-		Clock: now, Log: b.log,
+		Backend: backend, Calls: calls, Metrics: metrics, Clock: now, Log: b.log,
 	})
 	filter := &network.Listener{Allowed: find[network.Set](b, namePeers), Refused: func(remote string) {
 		metrics.Refused(metric.RefusedForbidden)
@@ -67,23 +67,24 @@
 	}}
 	b.provide(nameCalls, calls)
 	b.provide(nameEgress, egress)
-	b.register(newListener("peers", b.settings.Peers, filter, egress, b.log, own.Run))
+	b.register(newListener("peers", b.settings.Peers, filter, proxy.NewPeerServer(egress), b.log, own.Run, backend.Run))
 }
 
 // buildIngress makes the part that takes callers' requests, with its listener.
 func buildIngress(b *builder) {
 	s, now, node := b.settings, find[clock.Clock](b, nameClock), find[*syncer.Syncer](b, nameSyncer)
+	peers := upstream.NewPool(upstream.Settings{Clock: now, Dial: find[dialFunc](b, nameDial)})
 	ingress := proxy.NewIngress(proxy.IngressSettings{
 		Self: membership.InstanceID(s.ID), Source: node, View: node, Guard: find[idempotency.Guard](b, nameIdempotency),
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
-		Peers:  upstream.NewPool(upstream.Settings{Clock: now, Dial: find[dialFunc](b, nameDial)}),
+		Peers:  peers,
 		Picker: balance.New(balance.Settings{AvailabilityZone: s.AvailabilityZone, Random: s.Choice == "random"}),
 		Retry:  retry.New(retry.Settings{Unlimited: s.Retries == "unlimited"}), Metrics: find[*metric.Set](b, nameMetrics),
 		Clock: now, Log: b.log,
 	})
 	b.provide(nameIngress, ingress)
 	follow := &shares{source: node, gate: find[*admission.Gate](b, nameGate)}
-	b.register(newListener("callers", s.Callers, nil, ingress, b.log, ingress.Run, every(sharesPeriod, follow.update)))
+	b.register(newListener("callers", s.Callers, nil, proxy.NewServer(ingress), b.log, ingress.Run, peers.Run, every(sharesPeriod, follow.update)))
 }
 
 // sharesPeriod bounds how long a changed guaranteed share waits to take effect.
--- a/cmd/monsoonlatchd/listener.go
+++ b/cmd/monsoonlatchd/listener.go
@@ -11,7 +11,6 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
-	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 )
 
 // listener is the kernel service of one HTTP address of the data path. The duties run beside it until Stop.
@@ -26,8 +25,8 @@
 }
 
 // newListener returns a service that takes connections from the filter's networks; a nil filter takes all.
-func newListener(name, address string, filter *network.Listener, h http.Handler, log zerolog.Logger, duties ...background) *listener {
-	return &listener{name: name, address: address, filter: filter, server: proxy.NewServer(h), duties: duties, log: log}
+func newListener(name, address string, filter *network.Listener, server *http.Server, log zerolog.Logger, duties ...background) *listener {
+	return &listener{name: name, address: address, filter: filter, server: server, duties: duties, log: log}
 }
 
 func (l *listener) Name() string { return l.name }
