--- /dev/null
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -0,0 +1,78 @@
+// Command monsoonlatch-sidecar is the node on the users' platform: it runs beside one backend server, takes callers'
+// requests, forwards them, hands work to its backend server, and follows the platform's metadata store.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+// Settings are the node's own flags; what belongs to the VM stands in the platform's settings file.
+type Settings struct {
+	File     string `required:"" env:"MONSOONLATCH_NODE_FILE" help:"Settings file that the platform writes for this VM."`
+	Metrics  string `env:"MONSOONLATCH_METRICS" default:":7990" help:"Listen address for metrics and state (HTTP)."`
+	LogLevel string `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var s Settings
+	parser, err := kong.New(&s, kong.Name("monsoonlatch-sidecar"),
+		kong.Description("Node of the mesh on the users' platform. Settings are flags or environment variables."))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintf(os.Stderr, "monsoonlatch-sidecar: %v; remedy: see --help for the settings\n", err)
+		return exitBadSettings
+	}
+	vm, err := platform.ReadSettings(s.File)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	level, _ := zerolog.ParseLevel(s.LogLevel) // The parser has checked it.
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", vm.Node).Logger()
+	if err := serve(&s, vm, log); err != nil {
+		event.NodeFailed.Write(event.NodeFailed.Log(&log).Err(err))
+		return exitFailed
+	}
+	return 0
+}
+
+// serve runs the node until SIGTERM or SIGINT.
+func serve(s *Settings, vm platform.Machine, log zerolog.Logger) error {
+	tune(vm.MemoryBytes)
+	n, err := newNode(s, vm, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	event.NodeStarted.Write(event.NodeStarted.Log(&log).Str("service", vm.Service).Str("zone", vm.AvailabilityZone))
+	err = n.kernel.Run(ctx, vm.Bounds.Grace-exitMargin)
+	n.caller.Close()
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	event.NodeStopped.Write(event.NodeStopped.Log(&log).AnErr("cut_short_by", err))
+	return nil
+}
--- /dev/null
+++ b/cmd/monsoonlatch-sidecar/services.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
+)
+
+// tasks is a kernel service that runs duties until Stop.
+type tasks struct {
+	name   string
+	duties []func(context.Context)
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+var _ kernel.Service = (*tasks)(nil)
+
+func newTasks(name string, duties ...func(context.Context)) *tasks {
+	return &tasks{name: name, duties: duties}
+}
+
+func (t *tasks) Name() string { return t.name }
+
+func (t *tasks) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.cancel = cancel
+	for _, duty := range t.duties {
+		t.wg.Go(func() { duty(ctx) })
+	}
+	return nil
+}
+
+func (t *tasks) Stop(context.Context) error {
+	t.cancel()
+	t.wg.Wait()
+	return nil
+}
+
+// listener is the kernel service of one HTTP address.
+type listener struct {
+	name    string
+	address string
+	server  *http.Server
+	log     zerolog.Logger
+}
+
+func newListener(name, address string, server *http.Server, log zerolog.Logger) *listener {
+	return &listener{name: name, address: address, server: server, log: log}
+}
+
+func (l *listener) Name() string { return l.name }
+
+func (l *listener) Start(context.Context) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, "listen for "+l.name, err, "free the address or change the settings")
+	}
+	go func() {
+		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Write(event.ListenerFailed.Log(&l.log).Err(err).Str("listener", l.name))
+		}
+	}()
+	return nil
+}
+
+// Stop waits for the requests in progress.
+func (l *listener) Stop(ctx context.Context) error { return l.server.Shutdown(ctx) }
+
+// readiness answers the platform's question whether callers may be sent here.
+type readiness struct {
+	source  config.Source
+	listed  func() bool
+	leaving atomic.Bool
+}
+
+// ready reports whether the node can route requests and is not about to stop.
+func (r *readiness) ready() bool {
+	return !r.leaving.Load() && r.source.Current() != nil && r.listed()
+}
+
+func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if !r.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+const (
+	// collectPercent trades memory for processor time: the live heap is a few megabytes.
+	collectPercent = 200
+	// memoryPart of the VM's memory for the process is the soft limit of the runtime, below the platform's hard one.
+	memoryPart = 0.6
+)
+
+func tune(memory int64) {
+	debug.SetGCPercent(collectPercent)
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
+	}
+}
--- a/cmd/monsoonlatchd/datapath.go
+++ b/cmd/monsoonlatchd/datapath.go
@@ -79,7 +79,7 @@
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  peers,
 		Picker: balance.New(balance.Settings{AvailabilityZone: s.AvailabilityZone, Random: s.Choice == "random"}),
-		Retry:  retry.New(retry.Settings{Unlimited: s.Retries == "unlimited"}), Metrics: find[*metric.Set](b, nameMetrics),
+		Retry:  retry.NewBudgets(retry.Settings{Unlimited: s.Retries == "unlimited"}), Metrics: find[*metric.Set](b, nameMetrics),
 		Clock: now, Log: b.log,
 	})
 	b.provide(nameIngress, ingress)
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -47,6 +47,40 @@
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
+	// ID names this start of the backend server, and Born is its Unix time in milliseconds. Sequence rises with each
+	// announcement of one start. A backend server that gives none of them has one start for ever.
+	ID       string `json:"id,omitempty"`
+	Born     int64  `json:"born,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+func (a Announcement) sameStart(s start) bool { return a.Born == s.born && a.ID == s.id }
+
+// States in an Announcement.
+const (
+	Starting = stateStarting
+	Ready    = stateReady
+	Draining = stateDraining
+	Departed = stateDeparted
+)
+
+// start identifies one start of the backend server and the latest announcement of it.
+type start struct {
+	id       string
+	born     int64
+	sequence uint64
+}
+
+// precedes reports whether an announcement is older than what is known: a late one of the same start, or one of an
+// earlier start.
+func (a Announcement) precedes(s start) bool {
+	switch {
+	case a.Born != s.born:
+		return a.Born < s.born
+	case a.ID != s.id:
+		return false
+	}
+	return a.Sequence != 0 && a.Sequence <= s.sequence
 }
 
 // Settings of a Service.
@@ -59,6 +93,9 @@
 	Timeout time.Duration
 	Clock   clock.Clock
 	Log     zerolog.Logger
+	// DrainTime is how long after the acknowledgement of a drain or departure the backend server still takes new work, so
+	// that the news reaches other nodes first; zero means not at all.
+	DrainTime time.Duration
 	// OnChange is called in order with each new record. It must not block.
 	OnChange func(membership.Instance)
 }
@@ -69,12 +106,15 @@
 	mu      sync.Mutex
 	machine *fsm.FSM
 	heard   time.Time
+	start   start
 	current atomic.Pointer[own]
 }
 
 type own struct {
 	rec  membership.Instance
 	addr string
+	// until is when a leaving backend server takes no more new work.
+	until time.Time
 }
 
 // New returns a Service whose backend server has not announced itself.
@@ -111,6 +151,34 @@
 	return o.rec, o.addr
 }
 
+// Admits implements proxy.Own.
+func (s *Service) Admits(now time.Time) bool {
+	o := s.current.Load()
+	switch o.rec.State {
+	case membership.StateReady:
+		return true
+	case membership.StateDraining, membership.StateDeparted:
+		return now.Before(o.until)
+	}
+	return false
+}
+
+// Misdirected implements proxy.Own: another start of the backend server answers at the address. Its state is not known
+// until it announces itself.
+func (s *Service) Misdirected(backendID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.current.Load()
+	if backendID == o.rec.BackendID || o.rec.State == membership.StateStarting {
+		return
+	}
+	event.BackendReplaced.Write(event.BackendReplaced.Log(&s.set.Log).Str("known", o.rec.BackendID).Str("answered", backendID))
+	rec := o.rec
+	rec.State = membership.StateStarting
+	s.machine.SetState(stateStarting)
+	s.store(rec, o.addr)
+}
+
 // serviceName is the form of a service's name.
 var serviceName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
@@ -155,8 +223,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if a.precedes(s.start) {
+		event.AnnouncementStale.Write(event.AnnouncementStale.Log(&s.set.Log).Str("backend", a.ID).Int64("born", a.Born).
+			Uint64("sequence", a.Sequence).Str("state", a.State))
+		return nil
+	}
+	s.begin(a)
 	old := s.current.Load()
-	if old.rec.Service != "" && old.rec.Service != a.Service && s.machine.Current() != stateDeparted {
+	if old.rec.Service != "" && old.rec.Service != a.Service && a.sameStart(s.start) && s.machine.Current() != stateDeparted {
 		return fault.New(fault.Conflict, "announce", "the instance belongs to service "+old.rec.Service,
 			"stop the other backend server first, or give each its own node")
 	}
@@ -164,16 +238,43 @@
 		return fault.Wrap(fault.Conflict, "announce", err, "announce starting or departed before ready")
 	}
 	s.heard = s.set.Clock.Now()
+	s.start = start{id: a.ID, born: a.Born, sequence: a.Sequence}
 	rec := old.rec
 	if rec.State == membership.StateDeparted && a.State != stateDeparted {
 		// A departure wins over all records of its incarnation.
 		rec.Incarnation++
 	}
-	rec.Service, rec.Slots, rec.State = a.Service, a.Slots, states[a.State]
+	rec.Service, rec.Slots, rec.State, rec.BackendID = a.Service, a.Slots, states[a.State], a.ID
 	s.store(rec, a.Address)
 	return nil
 }
 
+// begin forgets the states of an earlier start.
+func (s *Service) begin(a Announcement) {
+	if a.sameStart(s.start) {
+		return
+	}
+	s.machine.SetState(stateStarting)
+}
+
+// Depart takes the departure of a backend server that may not have announced a drain.
+func (s *Service) Depart(id string, born int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.current.Load()
+	if id != o.rec.BackendID || (born != 0 && born != s.start.born) {
+		return fault.New(fault.NotFound, "depart", fmt.Sprintf("backend server %q is not the one that is known here", id),
+			"announce it first, or ignore the error: a start that is not known gets no work")
+	}
+	if err := s.move(stateDeparted); err != nil {
+		return fault.Wrap(fault.Conflict, "depart", err, "")
+	}
+	rec := o.rec
+	rec.State = membership.StateDeparted
+	s.store(rec, o.addr)
+	return nil
+}
+
 // move makes the transition; to stay in the state is none.
 func (s *Service) move(name string) error {
 	err := s.machine.Event(context.Background(), name)
@@ -188,17 +289,32 @@
 	old := s.current.Load()
 	if rec == old.rec {
 		if addr != old.addr {
-			s.current.Store(&own{rec: rec, addr: addr})
+			s.current.Store(&own{rec: rec, addr: addr, until: old.until})
 		}
 		return
 	}
 	rec.Sequence = old.rec.Sequence + 1
-	s.current.Store(&own{rec: rec, addr: addr})
+	s.current.Store(&own{rec: rec, addr: addr, until: s.admitsUntil(old, rec)})
 	event.BackendState.Write(event.BackendState.Log(&s.set.Log).Str("service", rec.Service).Int("slots", rec.Slots).
 		Str("state", s.machine.Current()))
 	s.set.OnChange(rec)
 }
 
+// admitsUntil is when a leaving backend server takes no more new work. A departure after a drain does not prolong it.
+func (s *Service) admitsUntil(old *own, rec membership.Instance) time.Time {
+	switch rec.State {
+	case membership.StateDraining, membership.StateDeparted:
+		if !old.until.IsZero() && old.rec.BackendID == rec.BackendID {
+			return old.until
+		}
+		if old.rec.State == membership.StateReady && old.rec.BackendID == rec.BackendID {
+			return s.set.Clock.Now().Add(s.set.DrainTime)
+		}
+		return s.set.Clock.Now()
+	}
+	return time.Time{}
+}
+
 // Expire puts a backend server that has not announced itself for Settings.Timeout back to starting, so that it gets no
 // new work.
 func (s *Service) Expire(now time.Time) {
--- /dev/null
+++ b/pkg/balance/split.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// Splitter divides the requests of routes among services by weight. It is safe for concurrent use.
+//
+// The choice is smooth weighted round robin: each part gains its weight with every request, and the part that has
+// gained most is chosen and pays the sum of the weights. Short runs of requests are then divided in proportion too,
+// which a random choice does not achieve.
+type Splitter struct {
+	mu     sync.Mutex
+	routes map[string]*split
+}
+
+type split struct {
+	parts  []config.WeightedService
+	gained []int
+}
+
+// Next returns the service of the next request of a route.
+func (s *Splitter) Next(route string, parts []config.WeightedService) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sp := s.routes[route]
+	if sp == nil || !slices.Equal(sp.parts, parts) {
+		if s.routes == nil {
+			s.routes = make(map[string]*split)
+		}
+		sp = &split{parts: parts, gained: make([]int, len(parts))}
+		s.routes[route] = sp
+	}
+	return sp.next()
+}
+
+func (sp *split) next() string {
+	best, sum := 0, 0
+	for i, p := range sp.parts {
+		sp.gained[i] += p.Weight
+		sum += p.Weight
+		if sp.gained[i] > sp.gained[best] {
+			best = i
+		}
+	}
+	sp.gained[best] -= sum
+	return sp.parts[best].Service
+}
--- a/pkg/config/bench_test.go
+++ b/pkg/config/bench_test.go
@@ -122,7 +122,7 @@
 	s := newSnapshot(h.Version, h.Hash, h.Configuration)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		s.Match("GET", benchPaths[i%len(benchPaths)])
+		s.Match("", "GET", benchPaths[i%len(benchPaths)])
 	}
 }
 
@@ -141,7 +141,7 @@
 	h := benchHead(t)
 	s := newSnapshot(h.Version, h.Hash, h.Configuration)
 	for _, path := range benchPaths {
-		if n := testing.AllocsPerRun(100, func() { s.Match("GET", path) }); n != 0 {
+		if n := testing.AllocsPerRun(100, func() { s.Match("", "GET", path) }); n != 0 {
 			t.Errorf("%s: %v allocations", path, n)
 		}
 	}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -114,9 +114,9 @@
 	for _, key := range slices.Sorted(maps.Keys(c.Routes)) {
 		r := c.Routes[key]
 		errs = append(errs, checkKey("route", key, r.Name)...)
-		if _, ok := c.Services[r.Service]; !ok {
-			errs = append(errs, invalid("route "+key, fmt.Sprintf("service %q does not exist", r.Service),
-				"add the service in the same note or name an existing one"))
+		errs = append(errs, c.checkTargets(r)...)
+		if bad := checkHost(r.Host); bad != "" {
+			errs = append(errs, invalid("route "+key, bad, "write a lower-case host name without a port, or leave it out"))
 		}
 		if _, ok := c.Policies[r.Policy]; !ok {
 			errs = append(errs, invalid("route "+key, fmt.Sprintf("policy %q does not exist", r.Policy),
@@ -130,6 +130,37 @@
 	return errs
 }
 
+// checkTargets finds services of a route that do not exist, and weights that give no share.
+func (c Configuration) checkTargets(r Route) []error {
+	var errs []error
+	known := func(service string) {
+		if _, ok := c.Services[service]; !ok {
+			errs = append(errs, invalid("route "+r.Name, fmt.Sprintf("service %q does not exist", service),
+				"add the service in the same note or name an existing one"))
+		}
+	}
+	if len(r.Split) == 0 {
+		known(r.Service)
+		return errs
+	}
+	if r.Service != "" {
+		errs = append(errs, invalid("route "+r.Name, "has both service and split", "keep one of them"))
+	}
+	sum := 0
+	for _, part := range r.Split {
+		known(part.Service)
+		if part.Weight < 0 || part.Weight > MaxWeight {
+			errs = append(errs, invalid("route "+r.Name, fmt.Sprintf("weight %d is not from 0 to %d", part.Weight, MaxWeight), "set a weight such as 10"))
+			continue
+		}
+		sum += part.Weight
+	}
+	if sum == 0 {
+		errs = append(errs, invalid("route "+r.Name, "no part of the split has a weight", "give at least one service a weight above 0"))
+	}
+	return errs
+}
+
 // knownMethods are the methods of RFC 9110 and RFC 5789 that are forwarded; CONNECT and TRACE are not.
 var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
@@ -148,7 +179,7 @@
 
 // checkOverlaps finds routes that take the same method at the same prefix; a route without methods takes all.
 func (c Configuration) checkOverlaps() []error {
-	type slot struct{ prefix, method string }
+	type slot struct{ host, prefix, method string }
 	var errs []error
 	taken := make(map[slot]string, len(c.Routes))
 	for _, key := range slices.Sorted(maps.Keys(c.Routes)) {
@@ -158,7 +189,7 @@
 			methods = knownMethods
 		}
 		for _, m := range methods {
-			s := slot{r.PathPrefix, m}
+			s := slot{r.Host, r.PathPrefix, m}
 			if other, ok := taken[s]; ok && other != key {
 				errs = append(errs, invalid("route "+key, fmt.Sprintf("takes %s %s as route %s does", m, r.PathPrefix, other),
 					"change the prefix or the methods of one of them, or withdraw one"))
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -66,7 +66,7 @@
 
 // Clone returns a copy with maps of its own. The lists inside items are shared; nothing changes them in place.
 func (c Configuration) Clone() Configuration {
-	return Configuration{Services: cloneMap(c.Services), Policies: cloneMap(c.Policies), Routes: cloneMap(c.Routes)}
+	return Configuration{Limits: c.Limits, Services: cloneMap(c.Services), Policies: cloneMap(c.Policies), Routes: cloneMap(c.Routes)}
 }
 
 func cloneMap[V any](m map[string]V) map[string]V {
@@ -78,12 +78,12 @@
 
 // Equal reports whether two services have the same content.
 func (s Service) Equal(o Service) bool {
-	return s.Name == o.Name && equalSets(s.CallableFrom, o.CallableFrom)
+	return s.Name == o.Name && s.MaxConnections == o.MaxConnections && equalSets(s.CallableFrom, o.CallableFrom)
 }
 
 // Equal reports whether two routes have the same content.
 func (r Route) Equal(o Route) bool {
-	return r.Name == o.Name && r.PathPrefix == o.PathPrefix && r.Service == o.Service && r.Policy == o.Policy &&
+	return r.Name == o.Name && r.Host == o.Host && r.PathPrefix == o.PathPrefix && slices.Equal(r.Split, o.Split) && r.Service == o.Service && r.Policy == o.Policy &&
 		r.Idempotent == o.Idempotent && equalSets(r.Methods, o.Methods)
 }
 
--- a/pkg/config/names.go
+++ b/pkg/config/names.go
@@ -20,6 +20,10 @@
 	MaxIdempotencyWindow = Duration(3600e9)
 	// MaxMaxRetries bounds retries of one call at one node.
 	MaxMaxRetries = 10
+	// MaxWeight bounds the weight of one part of a split.
+	MaxWeight = 1_000_000
+	// MaxHostBytes is the longest host name that the domain name system allows.
+	MaxHostBytes = 253
 	// MaxWorth bounds the weight of one answer.
 	MaxWorth = 1_000_000
 )
@@ -67,6 +71,19 @@
 	return ""
 }
 
+// checkHost accepts an empty host, and lower-case host names without a port.
+func checkHost(host string) string {
+	if len(host) > MaxHostBytes {
+		return fmt.Sprintf("the host has %d bytes, more than %d", len(host), MaxHostBytes)
+	}
+	for i := range len(host) {
+		if c := host[i]; (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '.' && c != '_' {
+			return fmt.Sprintf("host %q contains %q", host, c)
+		}
+	}
+	return ""
+}
+
 func invalid(item, detail, remedy string) error {
 	return fault.New(fault.Invalid, item, detail, remedy)
 }
--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -245,7 +245,7 @@
 		s := newSnapshot(1, "", c)
 		method, path := rapid.SampledFrom([]string{"GET", "POST", "DELETE"}).Draw(t, "method"), genPath().Draw(t, "path")
 		want := scanTable(sortedTable(c), method, path)
-		got, ok := s.Match(method, path)
+		got, ok := s.Match("", method, path)
 		if ok != (want != nil) || ok && got.Route.Name != want.Route.Name {
 			t.Fatalf("%s %s: got %+v, want %+v", method, path, got, want)
 		}
--- a/pkg/config/snapshot_test.go
+++ b/pkg/config/snapshot_test.go
@@ -23,7 +23,7 @@
 		{"GET", "nothing", ""}, {"GET", "nothing/deposits", ""},
 	} {
 		got := ""
-		if m, ok := s.Match(x.method, x.path); ok {
+		if m, ok := s.Match("", x.method, x.path); ok {
 			got = m.Route.Name
 		}
 		if got != x.want {
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -23,6 +23,8 @@
 	Name string `json:"name" yaml:"name"`
 	// CallableFrom lists the services whose nodes need routes to this one; empty means all.
 	CallableFrom []string `json:"callableFrom,omitempty" yaml:"callableFrom,omitempty"`
+	// MaxConnections bounds the connections to one backend server; 0 means its slots.
+	MaxConnections int `json:"maxConnections,omitempty" yaml:"maxConnections,omitempty"`
 }
 
 // Policy states how the work of a route is ranked and bounded.
@@ -44,19 +46,40 @@
 	IdempotencyWindow Duration `json:"idempotencyWindow,omitempty" yaml:"idempotencyWindow,omitempty"`
 }
 
+// WeightedService is one part of a route's traffic.
+type WeightedService struct {
+	Service string `json:"service" yaml:"service"`
+	// Weight is the part's share, relative to the sum of the weights of the route.
+	Weight int `json:"weight" yaml:"weight"`
+}
+
 // Route maps requests to a service under a policy.
 type Route struct {
-	Name       string   `json:"name" yaml:"name"`
+	Name string `json:"name" yaml:"name"`
+	// Host is the host that the route serves, without a port; empty means every host without a route of its own.
+	Host       string   `json:"host,omitempty" yaml:"host,omitempty"`
 	PathPrefix string   `json:"pathPrefix" yaml:"pathPrefix"`
 	Methods    []string `json:"methods,omitempty" yaml:"methods,omitempty"`
-	Service    string   `json:"service" yaml:"service"`
-	Policy     string   `json:"policy" yaml:"policy"`
+	Service    string   `json:"service,omitempty" yaml:"service,omitempty"`
+	// Split divides the requests among several services; it takes the place of Service.
+	Split  []WeightedService `json:"split,omitempty" yaml:"split,omitempty"`
+	Policy string            `json:"policy" yaml:"policy"`
 	// Idempotent states that running a request twice is harmless.
 	Idempotent bool `json:"idempotent" yaml:"idempotent"`
 }
 
+// Limits bound what a caller may send to a node and how long its connection may idle. Zero values leave the node's
+// own limits in force.
+type Limits struct {
+	MaxHeaderBytes int      `json:"maxHeaderBytes,omitempty" yaml:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes   int64    `json:"maxBodyBytes,omitempty" yaml:"maxBodyBytes,omitempty"`
+	HeaderTimeout  Duration `json:"headerTimeout,omitempty" yaml:"headerTimeout,omitempty"`
+	IdleTimeout    Duration `json:"idleTimeout,omitempty" yaml:"idleTimeout,omitempty"`
+}
+
 // Configuration is the whole configuration of the mesh.
 type Configuration struct {
+	Limits   Limits             `json:"limits,omitzero"`
 	Services map[string]Service `json:"services"`
 	Policies map[string]Policy  `json:"policies"`
 	Routes   map[string]Route   `json:"routes"`
@@ -86,7 +109,7 @@
 	Withdraw Names  `json:"withdraw" yaml:"withdraw"`
 }
 
-// Version counts accepted release notes. It never falls.
+// Version orders accepted configurations. It never falls, and may rise in steps of any size.
 type Version uint64
 
 // NoteRecord is the trace that an accepted note leaves in the head.
--- /dev/null
+++ b/pkg/directory/follower.go
@@ -0,0 +1,221 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+const (
+	// applyPart of the bound on a configuration is how long a watch of it lasts without changes. A watch that has gone
+	// silent is noticed after it; the first node to notice passes the configuration on.
+	applyPart = 2
+	// instancesWait is how long a watch of the instances lasts without changes. No bound rests on it.
+	instancesWait = 3 * time.Second
+	// watchSlack is what a watch's answer may take beyond its wait.
+	watchSlack = 300 * time.Millisecond
+	// waitSpread of a wait is random, so that the watches of all nodes do not go silent together.
+	waitSpread = 4
+	// listTimeout bounds a read of all objects of a kind.
+	listTimeout = 1500 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed call; the pause doubles and half of it is random.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 1500 * time.Millisecond
+)
+
+// Follower keeps a State up to date with the store.
+type Follower struct {
+	State   *State
+	Store   Store
+	Schema  Schema
+	Self    membership.InstanceID
+	Clock   clock.Clock
+	Log     zerolog.Logger
+	Metrics *metric.Set
+	// Apply is how long after its acceptance a configuration may take to be in force.
+	Apply time.Duration
+	// OnOwnRecord, if set, is called with the own record as the store holds it.
+	OnOwnRecord func(membership.Instance)
+
+	// heard is the Unix time in nanoseconds of the last answer of the store.
+	heard  atomic.Int64
+	listed atomic.Bool
+}
+
+// Listed reports whether the instances have been read from the store.
+func (f *Follower) Listed() bool { return f.listed.Load() }
+
+// Silence is how long ago the store last answered.
+func (f *Follower) Silence() time.Duration {
+	return f.Clock.Now().Sub(time.Unix(0, f.heard.Load()))
+}
+
+// Run follows the configuration and the instances until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.heard.Store(f.Clock.Now().UnixNano())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.follow(ctx, f.Schema.ConfigurationKind(), f.Apply/applyPart, f.applyConfiguration)
+	}()
+	f.follow(ctx, platform.KindInstance, instancesWait, f.applyInstances)
+	<-done
+}
+
+// apply takes objects; whole states that they are all of their kind.
+type apply func(changes []Change, whole bool)
+
+// follow lists a kind and watches it from there, for ever.
+func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait time.Duration, take apply) {
+	var at Revision
+	known, pause := false, firstBackoff
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			at, err = f.watch(ctx, kind, at, wait-rand.N(wait/waitSpread), take)
+		} else {
+			at, err = f.list(ctx, kind, take)
+		}
+		if err == nil {
+			if pause != firstBackoff {
+				event.StoreRegained.Write(event.StoreRegained.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(at)))
+			}
+			f.heard.Store(f.Clock.Now().UnixNano())
+			known, pause = true, firstBackoff
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.Metrics.Retried(metric.RetryPlatformRequest)
+		if fault.Is(err, fault.Stale) {
+			known = false
+		}
+		if pause == firstBackoff {
+			event.StoreLost.Write(event.StoreLost.Log(&f.Log).Err(err).Str("kind", string(kind)).Uint64("revision", uint64(at)))
+		}
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, lastBackoff)
+	}
+}
+
+func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, take apply) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l, err := f.Store.List(ctx, kind)
+	if err != nil {
+		return 0, err
+	}
+	changes := make([]Change, len(l.Objects))
+	for i, obj := range l.Objects {
+		changes[i].Object = obj
+	}
+	take(changes, true)
+	return l.Revision, nil
+}
+
+func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, at Revision, wait time.Duration, take apply) (Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	c, err := f.Store.Watch(ctx, kind, at, wait)
+	if err != nil {
+		return at, err
+	}
+	take(c.Changes, false)
+	return max(at, c.Revision), nil
+}
+
+// applyConfiguration accepts the newest configuration among the objects. An unreadable or unsound one leaves the one in
+// force.
+func (f *Follower) applyConfiguration(changes []Change, _ bool) {
+	for _, c := range changes {
+		if c.Removed || c.Object.Name != f.Schema.ConfigurationName() {
+			continue
+		}
+		version, cfg, err := f.Schema.Configuration(c.Object.Spec)
+		if err == nil {
+			err = f.State.adopt(&f.Log, version, cfg, "store")
+		}
+		if err != nil {
+			event.ConfigInvalid.Write(event.ConfigInvalid.Log(&f.Log).Err(err).Uint64("version", uint64(version)))
+		}
+	}
+}
+
+// adopt checks a configuration, builds its routing table and puts it in force if it is newer.
+func (s *State) adopt(log *zerolog.Logger, version config.Version, cfg config.Configuration, source string) error {
+	if version <= s.Version() {
+		return nil
+	}
+	hash, err := cfg.Hash()
+	if err != nil {
+		return err
+	}
+	snap, err := config.Build(version, hash, cfg)
+	if err != nil {
+		return err
+	}
+	before := s.Version()
+	if s.Accept(snap) {
+		event.ConfigAccepted.Write(event.ConfigAccepted.Log(log).Uint64("version", uint64(version)).
+			Uint64("before", uint64(before)).Int("routes", len(cfg.Routes)).Str("source", source))
+	}
+	return nil
+}
+
+func (f *Follower) applyInstances(changes []Change, whole bool) {
+	records := make([]membership.Instance, 0, len(changes))
+	named := make(map[membership.InstanceID]bool, len(changes))
+	for _, c := range changes {
+		id := membership.InstanceID(c.Object.Name)
+		named[id] = true
+		if c.Removed {
+			if id != f.Self {
+				f.State.Remove(id)
+			}
+			continue
+		}
+		in, err := decodeRecord(c.Object)
+		if err != nil {
+			event.RecordRefused.Write(event.RecordRefused.Log(&f.Log).Err(err))
+			continue
+		}
+		if id == f.Self {
+			if f.OnOwnRecord != nil {
+				f.OnOwnRecord(in)
+			}
+			continue
+		}
+		records = append(records, in)
+	}
+	f.State.Merge(records...)
+	if !whole {
+		return
+	}
+	f.listed.Store(true)
+	for _, in := range f.State.All() {
+		if !named[in.ID] && in.ID != f.Self {
+			f.State.Remove(in.ID)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/directory/record.go
@@ -0,0 +1,60 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+// record is the spec of an instance's object in the store.
+type record struct {
+	Service     string `json:"service"`
+	Zone        string `json:"availabilityZone"`
+	Region      string `json:"region,omitempty"`
+	Peers       string `json:"peers"`
+	Control     string `json:"control"`
+	Backend     string `json:"backend,omitempty"`
+	Slots       int    `json:"slots"`
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	State       string `json:"state"`
+}
+
+var stateByName = map[string]membership.State{
+	membership.StateStarting.String(): membership.StateStarting, membership.StateReady.String(): membership.StateReady,
+	membership.StateDraining.String(): membership.StateDraining, membership.StateDeparted.String(): membership.StateDeparted,
+}
+
+func encodeRecord(in membership.Instance) ([]byte, error) {
+	return json.Marshal(record{Service: in.Service, Zone: in.AvailabilityZone, Region: in.Region, Peers: in.PeerAddress,
+		Control: in.ControlAddress, Backend: in.BackendID, Slots: in.Slots, Incarnation: in.Incarnation,
+		Sequence: in.Sequence, State: in.State.String()})
+}
+
+// decodeRecord refuses records that another program has written or spoiled: they name no instance to use.
+func decodeRecord(obj platform.Object) (membership.Instance, error) {
+	bad := func(detail string) (membership.Instance, error) {
+		return membership.Instance{}, fault.New(fault.Invalid, "instance "+obj.Name, detail, "delete the object; its node writes it again")
+	}
+	var r record
+	if err := json.Unmarshal(obj.Spec, &r); err != nil {
+		return bad(err.Error())
+	}
+	state, ok := stateByName[r.State]
+	if !ok {
+		return bad(fmt.Sprintf("state %q", r.State))
+	}
+	if _, err := netip.ParseAddrPort(r.Peers); err != nil {
+		return bad(fmt.Sprintf("peers address %q", r.Peers))
+	}
+	if r.Service == "" || r.Incarnation == 0 {
+		return bad("service or incarnation is missing")
+	}
+	return membership.Instance{ID: membership.InstanceID(obj.Name), Service: r.Service, AvailabilityZone: r.Zone,
+		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, Slots: r.Slots,
+		Incarnation: r.Incarnation, Sequence: r.Sequence, State: state}, nil
+}
--- /dev/null
+++ b/pkg/directory/state.go
@@ -0,0 +1,172 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// State is the configuration and the instances that a node knows. Readers take no lock.
+type State struct {
+	mu        sync.Mutex
+	instances map[membership.InstanceID]membership.Instance
+	listeners []chan struct{}
+	snapshot  atomic.Pointer[config.Snapshot]
+	services  atomic.Pointer[map[string][]membership.Instance]
+}
+
+var _ View = (*State)(nil)
+
+// NewState returns a state that knows nothing.
+func NewState() *State {
+	s := &State{instances: make(map[membership.InstanceID]membership.Instance)}
+	s.services.Store(&map[string][]membership.Instance{})
+	return s
+}
+
+// Current implements config.Source.
+func (s *State) Current() *config.Snapshot { return s.snapshot.Load() }
+
+// Version is the version of the configuration in force; 0 if there is none.
+func (s *State) Version() config.Version {
+	if snap := s.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
+
+// Accept puts a configuration in force and reports whether it did. One that is not newer than the one in force is
+// refused, wherever it comes from, so that a node never goes back.
+func (s *State) Accept(snap *config.Snapshot) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snap.Version <= s.Version() {
+		return false
+	}
+	s.snapshot.Store(snap)
+	return true
+}
+
+// Instances implements membership.View.
+func (s *State) Instances(service string) []membership.Instance { return (*s.services.Load())[service] }
+
+// Subscribe implements membership.View.
+func (s *State) Subscribe() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, c)
+	return c
+}
+
+// All returns all records that are known, departed ones included.
+func (s *State) All() []membership.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]membership.Instance, 0, len(s.instances))
+	for _, in := range s.instances {
+		out = append(out, in)
+	}
+	return out
+}
+
+// Get returns the record of an instance.
+func (s *State) Get(id membership.InstanceID) (membership.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in, ok := s.instances[id]
+	return in, ok
+}
+
+// supersedes reports whether record a replaces record b of the same instance.
+func supersedes(a, b membership.Instance) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Merge takes records that are newer than the known ones and returns how many were.
+func (s *State) Merge(records ...membership.Instance) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := 0
+	for _, in := range records {
+		known, ok := s.instances[in.ID]
+		if in.ID == "" || (ok && !supersedes(in, known)) {
+			continue
+		}
+		s.instances[in.ID] = in
+		changed++
+	}
+	if changed > 0 {
+		s.publish()
+	}
+	return changed
+}
+
+// Remove forgets an instance whose record was deleted.
+func (s *State) Remove(id membership.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.instances[id]; ok {
+		delete(s.instances, id)
+		s.publish()
+	}
+}
+
+// Digest is what a node knows, for another to tell what it lacks.
+type Digest struct {
+	Version config.Version
+	// Records holds the incarnation and sequence of each record.
+	Records map[membership.InstanceID][2]uint64
+}
+
+// Digest returns the digest of the state.
+func (s *State) Digest() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Digest{Version: s.Version(), Records: make(map[membership.InstanceID][2]uint64, len(s.instances))}
+	for id, in := range s.instances {
+		d.Records[id] = [2]uint64{in.Incarnation, in.Sequence}
+	}
+	return d
+}
+
+// Missing returns the records that the owner of a digest lacks.
+func (s *State) Missing(d Digest) []membership.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []membership.Instance
+	for id, in := range s.instances {
+		known, ok := d.Records[id]
+		if !ok || supersedes(in, membership.Instance{Incarnation: known[0], Sequence: known[1]}) {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// publish builds the view of each service and wakes the listeners.
+func (s *State) publish() {
+	next := make(map[string][]membership.Instance)
+	for _, in := range s.instances {
+		if in.State != membership.StateDeparted {
+			next[in.Service] = append(next[in.Service], in)
+		}
+	}
+	for _, list := range next {
+		slices.SortFunc(list, func(a, b membership.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	s.services.Store(&next)
+	for _, c := range s.listeners {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/pkg/event/announce.go
+++ b/pkg/event/announce.go
@@ -10,4 +10,8 @@
 		"Check that the backend server runs and reaches the node's admin address.")
 	AnnouncementRefused = define(1602, "announcement_refused", zerolog.WarnLevel,
 		"an announcement was refused", "Correct what the error names in the backend server's settings.")
+	AnnouncementStale = define(1603, "announcement_stale", zerolog.InfoLevel,
+		"an announcement of an earlier start, or a late one, was ignored", "")
+	BackendReplaced = define(1604, "backend_replaced", zerolog.WarnLevel,
+		"another start of the backend server answers; it gets no work until it announces itself", "")
 )
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -42,10 +42,12 @@
 	PeerAddress string
 	// ControlAddress takes net/rpc calls.
 	ControlAddress string
-	Slots          int
-	Incarnation    uint64
-	Sequence       uint64
-	State          State
+	// BackendID names the backend server's present start, where it has a name of its own; a restart may change it.
+	BackendID   string
+	Slots       int
+	Incarnation uint64
+	Sequence    uint64
+	State       State
 	// HandedOver states that a departed instance passed on its idempotency records.
 	HandedOver bool
 }
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -16,6 +16,7 @@
 	KindRelayLease    ObjectKind = "relayleases"
 	KindZoneStatus    ObjectKind = "zonestatuses"
 	KindKeyClaim      ObjectKind = "keyclaims"
+	KindInstance      ObjectKind = "instances"
 )
 
 // HeadName is the name of the configuration object that holds the accepted configuration.
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -142,7 +142,7 @@
 		Clock: clock.System{}, Log: zerolog.Nop(), Backend: upstream.NewPool(upstream.Settings{})})
 	in := NewIngress(IngressSettings{Self: "own", Source: m, View: m, Guard: &guard{m: m}, Egress: eg, Calls: calls,
 		Peers: upstream.NewPool(upstream.Settings{}), Picker: balance.New(balance.Settings{}),
-		Retry: retry.New(retry.Settings{}), Metrics: n.metrics, Clock: clock.System{}, Log: zerolog.Nop()})
+		Retry: retry.NewBudgets(retry.Settings{}), Metrics: n.metrics, Clock: clock.System{}, Log: zerolog.Nop()})
 	return in, eg
 }
 
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -38,6 +38,8 @@
 	window     time.Duration
 	idempotent bool
 	key        string
+	// caller is the service on the VM at which the request entered the mesh.
+	caller string
 
 	arrived  time.Time
 	deadline time.Time
@@ -88,16 +90,22 @@
 var commonHeaders = [...]string{HeaderRequestID, HeaderRemaining, HeaderRank, HeaderConfigVersion, HeaderService,
 	HeaderRoute}
 
-// setCommon sets the headers that both the egress and the backend server get.
-func (c *call) setCommon(h http.Header, now time.Time, deadline time.Time) {
-	values := []string{c.id, strconv.FormatInt(wireRemaining(now, deadline), 10), strconv.Itoa(c.rank),
-		strconv.FormatUint(uint64(c.version), 10), c.service, c.route}
+// outgoing describes the call to the next hop.
+func (c *call) outgoing(now time.Time) Outgoing {
+	return Outgoing{ID: c.id, Service: c.service, Route: c.route, Rank: c.rank, Version: c.version, Attempt: c.attempt,
+		Retried: c.retried || c.attempt > 0, Remaining: wireRemaining(now, c.deadline), Caller: c.caller}
+}
+
+// setCommon sets the headers that both the egress and, in the native dialect, the backend server get.
+func setCommon(h http.Header, o Outgoing) {
+	values := []string{o.ID, strconv.FormatInt(o.Remaining.Microseconds(), 10), strconv.Itoa(o.Rank),
+		strconv.FormatUint(uint64(o.Version), 10), o.Service, o.Route}
 	for i, name := range commonHeaders {
 		// The values share one allocation.
 		h[name] = values[i : i+1 : i+1]
 	}
-	setCount(h, HeaderAttempt, int64(c.attempt))
-	setFlag(h, HeaderRetried, c.retried || c.attempt > 0)
+	setCount(h, HeaderAttempt, int64(o.Attempt))
+	setFlag(h, HeaderRetried, o.Retried)
 }
 
 // setPeer sets the headers that only the egress gets.
@@ -105,6 +113,9 @@
 	set(h, HeaderPolicy, c.policy)
 	setFlag(h, HeaderIdempotent, c.idempotent)
 	setCount(h, HeaderHops, int64(c.hops))
+	if c.caller != "" {
+		set(h, HeaderCaller, c.caller)
+	}
 	if c.keyed() {
 		setInt(h, HeaderWindow, c.window.Microseconds())
 	}
@@ -116,6 +127,7 @@
 	delete(h, HeaderIdempotent)
 	delete(h, HeaderHops)
 	delete(h, HeaderWindow)
+	delete(h, HeaderCaller)
 }
 
 // digest covers what makes two requests with one key the same.
@@ -134,20 +146,20 @@
 	return idempotency.Request{Service: c.service, Key: c.key, Digest: c.digest(), Window: c.window}
 }
 
-// readBody reads a request body of at most MaxBody bytes; errTooLarge marks a longer one.
-func readBody(r *http.Request) ([]byte, error) {
+// readBody reads a request body of at most most bytes; errTooLarge marks a longer one.
+func readBody(r *http.Request, most int64) ([]byte, error) {
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return nil, nil
-	case r.ContentLength > MaxBody:
+	case r.ContentLength > most:
 		return nil, errTooLarge
 	case r.ContentLength > 0:
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
-	if err == nil && len(body) > MaxBody {
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err == nil && int64(len(body)) > most {
 		err = errTooLarge
 	}
 	return body, err
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -20,7 +20,7 @@
 type choice struct {
 	mu     sync.Mutex
 	picker *balance.Picker
-	budget *retry.Decider
+	budget *retry.Budgets
 	view   membership.View
 }
 
@@ -94,13 +94,13 @@
 }
 
 // observe ends an attempt at an instance and pays a success into the retry budget.
-func (ch *choice) observe(now time.Time, id membership.InstanceID, rep *reply, took time.Duration) {
+func (ch *choice) observe(now time.Time, service string, id membership.InstanceID, rep *reply, took time.Duration) {
 	o := balance.Observation{Event: observed(rep), Took: took, Load: rep.load}
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	ch.picker.Observe(now, id, o)
 	if o.Event == balance.EventAnswered {
-		ch.budget.Success()
+		ch.budget.Success(service)
 	}
 }
 
@@ -110,10 +110,10 @@
 	ch.picker.Observe(now, id, balance.Observation{Event: balance.EventAbandoned})
 }
 
-func (ch *choice) decide(now time.Time, a retry.Attempt) retry.Decision {
+func (ch *choice) decide(now time.Time, service string, a retry.Attempt) retry.Decision {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	return ch.budget.Decide(now, a)
+	return ch.budget.Decide(now, service, a)
 }
 
 // observed classifies an attempt. Statuses of 500 and above count as failures: an instance that answers fast with
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -13,6 +13,8 @@
 type tracker struct {
 	mu       sync.Mutex
 	inFlight int
+	// entered states that a call has come since the last call of busy.
+	entered  bool
 	draining bool
 	idle     chan struct{}
 }
@@ -25,6 +27,7 @@
 		return false
 	}
 	t.inFlight++
+	t.entered = true
 	return true
 }
 
@@ -38,6 +41,15 @@
 	}
 }
 
+// busy reports whether a call is in flight, or was since the last question.
+func (t *tracker) busy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	busy := t.inFlight > 0 || t.entered
+	t.entered = false
+	return busy
+}
+
 func (t *tracker) drain() {
 	t.mu.Lock()
 	t.draining = true
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"net/http"
 	"time"
 
@@ -30,6 +32,12 @@
 	Metrics *metric.Set
 	Clock   clock.Clock
 	Log     zerolog.Logger
+	// Dialect is the protocol of the backend server; nil means Native.
+	Dialect Dialect
+	// Source, if set, tells the configuration in force here; answers to other nodes carry its version.
+	Source config.Source
+	// OnNewer, if set, is called with the IP address of a node that serves a newer configuration.
+	OnNewer func(addr string)
 }
 
 // Egress hands calls to the node's own backend server. As a handler it takes them from other nodes.
@@ -39,7 +47,12 @@
 }
 
 // NewEgress returns an egress that takes work at once.
-func NewEgress(s EgressSettings) *Egress { return &Egress{EgressSettings: s} }
+func NewEgress(s EgressSettings) *Egress {
+	if s.Dialect == nil {
+		s.Dialect = Native{}
+	}
+	return &Egress{EgressSettings: s}
+}
 
 // BeginDrain refuses all new work from now on.
 func (e *Egress) BeginDrain() {
@@ -62,18 +75,39 @@
 	}
 	l := e.Gate.Load()
 	set(w.Header(), HeaderLoad, l.String())
-	if err := rep.write(w, r, c.id, c.deadline); err != nil {
+	e.compareVersions(w, r, c.version)
+	if err := rep.write(w, r, Native{}, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&e.Log).Err(err).Str("service", c.service).Str("request", c.id))
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// compareVersions tells the other node a newer version, and notices one that this node lacks.
+func (e *Egress) compareVersions(w http.ResponseWriter, r *http.Request, theirs config.Version) {
+	if e.Source == nil {
+		return
+	}
+	var own config.Version
+	if snap := e.Source.Current(); snap != nil {
+		own = snap.Version
+	}
+	switch {
+	case own > theirs:
+		setInt(w.Header(), HeaderConfigVersion, int64(own))
+	case own < theirs && e.OnNewer != nil:
+		if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+			e.OnNewer(host)
+		}
+	}
+}
+
 // parse reads a call as the ingress has sent it. The call is never nil.
 func (e *Egress) parse(r *http.Request) (*call, *reply) {
 	h, now := r.Header, e.Clock.Now()
 	c := &call{id: first(h, HeaderRequestID), method: r.Method, url: r.URL, host: r.Host, header: h, arrived: now,
 		service: first(h, HeaderService), route: first(h, HeaderRoute), policy: first(h, HeaderPolicy),
-		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1"}
+		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1",
+		caller: first(h, HeaderCaller)}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(time.Hour/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
 	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
@@ -88,7 +122,7 @@
 	c.attempt, c.version, c.window = int(attempt), config.Version(version), time.Duration(window)*time.Microsecond
 	clearPeer(h)
 	stripHopByHop(h)
-	body, err := readBody(r)
+	body, err := readBody(r, math.MaxInt64)
 	switch {
 	case err == errTooLarge:
 		return c, refuseUnread(metric.RefusedTooLarge)
@@ -118,9 +152,10 @@
 	switch {
 	case own.Service != c.service:
 		return refuse(metric.RefusedWrongService)
-	case own.State == membership.StateDraining, own.State == membership.StateDeparted:
-		return refuse(metric.RefusedDraining)
-	case own.State != membership.StateReady:
+	case !e.Own.Admits(e.Clock.Now()):
+		if own.State == membership.StateDraining || own.State == membership.StateDeparted {
+			return refuse(metric.RefusedDraining)
+		}
 		return refuse(metric.RefusedNotReady)
 	case c.keyed():
 		return e.runKeyed(ctx, c, addr)
@@ -149,6 +184,11 @@
 		return rep
 	}
 	start := e.Clock.Now()
+	if !e.Own.Admits(start) {
+		// The backend server began to leave while the call waited.
+		release(false, false, 0)
+		return refuse(metric.RefusedDraining)
+	}
 	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedShed
 	if rep.rest == nil {
@@ -166,14 +206,17 @@
 func (e *Egress) exchange(ctx context.Context, c *call, addr string, h http.Header, now time.Time) *reply {
 	en := &entry{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0}
 	id := e.Calls.add(en)
-	c.setCommon(h, now, c.deadline)
-	set(h, HeaderCall, id)
+	own, _ := e.Own.Own()
+	out := c.outgoing(now)
+	out.BackendID, out.Call = own.BackendID, id
+	StripSystem(h)
+	e.Dialect.Outgoing(h, out)
 	ex := &upstream.Exchange{Request: c.request(h), RequestID: c.id, Idempotent: c.idempotent, Deadline: c.deadline}
+	e.Dialect.Exchange(ex)
 	if c.idempotent {
 		e.watch(c, en, ex, now)
 	}
 	res := e.Backend.Do(ctx, addr, ex)
-	delete(h, HeaderCall)
 	rep := e.interpret(c, addr, res)
 	rep.retriedBelow = en.retriedBelow.Load()
 	if rep.rest == nil {
@@ -219,13 +262,21 @@
 		return fromFailure(res)
 	}
 	a := res.Answer
-	if a.Status == http.StatusServiceUnavailable && first(a.Header, HeaderNotRun) == "1" {
-		if a.Rest != nil {
-			a.Rest.Close()
-		}
+	v := e.Dialect.Verdict(a.Status, a.Header)
+	if v.Kind == VerdictRan {
+		return fromAnswer(a)
+	}
+	if a.Rest != nil {
+		a.Rest.Close()
+	}
+	switch v.Kind {
+	case VerdictShed:
 		return refuse(metric.RefusedShed)
+	case VerdictMisdirected:
+		e.Own.Misdirected(v.BackendID)
+		return refuse(metric.RefusedWrongService)
 	}
-	return fromAnswer(a)
+	return &reply{outcome: idempotency.OutcomeUnknown, reason: metric.RefusedAnswerBroken}
 }
 
 func (e *Egress) load() *balance.Load {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -22,9 +24,14 @@
 	if !ok {
 		return refuse(metric.RefusedNoInstance)
 	}
+	var ran *reply
 	for {
 		c.tried = append(c.tried, target.ID)
 		rep := in.attempt(ctx, c, target)
+		if rep.outcome == idempotency.OutcomeNotRun && ran != nil {
+			// An earlier attempt has run: "not run" would be false.
+			rep = ran
+		}
 		if !retryable(rep) {
 			in.dropGrant(c)
 			return in.finish(c, rep, false)
@@ -32,6 +39,9 @@
 		if target, ok = in.again(ctx, c, rep); !ok {
 			return in.finish(c, rep, true)
 		}
+		if rep.outcome != idempotency.OutcomeNotRun {
+			ran = rep.whole()
+		}
 		rep.close()
 		c.attempt++
 	}
@@ -52,7 +62,7 @@
 	if rep.outcome != idempotency.OutcomeAnswered {
 		return !slices.Contains(final, rep.reason)
 	}
-	return rep.status == http.StatusBadGateway || rep.status == http.StatusServiceUnavailable ||
+	return rep.status == http.StatusInternalServerError || rep.status == http.StatusBadGateway || rep.status == http.StatusServiceUnavailable ||
 		rep.status == http.StatusGatewayTimeout
 }
 
@@ -95,8 +105,8 @@
 		// A failed status says nothing about whether running the request again is harmless.
 		outcome = idempotency.OutcomeUnknown
 	}
-	d := in.choice.decide(now, retry.Attempt{Cause: cause(rep), Outcome: outcome, Idempotent: c.idempotent,
-		Retries: c.attempt, MaxRetries: c.maxRetries, Deadline: c.deadline, RetriedBelow: c.retried || rep.retriedBelow})
+	d := in.choice.decide(now, c.service, retry.Attempt{Cause: cause(rep), Outcome: outcome, Idempotent: c.idempotent,
+		Retries: c.attempt, MaxRetries: c.maxRetries, Deadline: c.deadline, RetriedBelow: c.retried || rep.retriedBelow, Arrived: rep.arrived()})
 	in.Metrics.Retried(d.Reason)
 	if !d.Retry {
 		in.choice.abandon(now, target.ID)
@@ -138,7 +148,7 @@
 		rep = in.send(ctx, c, target, start)
 	}
 	now := in.Clock.Now()
-	in.choice.observe(now, target.ID, rep, now.Sub(start))
+	in.choice.observe(now, c.service, target.ID, rep, now.Sub(start))
 	return rep
 }
 
@@ -146,7 +156,7 @@
 // elsewhere: a connection may have gone silent. An attempt is given up only for a retry that the budget grants, since
 // an answer in a flood may just be late.
 func (in *Ingress) patient(c *call, now time.Time) func() bool {
-	if !c.idempotent || c.retried || c.attempt >= c.maxRetries || c.deadline.Sub(now) < c.patience+retry.DefaultMinRemaining {
+	if in.Steadfast || !c.idempotent || c.retried || c.attempt >= c.maxRetries || c.deadline.Sub(now) < c.patience+retry.DefaultMinRemaining {
 		return nil
 	}
 	return func() bool {
@@ -167,7 +177,7 @@
 
 // send forwards the call to the egress beside another backend server.
 func (in *Ingress) send(ctx context.Context, c *call, target membership.Instance, now time.Time) *reply {
-	c.setCommon(c.header, now, c.deadline)
+	setCommon(c.header, c.outgoing(now))
 	c.setPeer(c.header)
 	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true,
 		Idempotent: c.idempotent, Deadline: c.deadline.Add(hearGrace)}
@@ -180,7 +190,7 @@
 			return ex.Deadline
 		}
 	}
-	res := in.Peers.Do(c.workContext(ctx), target.PeerAddress, ex)
+	res := in.Peers.Do(ctx, target.PeerAddress, ex)
 	clearPeer(c.header)
 	if res.Answer == nil {
 		if res.Failure == upstream.FailMismatch {
@@ -188,7 +198,11 @@
 		}
 		return fromFailure(res)
 	}
-	return fromPeer(res.Answer)
+	rep := fromPeer(res.Answer)
+	if in.OnNewer != nil && rep.version > c.version {
+		in.OnNewer(target.ControlAddress)
+	}
+	return rep
 }
 
 // known is the closed list of reasons that a peer may give.
@@ -205,6 +219,7 @@
 	origin, outcome, reason := first(a.Header, HeaderOrigin), first(a.Header, HeaderOutcome), first(a.Header, HeaderReason)
 	load, retried := parseLoad(first(a.Header, HeaderLoad)), first(a.Header, HeaderRetried) == "1"
 	replayed := first(a.Header, HeaderReplayed) == "1"
+	version, _ := parseInt(a.Header, HeaderConfigVersion, math.MaxInt64)
 	rep := fromAnswer(a)
 	if origin != originBackend {
 		rep.close()
@@ -213,7 +228,7 @@
 		rep = peerRefusal(outcome, reason)
 		rep.retryAfter = time.Duration(max(0, b.RetryAfterMs)) * time.Millisecond
 	}
-	rep.load, rep.retriedBelow, rep.replayed = load, retried, replayed
+	rep.load, rep.retriedBelow, rep.replayed, rep.version = load, retried, replayed, config.Version(version)
 	return rep
 }
 
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -67,4 +67,8 @@
 type Own interface {
 	// Own returns the instance's record and the address of its backend server.
 	Own() (membership.Instance, string)
+	// Admits reports whether the backend server may be handed a request now.
+	Admits(now time.Time) bool
+	// Misdirected tells that another backend server than the known one answers at the address.
+	Misdirected(backendID string)
 }
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -33,6 +33,8 @@
 	HeaderIdempotent = "Ml-Idempotent"
 	HeaderWindow     = "Ml-Window-Us"
 	HeaderHops       = "Ml-Hops"
+	// HeaderCaller is the service on the VM at which the request entered the mesh.
+	HeaderCaller = "Ml-Caller"
 
 	HeaderOrigin  = "Ml-Origin"
 	HeaderOutcome = "Ml-Outcome"
@@ -56,7 +58,8 @@
 
 // Limits on calls.
 const (
-	// MaxBody is the largest request body. It is read whole before anything is sent.
+	// MaxBody is the largest request body where the configuration sets no limit. It is read whole before anything is
+	// sent.
 	MaxBody = 1 << 20
 	// MaxHops is twice the depth of the deepest chain that the system is designed for; only a loop gets there.
 	MaxHops = 28
@@ -80,8 +83,8 @@
 	}
 }
 
-// stripSystem removes the headers of the system.
-func stripSystem(h http.Header) {
+// StripSystem removes the headers of the system.
+func StripSystem(h http.Header) {
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(h, name)
@@ -145,7 +148,7 @@
 const hearGrace = 50 * time.Millisecond
 
 // wireRemaining is the time left for the next hop.
-func wireRemaining(now, deadline time.Time) int64 {
+func wireRemaining(now, deadline time.Time) time.Duration {
 	left := deadline.Sub(now)
-	return max(0, (left - min(hopMargin, left/10)).Microseconds())
+	return max(0, left-min(hopMargin, left/10))
 }
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,18 +22,28 @@
 // IngressSettings are what an Ingress works with. All but Log and Egress are required; without an Egress the node has
 // no instance of its own.
 type IngressSettings struct {
-	Self    membership.InstanceID
-	Source  config.Source
-	View    membership.View
-	Guard   idempotency.Guard
-	Egress  *Egress
-	Peers   *upstream.Pool
-	Calls   *Calls
-	Picker  *balance.Picker
-	Retry   *retry.Decider
+	Self   membership.InstanceID
+	Source config.Source
+	View   membership.View
+	Guard  idempotency.Guard
+	Egress *Egress
+	Peers  *upstream.Pool
+	Calls  *Calls
+	Picker *balance.Picker
+	// Retry bounds the retries of each service.
+	Retry   *retry.Budgets
 	Metrics *metric.Set
 	Clock   clock.Clock
 	Log     zerolog.Logger
+	// Dialect is the protocol of callers; nil means Native.
+	Dialect Dialect
+	// Caller is the service that runs on this VM; backend servers may be told where a request entered the mesh.
+	Caller string
+	// Steadfast makes each attempt wait for its answer until the deadline. Without it an idempotent call that shows no
+	// sign of life is sent elsewhere, which ends the work on the first attempt.
+	Steadfast bool
+	// OnNewer, if set, is called with the control address of a node that serves a newer configuration.
+	OnNewer func(controlAddress string)
 }
 
 // Ingress takes calls from callers and sends each to an instance of its service.
@@ -40,10 +51,16 @@
 	IngressSettings
 	track  tracker
 	choice choice
+	splits balance.Splitter
+	// leaves is when the node ends, once that is known.
+	leaves atomic.Pointer[time.Time]
 }
 
 // NewIngress returns an ingress that takes calls at once. Run keeps its view of the membership fresh.
 func NewIngress(s IngressSettings) *Ingress {
+	if s.Dialect == nil {
+		s.Dialect = Native{}
+	}
 	return &Ingress{IngressSettings: s, choice: choice{picker: s.Picker, budget: s.Retry, view: s.View}}
 }
 
@@ -56,6 +73,36 @@
 	event.DrainStarted.Write(event.DrainStarted.Log(&in.Log).Str("part", "ingress"))
 }
 
+// BeginLeave closes each connection after its next answer, so that callers go elsewhere, and refuses calls that might
+// not end before the node does. Others are still served: some callers stay while too few nodes of the zone are left.
+func (in *Ingress) BeginLeave(end time.Time) {
+	in.leaves.Store(&end)
+	event.DrainStarted.Write(event.DrainStarted.Log(&in.Log).Str("part", "ingress").Time("until", end))
+}
+
+func (in *Ingress) endsTooLate(c *call) bool {
+	end := in.leaves.Load()
+	return end != nil && c.deadline.After(*end)
+}
+
+// WaitQuiet returns when no call has been in flight for quiet, or ctx ends.
+func (in *Ingress) WaitQuiet(ctx context.Context, quiet time.Duration) {
+	const step = 20 * time.Millisecond
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for idle := time.Duration(0); idle < quiet; {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		idle += step
+		if in.track.busy() {
+			idle = 0
+		}
+	}
+}
+
 // WaitIdle returns when no call is in flight or ctx ends. The egress must be idle first, since its work may still make
 // calls here.
 func (in *Ingress) WaitIdle(ctx context.Context) error {
@@ -64,21 +111,29 @@
 
 // ServeHTTP takes a call from a caller.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	parent := in.Calls.find(first(r.Header, HeaderCall))
+	from := in.Dialect.Incoming(r)
+	parent := in.Calls.find(from.Parent)
+	if in.leaves.Load() != nil {
+		set(w.Header(), headerConnection, "close")
+	}
 	if !in.track.enter(parent != nil) {
 		in.Metrics.Refused(metric.RefusedDraining)
-		_ = refuse(metric.RefusedDraining).write(w, r, "", time.Time{})
+		_ = refuse(metric.RefusedDraining).write(w, r, in.Dialect, from.ID, time.Time{})
 		return
 	}
 	defer in.track.leave()
-	c, rep := in.parse(r, parent)
+	c, rep := in.parse(r, from, parent)
+	if rep == nil && in.endsTooLate(c) {
+		rep = refuse(metric.RefusedDraining)
+	}
 	if rep == nil {
 		rep = in.forward(r.Context(), c)
 	}
 	if rep.reason != "" {
 		in.Metrics.Refused(rep.reason)
 	}
-	if err := rep.write(w, r, c.id, c.deadline); err != nil {
+	rep.late = !c.deadline.IsZero() && !in.Clock.Now().Before(c.deadline)
+	if err := rep.write(w, r, in.Dialect, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&in.Log).Err(err).Str("service", c.service).Str("request", c.id))
 		panic(http.ErrAbortHandler)
 	}
@@ -88,21 +143,31 @@
 const minPatience = 100 * time.Millisecond
 
 // parse builds the call from the snapshot in force. The call is never nil.
-func (in *Ingress) parse(r *http.Request, parent *entry) (*call, *reply) {
+func (in *Ingress) parse(r *http.Request, from Incoming, parent *entry) (*call, *reply) {
 	now := in.Clock.Now()
-	c := &call{id: newID(), method: r.Method, url: r.URL, host: r.Host, header: r.Header, arrived: now}
+	c := &call{id: from.ID, method: r.Method, url: r.URL, host: r.Host, header: r.Header, arrived: now, key: from.Key,
+		caller: in.Caller}
+	if c.id == "" {
+		c.id = newID()
+	}
 	snap := in.Source.Current()
 	if snap == nil {
 		return c, refuseUnread(metric.RefusedNotReady)
 	}
-	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || badKey(r.Header[headerKey]) {
+	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || from.Malformed {
 		return c, refuseUnread(metric.RefusedMalformed)
 	}
-	m, ok := snap.Match(r.Method, r.URL.Path)
+	m, ok := snap.Match(r.Host, r.Method, r.URL.Path)
 	if !ok {
 		return c, refuseUnread(metric.RefusedNoRoute)
 	}
 	c.apply(m, snap.Version, now)
+	if len(m.Route.Split) > 0 {
+		c.service = in.splits.Next(m.Route.Name, m.Route.Split)
+	}
+	if from.Remaining > 0 {
+		c.deadline = earlier(c.deadline, now.Add(from.Remaining))
+	}
 	if parent != nil {
 		c.inherit(parent)
 	}
@@ -111,8 +176,22 @@
 		return c, refuseUnread(metric.RefusedHops)
 	}
 	stripHopByHop(c.header)
-	stripSystem(c.header)
-	return c, c.load(r)
+	return c, c.load(r, bodyLimit(snap))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// bodyLimit is the largest body that the configuration allows.
+func bodyLimit(snap *config.Snapshot) int64 {
+	if n := snap.Configuration.Limits.MaxBodyBytes; n > 0 {
+		return n
+	}
+	return MaxBody
 }
 
 // badKey reports a key that is too long, or more than one key.
@@ -126,7 +205,7 @@
 	c.service, c.route, c.policy = m.Route.Service, m.Route.Name, m.Policy.Name
 	c.rank, c.maxRetries = m.Policy.Rank, m.Policy.MaxRetries
 	c.target, c.deadline = m.Policy.Target.Std(), now.Add(m.Policy.Deadline.Std())
-	c.idempotent, c.key = m.Route.Idempotent, first(c.header, headerKey)
+	c.idempotent = m.Route.Idempotent
 	c.patience = max(minPatience, 2*c.target)
 	if c.window = m.Policy.IdempotencyWindow.Std(); c.window == 0 {
 		c.window = config.DefaultIdempotencyWindow
@@ -134,8 +213,8 @@
 }
 
 // load reads the body whole, so that a slow caller takes no slot and the call can be sent again.
-func (c *call) load(r *http.Request) *reply {
-	b, err := readBody(r)
+func (c *call) load(r *http.Request, most int64) *reply {
+	b, err := readBody(r, most)
 	switch {
 	case err == errTooLarge:
 		return refuseUnread(metric.RefusedTooLarge)
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -107,6 +107,16 @@
 	return n.own, n.addr
 }
 
+// Admits implements Own.
+func (n *node) Admits(time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.own.State == membership.StateReady
+}
+
+// Misdirected implements Own.
+func (n *node) Misdirected(string) {}
+
 func (n *node) setState(s membership.State) {
 	n.mu.Lock()
 	n.own.State = s
@@ -174,7 +184,7 @@
 	n.eg = NewEgress(EgressSettings{Own: n, Gate: n.gate, Guard: g, Backend: upstream.NewPool(upstream.Settings{MaxOpen: 2 * MaxHops}),
 		Calls: calls, Metrics: n.metrics, Clock: clock.System{}, Log: zerolog.Nop()})
 	n.in = NewIngress(IngressSettings{Self: n.id, Source: m, View: m, Guard: g, Egress: n.eg, Peers: pool, Calls: calls,
-		Picker: balance.New(balance.Settings{AvailabilityZone: "a"}), Retry: retry.New(retry.Settings{}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: "a"}), Retry: retry.NewBudgets(retry.Settings{}),
 		Metrics: n.metrics, Clock: clock.System{}, Log: zerolog.Nop()})
 	n.callers.Start()
 	n.peers.Start()
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -143,7 +143,7 @@
 func TestTheEgressGivesUpFirst(t *testing.T) {
 	now := time.Unix(100, 0)
 	for _, left := range []time.Duration{0, time.Millisecond, 30 * time.Millisecond, 10 * time.Second} {
-		egress := now.Add(time.Duration(wireRemaining(now, now.Add(left))) * time.Microsecond)
+		egress := now.Add(wireRemaining(now, now.Add(left)))
 		if heard := now.Add(left + hearGrace).Sub(egress); heard < 20*time.Millisecond || heard > 100*time.Millisecond {
 			t.Errorf("with %v left, the ingress waits %v longer than the egress", left, heard)
 		}
--- a/pkg/proxy/reasons_test.go
+++ b/pkg/proxy/reasons_test.go
@@ -17,11 +17,11 @@
 		t.Fatal(err)
 	}
 	for _, r := range metric.Refusals {
-		rep := &reply{reason: r, outcome: idempotency.OutcomeUnknown}
+		outcome := idempotency.OutcomeUnknown
 		if r.NotRun() {
-			rep.outcome = idempotency.OutcomeNotRun
+			outcome = idempotency.OutcomeNotRun
 		}
-		if want := fmt.Sprintf("\n| `%s` | %d |", r, rep.refusalStatus()); !strings.Contains(string(page), want) {
+		if want := fmt.Sprintf("\n| `%s` | %d |", r, refusalStatusOf(r, outcome)); !strings.Contains(string(page), want) {
 			t.Errorf("no row %q", want)
 		}
 	}
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -1,13 +1,12 @@
 package proxy
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
@@ -31,6 +30,10 @@
 
 	load         *balance.Load
 	retriedBelow bool
+	// late states that the time of the request has passed.
+	late bool
+	// version is the configuration version of the node that answered.
+	version config.Version
 	// unread states that the request's body was not read. The connection is closed then: net/http's server would
 	// otherwise wait for the body before it sends the refusal.
 	unread bool
@@ -78,7 +81,7 @@
 // fromAnswer returns the answer of a backend server without the headers of the system.
 func fromAnswer(a *upstream.Answer) *reply {
 	stripHopByHop(a.Header)
-	stripSystem(a.Header)
+	StripSystem(a.Header)
 	return &reply{outcome: idempotency.OutcomeAnswered, status: a.Status, header: a.Header, body: a.Body,
 		length: a.Length, rest: a.Rest}
 }
@@ -95,11 +98,11 @@
 	metric.RefusedForbidden:   http.StatusForbidden,
 }
 
-func (rep *reply) refusalStatus() int {
-	if s, ok := refusalStatus[rep.reason]; ok {
+func refusalStatusOf(reason metric.Refusal, outcome idempotency.Outcome) int {
+	if s, ok := refusalStatus[reason]; ok {
 		return s
 	}
-	if rep.outcome == idempotency.OutcomeNotRun {
+	if outcome == idempotency.OutcomeNotRun {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadGateway
@@ -127,16 +130,17 @@
 
 // write sends the reply. It aborts the connection if the rest of a long answer is cut, so that the receiver cannot take
 // the answer for complete; the returned error is then sent to the log by the caller before it aborts.
-func (rep *reply) write(w http.ResponseWriter, r *http.Request, id string, deadline time.Time) error {
+func (rep *reply) write(w http.ResponseWriter, r *http.Request, d Dialect, id string, deadline time.Time) error {
 	h := w.Header()
 	if rep.reason != "" {
-		rep.writeRefusal(w, h, id)
+		writeRefused(w, d, Refused{ID: id, Outcome: rep.outcome, Reason: rep.reason, RetryAfter: rep.retryAfter,
+			Late: rep.late, Retried: rep.retriedBelow, Close: rep.unread || rep.reason == metric.RefusedDraining})
 		return nil
 	}
 	for name, v := range rep.header {
 		h[name] = v
 	}
-	rep.setSystem(h, id, originBackend)
+	d.Answer(h, Answered{ID: id, Outcome: rep.outcome, Retried: rep.retriedBelow, Replayed: rep.replayed})
 	if rep.rest == nil {
 		if len(rep.body) > 0 || (r.Method != http.MethodHead && bodyAllowed(rep.status)) {
 			setInt(h, headerLength, int64(len(rep.body)))
@@ -172,31 +176,17 @@
 	return err
 }
 
-func (rep *reply) setSystem(h http.Header, id, origin string) {
-	set(h, HeaderOrigin, origin)
-	set(h, HeaderOutcome, outcomeNames[rep.outcome])
-	if id != "" {
-		set(h, HeaderRequestID, id)
-	}
-	setFlag(h, HeaderRetried, rep.retriedBelow)
-	setFlag(h, HeaderReplayed, rep.replayed)
+// arrived reports whether the attempt may have reached a backend server, also one that refused it.
+func (rep *reply) arrived() bool {
+	return rep.outcome != idempotency.OutcomeNotRun || rep.reason == metric.RefusedShed
 }
 
-func (rep *reply) writeRefusal(w http.ResponseWriter, h http.Header, id string) {
-	rep.setSystem(h, id, originNode)
-	set(h, HeaderReason, string(rep.reason))
-	set(h, "Content-Type", "application/json")
-	if rep.retryAfter > 0 {
-		setInt(h, headerRetryAfter, int64((rep.retryAfter+time.Second-1)/time.Second))
-	}
-	if rep.unread || rep.reason == metric.RefusedDraining {
-		set(h, headerConnection, "close")
+// whole returns the reply for later use, or an unknown outcome in place of an answer whose rest is not kept.
+func (rep *reply) whole() *reply {
+	if rep.rest == nil {
+		return rep
 	}
-	body, _ := json.Marshal(refusalBody{Error: refusalText[rep.outcome], Outcome: outcomeNames[rep.outcome],
-		Reason: rep.reason, RetryAfterMs: rep.retryAfter.Milliseconds()})
-	set(h, headerLength, strconv.Itoa(len(body)))
-	w.WriteHeader(rep.refusalStatus())
-	_, _ = w.Write(body)
+	return &reply{outcome: idempotency.OutcomeUnknown, reason: metric.RefusedAnswerBroken}
 }
 
 // close releases what an unused reply holds.
--- /dev/null
+++ b/pkg/retry/budgets.go
@@ -0,0 +1,32 @@
+package retry
+
+import "time"
+
+// Budgets keeps one Decider for each service, so that retries of one service cannot use up what the others have paid
+// in. Like a Decider it is not safe for concurrent use.
+type Budgets struct {
+	set       Settings
+	byService map[string]*Decider
+}
+
+// NewBudgets returns budgets that all have the same settings.
+func NewBudgets(s Settings) *Budgets {
+	return &Budgets{set: s, byService: make(map[string]*Decider)}
+}
+
+func (b *Budgets) of(service string) *Decider {
+	d := b.byService[service]
+	if d == nil {
+		d = New(b.set)
+		b.byService[service] = d
+	}
+	return d
+}
+
+// Success adds to the budget of a service.
+func (b *Budgets) Success(service string) { b.of(service).Success() }
+
+// Decide takes one retry from the budget of the service if the attempt may be retried.
+func (b *Budgets) Decide(now time.Time, service string, a Attempt) Decision {
+	return b.of(service).Decide(now, a)
+}
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -30,6 +30,9 @@
 	Floor        float64
 	FloorBurst   float64
 	MinRemaining time.Duration
+	// Moves is how often a call that no backend server has seen may go on to another node without a budget; 0 means that
+	// such a call counts like any other.
+	Moves int
 	// Unlimited is the baseline without a budget. Safety rules and the deadline hold all the same.
 	Unlimited bool
 }
@@ -60,6 +63,9 @@
 	Retries    int
 	MaxRetries int
 	Deadline   time.Time
+	// Arrived states that the attempt reached a backend server. One that a node refused before adds no load where load
+	// hurts; Settings.Moves lets it go on without a budget.
+	Arrived bool
 	// RetriedBelow states that a lower hop has retried the call, or that the call is itself a retry of an upper hop.
 	RetriedBelow bool
 }
@@ -96,6 +102,8 @@
 		return Decision{Reason: metric.DeniedNotIdempotent}
 	case a.RetriedBelow:
 		return Decision{Reason: metric.DeniedRetriedBelow}
+	case a.Outcome == idempotency.OutcomeNotRun && !a.Arrived && a.Retries < d.set.Moves && a.Deadline.Sub(now) >= d.set.MinRemaining:
+		return Decision{Retry: true, Reason: a.Cause}
 	case a.Retries >= a.MaxRetries:
 		return Decision{Reason: metric.DeniedMaxRetries}
 	case a.Deadline.Sub(now) < d.set.MinRemaining:
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,7 +27,8 @@
 	peek       func(fd uintptr) bool
 	quiet      bool
 	answeredAt time.Time
-	sent       int64
+	// sent counts the bytes that the kernel took. Writing and reading may go on side by side.
+	sent atomic.Int64
 
 	// ctx and deadline are those of the exchange. Each change of a deadline costs a change of a runtime timer, so that
 	// reads are bounded by early until the rest of an answer must be waited for, and writes only when they can block.
@@ -52,14 +54,14 @@
 // Write counts the bytes that the kernel took. The first buffer of a request goes into an empty socket buffer, which is
 // larger, and so never blocks.
 func (c *conn) Write(p []byte) (int, error) {
-	if (c.sent > 0 || len(p) > bufferSize) && !c.writeBounded {
+	if (c.sent.Load() > 0 || len(p) > bufferSize) && !c.writeBounded {
 		c.writeBounded = true
 		if err := c.SetWriteDeadline(c.deadline); err != nil {
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Write(p)
-	c.sent += int64(n)
+	c.sent.Add(int64(n))
 	return n, err
 }
 
@@ -101,7 +103,7 @@
 
 // attach gives the connection buffers for one exchange.
 func (c *conn) attach() {
-	c.sent = 0
+	c.sent.Store(0)
 	c.br = readers.Get().(*bufio.Reader)
 	c.br.Reset(c)
 	c.bw = writers.Get().(*bufio.Writer)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -26,8 +26,16 @@
 	Request *http.Request
 	// RequestID is compared with the answer's, unless it is empty.
 	RequestID string
+	// EchoHeader is the header of the answer that repeats RequestID; empty means HeaderRequestID.
+	EchoHeader string
 	// RequireEcho refuses an answer without a request id: peer nodes always echo it, backend servers may.
 	RequireEcho bool
+	// AllowUnframed accepts an answer that has neither a length nor chunks and ends with its connection. An answer whose
+	// connection is reset is still refused as cut.
+	AllowUnframed bool
+	// SkipLate discards up to maxLate answers that carry the id of another request and reads on. Without it such an answer
+	// ends the exchange.
+	SkipLate bool
 	// Idempotent work may use a connection that has been idle for longer.
 	Idempotent bool
 	// Deadline is when the exchange fails; zero means that only the context bounds it.
@@ -97,24 +105,86 @@
 
 // run writes the request and reads the answer.
 func (c *conn) run(ctx context.Context, ex *Exchange) Result {
+	if ex.Request.ContentLength > bufferSize {
+		return c.runLong(ctx, ex)
+	}
+	if res := c.send(ctx, ex); res.Failure != FailNone {
+		return res
+	}
+	return c.receive(ctx, ex)
+}
+
+// runLong writes a request that may not fit into the socket buffer beside reading its answer: a server may answer
+// before it has read the body, and would never take the rest. The connection is dropped then, since the server would
+// read the rest of the body as the next request.
+func (c *conn) runLong(ctx context.Context, ex *Exchange) Result {
+	c.writeBounded = true
+	if err := c.SetWriteDeadline(c.deadline); err != nil {
+		return failed(FailWrite, 0, err)
+	}
+	written := make(chan Result, 1)
+	go func() { written <- c.send(ctx, ex) }()
+	res := c.receive(ctx, ex)
+	select {
+	case sent := <-written:
+		if sent.Failure != FailNone && res.Answer == nil {
+			return sent
+		}
+	default:
+		c.SetWriteDeadline(longAgo) //nolint:errcheck // fails only on a closed connection, where the write ends too
+		<-written
+		if res.Answer != nil {
+			res.Answer.Header.Set("Connection", "close")
+			if r, ok := res.Answer.Rest.(*rest); ok {
+				r.close = true
+			}
+		}
+	}
+	return res
+}
+
+// send writes the request. Its result has no failure if all of it was written.
+func (c *conn) send(ctx context.Context, ex *Exchange) Result {
 	if err := ex.Request.Write(c.bw); err != nil {
-		return failed(c.classify(ctx, err, c.writeFailure(err)), c.sent, err)
+		return failed(c.classify(ctx, err, c.writeFailure(err)), c.sent.Load(), err)
 	}
 	if err := c.bw.Flush(); err != nil {
-		return failed(c.classify(ctx, err, FailWrite), c.sent, err)
-	}
-	resp, err := c.readHead(ex)
-	if err != nil {
-		return failed(c.classify(ctx, err, FailMalformed), c.sent, err)
+		return failed(c.classify(ctx, err, FailWrite), c.sent.Load(), err)
 	}
-	if err := verifyHead(resp, ex); err != nil {
-		f := FailCut
-		if errors.Is(err, ErrMismatch) {
-			f = FailMismatch
+	return Result{}
+}
+
+// maxLate bounds the late answers to earlier requests that are skipped before the one to this request.
+const maxLate = 4
+
+// receive reads the answer. An answer that carries the id of another request is a late one to an earlier request of the
+// connection; it is discarded, and the answer to this request may follow.
+func (c *conn) receive(ctx context.Context, ex *Exchange) Result {
+	for range maxLate {
+		resp, err := c.readHead(ex)
+		if err != nil {
+			return failed(c.classify(ctx, err, FailMalformed), c.sent.Load(), err)
 		}
-		return failed(f, c.sent, err)
+		switch err := verifyHead(resp, ex); {
+		case err == nil:
+			return c.readBody(ctx, resp, ex)
+		case !errors.Is(err, ErrMismatch):
+			return failed(FailCut, c.sent.Load(), err)
+		case !ex.SkipLate || resp.Close || resp.Header.Get(ex.echoHeader()) == "":
+			return failed(FailMismatch, c.sent.Load(), err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return failed(c.classify(ctx, err, FailCut), c.sent.Load(), err)
+		}
+	}
+	return failed(FailMismatch, c.sent.Load(), ErrMismatch)
+}
+
+func (ex *Exchange) echoHeader() string {
+	if ex.EchoHeader != "" {
+		return ex.EchoHeader
 	}
-	return c.readBody(ctx, resp, ex)
+	return HeaderRequestID
 }
 
 // writeFailure tells a request that cannot be encoded from a connection that failed.
@@ -168,12 +238,12 @@
 
 // verifyHead checks that the answer belongs to the request and that its end can be recognised.
 func verifyHead(resp *http.Response, ex *Exchange) error {
-	id := resp.Header.Get(HeaderRequestID)
+	id := resp.Header.Get(ex.echoHeader())
 	if ex.RequestID != "" && id != ex.RequestID && (id != "" || ex.RequireEcho) {
 		return ErrMismatch
 	}
 	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
-	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
+	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody && !ex.AllowUnframed {
 		return ErrNoEnd
 	}
 	if resp.Close {
@@ -187,7 +257,7 @@
 	limit := c.host.pool.set.MaxWhole
 	body, whole, err := readUpTo(resp, limit)
 	if err != nil {
-		return failed(c.classify(ctx, err, FailCut), c.sent, err)
+		return failed(c.classify(ctx, err, FailCut), c.sent.Load(), err)
 	}
 	a.Body = body
 	if !whole {
