Answer a backlog newest first, start warm, keep calls in their zone

In a burst beyond the capacity the queue started work in the order of its arrival, and nearly all of it just after its target. A restarted node began with a fifth of the slots, and calls left their zone when all zones were equally full. Ruled out: processor time (0.04 cores of 0.32) and lost connections.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -65,8 +65,12 @@
 	if err != nil {
 		return err
 	}
+	// Registered before the first service starts: a SIGHUP without a handler would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	go n.reload.run(ctx, hup)
 	event.NodeStarted.Write(event.NodeStarted.Log(&log).Str("service", vm.Service).Str("zone", vm.AvailabilityZone))
 	err = n.kernel.Run(ctx, vm.Bounds.Grace-exitMargin)
 	n.caller.Close()
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -38,6 +38,9 @@
 	// heartbeatsMissed is how many heartbeats may be missing before a backend server counts as gone. A heartbeat may
 	// arrive seconds late; one that has crashed refuses connections, which is seen at once.
 	heartbeatsMissed = 6
+	// stayInZone is by how much the load of an instance in another zone must be lower, as a fraction of its slots, for a
+	// call to leave the zone: bytes between zones are dear.
+	stayInZone = 0.3
 	// drainPart is the part of the drain time in which a leaving backend server still takes new work; the rest is for
 	// requests on their way to it.
 	drainPart = 2
@@ -47,6 +50,7 @@
 type node struct {
 	kernel *kernel.Kernel
 	caller *rpcwire.Pool
+	reload *reloader
 }
 
 // newNode puts the node together.
@@ -69,7 +73,8 @@
 	store := platform.NewStore(vm.Store)
 	state := directory.NewState()
 	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: membership.InstanceID(vm.Node),
-		Clock: now, Log: log, Metrics: metrics, Apply: vm.Bounds.Apply}
+		Clock: now, Log: log, Metrics: metrics}
+	follower.SetApply(vm.Bounds.Apply)
 	peers := directory.NewPeers(directory.Peers{State: state, Caller: caller, ControlPort: controlPort,
 		Self: membership.InstanceID(vm.Node), Log: log, Metrics: metrics, Silence: follower.Silence}, control)
 	publisher := directory.NewPublisher(state, store, log, peers.Offer)
@@ -96,13 +101,17 @@
 		Clock: now, Log: log, Dialect: dialect, Source: state, OnNewer: peers.Ask})
 	peerPool := upstream.NewPool(upstream.Settings{Clock: now, Dial: dial, DialTimeout: peerDialTimeout})
 	ingress := proxy.NewIngress(proxy.IngressSettings{Self: membership.InstanceID(vm.Node), Source: state, View: state, Egress: egress,
-		Calls: calls, Peers: peerPool, Picker: balance.New(balance.Settings{AvailabilityZone: vm.AvailabilityZone, SlowStart: slowStart}),
+		Calls: calls, Peers: peerPool, Picker: balance.New(balance.Settings{AvailabilityZone: vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
 		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: log, Dialect: dialect,
 		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask})
 
 	ready := &readiness{source: state, listed: follower.Listed}
 	d := &drainer{ready: ready, ingress: ingress, egress: egress, publisher: publisher, grace: vm.Bounds.Grace, log: log}
-	n := &node{kernel: kernel.New(), caller: caller}
+	reload := &reloader{path: s.File, current: vm, log: log, apply: func(b platform.Bounds) {
+		own.SetDrainTime(b.Drain / drainPart)
+		follower.SetApply(b.Apply)
+	}}
+	n := &node{kernel: kernel.New(), caller: caller, reload: reload}
 	services := []kernel.Service{
 		control,
 		newTasks("directory", follower.Run, peers.Run, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run),
@@ -142,7 +151,8 @@
 type slots struct{ *admission.Gate }
 
 func (g slots) Acquire(ctx context.Context, w proxy.Work) (func(served, shed bool, took time.Duration), *proxy.Refusal) {
-	release, refusal := g.Gate.Acquire(ctx, admission.Work{Rank: w.Rank, Policy: w.Policy, Arrived: w.Arrived, Deadline: w.Deadline})
+	release, refusal := g.Gate.Acquire(ctx, admission.Work{Rank: w.Rank, Policy: w.Policy, Arrived: w.Arrived, Deadline: w.Deadline,
+		Target: w.Target})
 	if refusal != nil {
 		return nil, &proxy.Refusal{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -59,7 +59,7 @@
 	case q.tooLate(now, w):
 		return q.refuse(metric.RefusedDeadline)
 	}
-	displaced, ok := q.makeRoom(w.Rank)
+	displaced, ok := q.makeRoom(now, w)
 	if !ok {
 		return q.refuse(metric.RefusedQueueFull)
 	}
@@ -166,7 +166,7 @@
 		if !ok {
 			return
 		}
-		e := q.remove(rank, 0)
+		e := q.remove(rank, q.choose(now, rank))
 		if q.expired(now, e.work) {
 			q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline)})
 			continue
@@ -246,7 +246,19 @@
 
 // tooLate reports whether w cannot finish in time behind the work that waits before it.
 func (q *Queue) tooLate(now time.Time, w Work) bool {
-	return !w.Deadline.IsZero() && !now.Add(q.wait(w.Rank)).Before(q.LatestStart(w))
+	return !w.Deadline.IsZero() && !now.Add(q.waitOf(w)).Before(q.LatestStart(w))
+}
+
+// waitOf estimates how long new work waits. Work with a target overtakes the work of its rank in a backlog, so that only
+// more urgent ranks are ahead of it.
+func (q *Queue) waitOf(w Work) time.Duration {
+	if w.Target.IsZero() {
+		return q.wait(w.Rank)
+	}
+	if w.Rank == 0 {
+		return 0
+	}
+	return q.wait(w.Rank - 1)
 }
 
 // wait estimates how long new work of the rank waits: behind all work of its and more urgent ranks on all slots, or
--- a/pkg/admission/room.go
+++ b/pkg/admission/room.go
@@ -1,6 +1,9 @@
 package admission
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // capacity is the number of places for waiting work.
 func (q *Queue) capacity() int {
@@ -28,10 +31,14 @@
 // makeRoom finds a place for work of the rank. In a full queue it takes the newest place of the least urgent rank that
 // holds more than its own places: any such rank for a newcomer that is entitled to a place, otherwise a less urgent one.
 // A newcomer that is entitled by its share, or is the only one of its rank, also takes places beyond others' shares.
-func (q *Queue) makeRoom(rank int) (Ticket, bool) {
+func (q *Queue) makeRoom(now time.Time, w Work) (Ticket, bool) {
+	rank := w.Rank
 	if q.queued < q.capacity() {
 		return 0, true
 	}
+	if t, ok := q.displaceLate(now, w); ok {
+		return t, true
+	}
 	own := len(q.queues[rank])
 	if t, ok := q.displace(rank, own < q.softPlaces(rank), q.softPlaces); ok || own >= max(q.places(rank), 1) {
 		return t, ok
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -7,15 +7,13 @@
 type slotLimit struct {
 	announced int
 	cold      int
+	warm      bool
 	limit     float64
 }
 
 func newSlotLimit(announced, cold int, warm bool) slotLimit {
-	l := slotLimit{cold: max(cold, 0)}
+	l := slotLimit{cold: max(cold, 0), warm: warm}
 	l.announce(announced)
-	if warm {
-		l.limit = float64(l.announced)
-	}
 	return l
 }
 
@@ -25,6 +23,9 @@
 	l.announced = clampSlots(n)
 	if before == 0 {
 		l.limit = float64(l.coldSlots())
+		if l.warm {
+			l.limit = float64(l.announced)
+		}
 	}
 	l.limit = min(l.limit, float64(l.announced))
 }
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -19,6 +19,9 @@
 	Policy   string
 	Arrived  time.Time
 	Deadline time.Time
+	// Target is when the work is due; an answer after it is worth less. Zero means that no time is worth more than
+	// another, and that work of one rank starts in the order of its arrival.
+	Target time.Time
 }
 
 // Refusal tells why work got no slot. Refused work has not been run.
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -103,6 +103,7 @@
 // Service keeps the record of the own instance.
 type Service struct {
 	set     Settings
+	drain   atomic.Int64
 	mu      sync.Mutex
 	machine *fsm.FSM
 	heard   time.Time
@@ -126,6 +127,7 @@
 		s.OnChange = func(membership.Instance) {}
 	}
 	svc := &Service{set: s, machine: newMachine()}
+	svc.SetDrainTime(s.DrainTime)
 	rec := s.Instance
 	rec.State = membership.StateStarting
 	svc.current.Store(&own{rec: rec})
@@ -151,6 +153,9 @@
 	return o.rec, o.addr
 }
 
+// SetDrainTime changes Settings.DrainTime for drains that are acknowledged from now on.
+func (s *Service) SetDrainTime(d time.Duration) { s.drain.Store(int64(d)) }
+
 // Admits implements proxy.Own.
 func (s *Service) Admits(now time.Time) bool {
 	o := s.current.Load()
@@ -308,7 +313,7 @@
 			return old.until
 		}
 		if old.rec.State == membership.StateReady && old.rec.BackendID == rec.BackendID {
-			return s.set.Clock.Now().Add(s.set.DrainTime)
+			return s.set.Clock.Now().Add(time.Duration(s.drain.Load()))
 		}
 		return s.set.Clock.Now()
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -36,8 +36,11 @@
 	AvailabilityZone string
 	SlowStart        time.Duration
 	Spill            float64
-	Failures         int
-	Ejection         time.Duration
+	// Stay is by how much the load of an instance of another zone must be lower, as a fraction of its capacity, for a call
+	// to leave the zone. When all zones are full, going elsewhere only costs the way.
+	Stay     float64
+	Failures int
+	Ejection time.Duration
 	// Random is the baseline: one random ready instance, whatever its load, zone or failures.
 	Random bool
 	Source rand.Source
@@ -184,6 +187,9 @@
 	other := p.two(now, list, func(i *instance) bool {
 		return i.usable(now, exclude) && i.rec.AvailabilityZone != p.set.AvailabilityZone
 	})
+	if own != nil && other != nil && own.score(now, p.set.SlowStart) < other.score(now, p.set.SlowStart)+p.set.Stay {
+		return own
+	}
 	if best := p.less(now, own, other); best != nil {
 		return best
 	}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -43,11 +43,11 @@
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Metrics *metric.Set
-	// Apply is how long after its acceptance a configuration may take to be in force.
-	Apply time.Duration
 	// OnOwnRecord, if set, is called with the own record as the store holds it.
 	OnOwnRecord func(membership.Instance)
 
+	// apply is how long after its acceptance a configuration may take to be in force.
+	apply atomic.Int64
 	// heard is the Unix time in nanoseconds of the last answer of the store.
 	heard  atomic.Int64
 	listed atomic.Bool
@@ -61,15 +61,23 @@
 	return f.Clock.Now().Sub(time.Unix(0, f.heard.Load()))
 }
 
+// SetApply sets how long after its acceptance a configuration may take to be in force. It is called before Run, and may
+// be called again at any time.
+func (f *Follower) SetApply(d time.Duration) { f.apply.Store(int64(d)) }
+
+func (f *Follower) configurationWait() time.Duration {
+	return time.Duration(f.apply.Load()) / applyPart
+}
+
 // Run follows the configuration and the instances until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.heard.Store(f.Clock.Now().UnixNano())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		f.follow(ctx, f.Schema.ConfigurationKind(), f.Apply/applyPart, f.applyConfiguration)
+		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWait, f.applyConfiguration)
 	}()
-	f.follow(ctx, platform.KindInstance, instancesWait, f.applyInstances)
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instancesWait }, f.applyInstances)
 	<-done
 }
 
@@ -77,13 +85,13 @@
 type apply func(changes []Change, whole bool)
 
 // follow lists a kind and watches it from there, for ever.
-func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait time.Duration, take apply) {
+func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, take apply) {
 	var at Revision
 	known, pause := false, firstBackoff
 	for ctx.Err() == nil {
 		var err error
 		if known {
-			at, err = f.watch(ctx, kind, at, wait-rand.N(wait/waitSpread), take)
+			at, err = f.watch(ctx, kind, at, spread(wait()), take)
 		} else {
 			at, err = f.list(ctx, kind, take)
 		}
@@ -110,6 +118,9 @@
 	}
 }
 
+// spread takes a random part off a wait.
+func spread(wait time.Duration) time.Duration { return wait - rand.N(wait/waitSpread) }
+
 func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, take apply) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/pkg/event/kernel.go
+++ b/pkg/event/kernel.go
@@ -13,4 +13,8 @@
 		"None; the relays record the departure after three missed polls.")
 	HandOverFailed = define(1005, "hand_over_failed", zerolog.WarnLevel, "not all idempotency records were passed on",
 		"Expect outcome_unknown refusals for some keys until the idempotency window has passed; stop fewer nodes at a time.")
+	SettingsReloaded = define(1006, "settings_reloaded", zerolog.InfoLevel, "the settings file was read again",
+		"Restart the node if needs_restart is true: addresses and names change at a start only.")
+	SettingsRefused = define(1007, "settings_refused", zerolog.ErrorLevel,
+		"the settings file cannot be used; the settings in force stay", "Correct the field that the error names.")
 )
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -43,8 +43,10 @@
 
 	arrived  time.Time
 	deadline time.Time
-	attempt  int
-	hops     int
+	// due is when the answer is due; an answer after it is worth less.
+	due     time.Time
+	attempt int
+	hops    int
 	// retried states that the call is a retry, or is made for a call that is one.
 	retried bool
 	parent  *entry
@@ -109,10 +111,13 @@
 }
 
 // setPeer sets the headers that only the egress gets.
-func (c *call) setPeer(h http.Header) {
+func (c *call) setPeer(h http.Header, now time.Time) {
 	set(h, HeaderPolicy, c.policy)
 	setFlag(h, HeaderIdempotent, c.idempotent)
 	setCount(h, HeaderHops, int64(c.hops))
+	if !c.due.IsZero() {
+		setInt(h, HeaderDue, c.due.Sub(now).Microseconds())
+	}
 	if c.caller != "" {
 		set(h, HeaderCaller, c.caller)
 	}
@@ -128,6 +133,7 @@
 	delete(h, HeaderHops)
 	delete(h, HeaderWindow)
 	delete(h, HeaderCaller)
+	delete(h, HeaderDue)
 }
 
 // digest covers what makes two requests with one key the same.
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -116,6 +117,9 @@
 	}
 	c.rank, c.hops = int(rank), int(hops)
 	c.deadline = now.Add(time.Duration(remaining) * time.Microsecond)
+	if us, err := strconv.ParseInt(first(h, HeaderDue), 10, 64); err == nil {
+		c.due = now.Add(time.Duration(us) * time.Microsecond)
+	}
 	attempt, _ := parseCount(h, HeaderAttempt, 1<<20)
 	version, _ := parseInt(h, HeaderConfigVersion, 1<<62)
 	window, _ := parseInt(h, HeaderWindow, int64(24*time.Hour/time.Microsecond))
@@ -177,7 +181,7 @@
 
 // run waits for a slot and hands the call to the backend server.
 func (e *Egress) run(ctx context.Context, c *call, addr string, h http.Header) *reply {
-	release, refusal := e.Gate.Acquire(ctx, Work{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline})
+	release, refusal := e.Gate.Acquire(ctx, Work{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
 	if refusal != nil {
 		rep := refuse(refusal.Reason)
 		rep.retryAfter, rep.load = refusal.RetryAfter, e.load()
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -178,7 +178,7 @@
 // send forwards the call to the egress beside another backend server.
 func (in *Ingress) send(ctx context.Context, c *call, target membership.Instance, now time.Time) *reply {
 	setCommon(c.header, c.outgoing(now))
-	c.setPeer(c.header)
+	c.setPeer(c.header, now)
 	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true,
 		Idempotent: c.idempotent, Deadline: c.deadline.Add(hearGrace)}
 	if c.giveUp != nil {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -17,6 +17,8 @@
 	Policy   string
 	Arrived  time.Time
 	Deadline time.Time
+	// Target is when the answer is due; zero means that the call has only a deadline.
+	Target time.Time
 }
 
 // Refusal is a true "not run".
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -33,6 +33,8 @@
 	HeaderIdempotent = "Ml-Idempotent"
 	HeaderWindow     = "Ml-Window-Us"
 	HeaderHops       = "Ml-Hops"
+	// HeaderDue is the time until the answer is due, which may have passed.
+	HeaderDue = "Ml-Due-Us"
 	// HeaderCaller is the service on the VM at which the request entered the mesh.
 	HeaderCaller = "Ml-Caller"
 
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -205,6 +205,7 @@
 	c.service, c.route, c.policy = m.Route.Service, m.Route.Name, m.Policy.Name
 	c.rank, c.maxRetries = m.Policy.Rank, m.Policy.MaxRetries
 	c.target, c.deadline = m.Policy.Target.Std(), now.Add(m.Policy.Deadline.Std())
+	c.due = now.Add(c.target)
 	c.idempotent = m.Route.Idempotent
 	c.patience = max(minPatience, 2*c.target)
 	if c.window = m.Policy.IdempotencyWindow.Std(); c.window == 0 {
