Let a stopping node's backend server work until callers have left

Cause: a planned stop refused other nodes' calls half a second after SIGTERM, three seconds before the node ended, and each rolled node took its backend server out for that long.

--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -17,10 +17,11 @@
 	// exitMargin is left of the grace period for closing listeners, before SIGKILL.
 	exitMargin = 300 * time.Millisecond
 	// newsTime is how long other nodes may take to learn that this one leaves; its egress takes their calls meanwhile.
-	newsTime = 500 * time.Millisecond
+	newsTime = 300 * time.Millisecond
 	// leaveTime is how long callers may take to leave: the platform asks each second and takes a node out after two
-	// misses. They are served until then.
-	leaveTime = 2500 * time.Millisecond
+	// misses. Until then they are served, and the backend server beside the node takes work: it goes on running, and
+	// each second without it is lost to its service.
+	leaveTime = 2200 * time.Millisecond
 	// quietTime without a call shows that callers have left.
 	quietTime = 300 * time.Millisecond
 	// answerTime is left before the end of the grace period for answers that take their whole time.
@@ -51,14 +52,13 @@
 		end = deadline
 	}
 	d.ingress.BeginLeave(end.Add(-answerTime))
-	left := time.After(leaveTime)
+	wait(ctx, time.After(leaveTime))
 	if in := d.publisher.Latest(); in.State != membership.StateDeparted {
 		in.State, in.Sequence = membership.StateDraining, in.Sequence+1
 		d.publisher.Set(in)
 	}
 	wait(ctx, time.After(newsTime))
 	d.egress.BeginDrain()
-	wait(ctx, left)
 	d.ingress.WaitQuiet(ctx, quietTime)
 	d.ingress.BeginDrain()
 	return errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
