--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -105,6 +105,9 @@
 		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: log, Dialect: dialect,
 		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask})
 
+	idle := newIdleConns(state)
+	callers := proxy.NewServer(ingress)
+	callers.ConnState = idle.track
 	ready := &readiness{source: state, listed: follower.Listed}
 	d := &drainer{ready: ready, ingress: ingress, egress: egress, publisher: publisher, grace: vm.Bounds.Grace, log: log}
 	reload := &reloader{path: s.File, current: vm, log: log, apply: func(b platform.Bounds) {
@@ -114,10 +117,10 @@
 	n := &node{kernel: kernel.New(), caller: caller, reload: reload}
 	services := []kernel.Service{
 		control,
-		newTasks("directory", follower.Run, peers.Run, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run),
+		newTasks("directory", follower.Run, peers.Run, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run, idle.run),
 		newListener("peers", vm.Peers.String(), proxy.NewPeerServer(egress), log),
 		newListener("announcements", vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: vm.Backend.String()}), log),
-		newListener("callers", vm.Callers.String(), proxy.NewServer(ingress), log),
+		newListener("callers", vm.Callers.String(), callers, log),
 		newListener("ready", vm.Ready.String(), plainServer(ready), log),
 		newListener("metrics", s.Metrics, plainServer(metrics), log),
 		d,
