Let a few sentinels watch the store and pass changes on

Now three nodes, which follow from the membership, repeat short watches and pass changes on; the others ask one of them each 0.7 s and watch the store only when none answers.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -75,8 +75,9 @@
 	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: membership.InstanceID(vm.Node),
 		Clock: now, Log: log, Metrics: metrics}
 	follower.SetApply(vm.Bounds.Apply)
-	peers := directory.NewPeers(directory.Peers{State: state, Caller: caller, ControlPort: controlPort,
+	peers := directory.NewPeers(&directory.Peers{State: state, Caller: caller, Control: net.JoinHostPort(vm.IP.String(), controlPort), ControlPort: controlPort,
 		Self: membership.InstanceID(vm.Node), Log: log, Metrics: metrics, Silence: follower.Silence}, control)
+	follower.Trusting, follower.OnChange = peers.Trusting, peers.PassOn
 	publisher := directory.NewPublisher(state, store, log, peers.Offer)
 	follower.OnOwnRecord = publisher.Stored
 
@@ -117,7 +118,7 @@
 	n := &node{kernel: kernel.New(), caller: caller, reload: reload}
 	services := []kernel.Service{
 		control,
-		newTasks("directory", follower.Run, peers.Run, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run, idle.run),
+		newTasks("directory", follower.Run, peers.Run, peers.RunPassOn, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run, idle.run),
 		newListener("peers", vm.Peers.String(), proxy.NewPeerServer(egress), log),
 		newListener("announcements", vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: vm.Backend.String()}), log),
 		newListener("callers", vm.Callers.String(), callers, log),
--- a/pkg/config/delta.go
+++ b/pkg/config/delta.go
@@ -10,7 +10,7 @@
 
 // NewDelta returns what turns configuration a of version from into b of version to, whose hash is toHash.
 func NewDelta(from Version, a Configuration, to Version, toHash string, b Configuration) Delta {
-	d := Delta{From: from, To: to, ToHash: toHash}
+	d := Delta{From: from, To: to, ToHash: toHash, Limits: b.Limits}
 	d.Upsert.Services, d.Withdraw.Services = diff(a.Services, b.Services, Service.Equal)
 	d.Upsert.Policies, d.Withdraw.Policies = diff(a.Policies, b.Policies, func(x, y Policy) bool { return x == y })
 	d.Upsert.Routes, d.Withdraw.Routes = diff(a.Routes, b.Routes, Route.Equal)
@@ -35,6 +35,7 @@
 // receiver of the delta then needs the whole configuration. The input is unchanged.
 func (d Delta) Apply(c Configuration) (Configuration, error) {
 	out := c.Clone()
+	out.Limits = d.Limits
 	merge(out.Services, d.Upsert.Services, d.Withdraw.Services, func(s Service) string { return s.Name })
 	merge(out.Policies, d.Upsert.Policies, d.Withdraw.Policies, func(p Policy) string { return p.Name })
 	merge(out.Routes, d.Upsert.Routes, d.Withdraw.Routes, func(r Route) string { return r.Name })
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -137,6 +137,7 @@
 	ToHash   string
 	Upsert   Items
 	Withdraw Names
+	Limits   Limits
 }
 
 // Source gives the snapshot in force. Current returns nil before the first configuration is accepted.
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -18,11 +18,13 @@
 )
 
 const (
-	// applyPart of the bound on a configuration is how long a watch of it lasts without changes. A watch that has gone
-	// silent is noticed after it; the first node to notice passes the configuration on.
+	// applyPart of the bound on a configuration is how long a sentinel's watch of it lasts without changes. A watch that
+	// has gone silent is noticed after it.
 	applyPart = 2
-	// instancesWait is how long a watch of the instances lasts without changes. No bound rests on it.
-	instancesWait = 3 * time.Second
+	// instancesWait is how long a sentinel's watch of the instances lasts without changes. No bound rests on it.
+	instancesWait = 2 * time.Second
+	// trustPeriod is how often a node that does not watch the store checks whether it still hears from sentinels.
+	trustPeriod = 200 * time.Millisecond
 	// watchSlack is what a watch's answer may take beyond its wait.
 	watchSlack = 300 * time.Millisecond
 	// waitSpread of a wait is random, so that the watches of all nodes do not go silent together.
@@ -43,6 +45,11 @@
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Metrics *metric.Set
+	// Trusting reports whether this node need not watch the store, since it hears from sentinels.
+	Trusting func() bool
+	// OnChange, if set, is called with the records of other instances that have changed in the store, and after a change
+	// of the configuration.
+	OnChange func([]membership.Instance)
 	// OnOwnRecord, if set, is called with the own record as the store holds it.
 	OnOwnRecord func(membership.Instance)
 
@@ -89,6 +96,10 @@
 	var at Revision
 	known, pause := false, firstBackoff
 	for ctx.Err() == nil {
+		if known && f.Trusting() {
+			sleep(ctx, trustPeriod)
+			continue
+		}
 		var err error
 		if known {
 			at, err = f.watch(ctx, kind, at, spread(wait()), take)
@@ -158,6 +169,9 @@
 		if err == nil {
 			err = f.State.adopt(&f.Log, version, cfg, "store")
 		}
+		if err == nil && version == f.State.Version() {
+			f.changed(nil)
+		}
 		if err != nil {
 			event.ConfigInvalid.Write(event.ConfigInvalid.Log(&f.Log).Err(err).Uint64("version", uint64(version)))
 		}
@@ -185,6 +199,12 @@
 	return nil
 }
 
+func (f *Follower) changed(records []membership.Instance) {
+	if f.OnChange != nil {
+		f.OnChange(records)
+	}
+}
+
 func (f *Follower) applyInstances(changes []Change, whole bool) {
 	records := make([]membership.Instance, 0, len(changes))
 	named := make(map[membership.InstanceID]bool, len(changes))
@@ -192,8 +212,8 @@
 		id := membership.InstanceID(c.Object.Name)
 		named[id] = true
 		if c.Removed {
-			if id != f.Self {
-				f.State.Remove(id)
+			if gone, ok := f.State.Depart(id); ok && id != f.Self {
+				records = append(records, gone)
 			}
 			continue
 		}
@@ -211,15 +231,20 @@
 		records = append(records, in)
 	}
 	f.State.Merge(records...)
-	if !whole {
-		return
-	}
-	f.listed.Store(true)
-	for _, in := range f.State.All() {
-		if !named[in.ID] && in.ID != f.Self {
-			f.State.Remove(in.ID)
+	if whole {
+		f.listed.Store(true)
+		for _, in := range f.State.All() {
+			if named[in.ID] || in.ID == f.Self {
+				continue
+			}
+			if gone, ok := f.State.Depart(in.ID); ok {
+				records = append(records, gone)
+			}
 		}
 	}
+	if len(records) > 0 {
+		f.changed(records)
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,30 +26,47 @@
 const (
 	// peerTimeout bounds one call of another node.
 	peerTimeout = 500 * time.Millisecond
-	// silenceLimit is how long the store may be silent before a node asks others: longer than the watches of the
+	// silenceLimit is how long the store may be silent before a sentinel asks others: longer than its watches of the
 	// configuration, which are answered in turn.
 	silenceLimit = 1500 * time.Millisecond
-	// pullPeriod is the pause between questions to other nodes while the store is silent.
-	pullPeriod = time.Second
+	// pullPeriod is the pause between questions to sentinels. With a sentinel's watch of the configuration, a second, it
+	// stays within the bound on a configuration of 2 s.
+	pullPeriod = 700 * time.Millisecond
+	// pullTries is how many nodes are asked in one period when some do not answer.
+	pullTries = 2
+	// passQueue bounds the changes that wait to be passed on.
+	passQueue = 16
+	// pullsMissed is how many questions may go unanswered before a node watches the store as a sentinel does.
+	pullsMissed = 2
 )
 
-// PullReply is what the asking node lacks. Version is zero if its configuration is not older.
+// PullReply is what the asking node lacks. Version is zero if its configuration is not older; otherwise either Delta or
+// the whole Configuration is set.
 type PullReply struct {
 	Version       config.Version
+	Delta         *config.Delta
 	Configuration config.Configuration
 	Records       []membership.Instance
+	// Fresh states that the store has answered the asked node lately.
+	Fresh bool
 }
 
-// OfferArgs passes records on.
-type OfferArgs struct{ Records []membership.Instance }
+// OfferArgs passes records on, and the version of the configuration in force at the node with the control address From.
+type OfferArgs struct {
+	Records []membership.Instance
+	Version config.Version
+	From    string
+}
 
 // OfferReply is empty.
 type OfferReply struct{}
 
 // Peers exchanges the state with other nodes.
 type Peers struct {
-	State       *State
-	Caller      rpcwire.Caller
+	State  *State
+	Caller rpcwire.Caller
+	// Control is the own control address; ControlPort is the port of it, the same on all nodes.
+	Control     string
 	ControlPort string
 	Self        membership.InstanceID
 	Log         zerolog.Logger
@@ -55,22 +74,31 @@
 	// Silence is how long ago the store last answered.
 	Silence func() time.Duration
 
-	ask chan string
+	ask  chan string
+	pass chan []membership.Instance
+	// answered is the Unix time in nanoseconds of the last answer of another node to a question.
+	answered atomic.Int64
 }
 
 // NewPeers registers the methods at the server.
-func NewPeers(p Peers, server *rpcwire.Server) *Peers {
+func NewPeers(p *Peers, server *rpcwire.Server) *Peers {
 	p.ask = make(chan string, 1)
+	p.pass = make(chan []membership.Instance, passQueue)
 	rpcwire.HandleFunc(server, methodPull, p.pull)
 	rpcwire.HandleFunc(server, methodOffer, p.offer)
-	return &p
+	return p
 }
 
 // pull answers another node.
 func (p *Peers) pull(args *Digest, reply *PullReply) error {
-	reply.Records = p.State.Missing(*args)
+	reply.Records, reply.Fresh = p.State.Missing(*args), p.Silence() <= silenceLimit
 	if snap := p.State.Current(); snap != nil && snap.Version > args.Version {
-		reply.Version, reply.Configuration = snap.Version, snap.Configuration
+		reply.Version = snap.Version
+		if d, ok := p.State.Since(args.Version); ok {
+			reply.Version, reply.Delta = d.To, &d
+		} else {
+			reply.Configuration = snap.Configuration
+		}
 	}
 	return nil
 }
@@ -79,6 +107,9 @@
 	if n := p.State.Merge(args.Records...); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
 	}
+	if args.Version > p.State.Version() {
+		p.Ask(args.From)
+	}
 	return nil
 }
 
@@ -103,9 +134,9 @@
 		case addr := <-p.ask:
 			p.pullFrom(ctx, addr)
 		case <-tick.C:
-			if p.Silence() > silenceLimit {
-				if addr, ok := p.any(); ok {
-					p.pullFrom(ctx, addr)
+			for range pullTries {
+				if addr, ok := p.next(); !ok || p.pullFrom(ctx, addr) {
+					break
 				}
 			}
 		case <-ctx.Done():
@@ -114,10 +145,23 @@
 	}
 }
 
-// any returns the control address of a random other node.
-func (p *Peers) any() (string, bool) {
+// Trusting reports whether sentinels tell this node what it would miss in a long watch.
+func (p *Peers) Trusting() bool {
+	return !contains(sentinels(p.State.All()), p.Self) && time.Since(time.Unix(0, p.answered.Load())) < pullsMissed*pullPeriod+peerTimeout
+}
+
+// next returns the control address of the node to ask now: a random sentinel, or any node while the store is silent,
+// since the sentinels may be cut off from it too. A sentinel asks nobody while the store answers.
+func (p *Peers) next() (string, bool) {
+	all := p.State.All()
+	from := sentinels(all)
+	if p.Silence() > silenceLimit && (contains(from, p.Self) || !p.Trusting()) {
+		from = all
+	} else if contains(from, p.Self) {
+		return "", false
+	}
 	var addrs []string
-	for _, in := range p.State.All() {
+	for _, in := range from {
 		if in.ID != p.Self && in.State != membership.StateDeparted && in.ControlAddress != "" {
 			addrs = append(addrs, in.ControlAddress)
 		}
@@ -128,46 +172,100 @@
 	return addrs[rand.IntN(len(addrs))], true
 }
 
-func (p *Peers) pullFrom(ctx context.Context, addr string) {
+// pullFrom reports whether the node answered.
+func (p *Peers) pullFrom(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var reply PullReply
 	if err := p.Caller.Call(ctx, addr, methodPull, p.State.Digest(), &reply); err != nil {
 		p.Metrics.Retried(metric.RetryControlCall)
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
-		return
+		return false
+	}
+	if reply.Fresh {
+		p.answered.Store(time.Now().UnixNano())
 	}
 	if n := p.State.Merge(reply.Records...); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
 	}
 	if reply.Version == 0 {
-		return
+		return true
 	}
-	if err := p.State.adopt(&p.Log, reply.Version, reply.Configuration, addr); err != nil {
+	if err := p.adopt(reply, addr); err != nil {
 		event.ConfigInvalid.Write(event.ConfigInvalid.Log(&p.Log).Err(err).Uint64("version", uint64(reply.Version)).Str("peer", addr))
 	}
+	return true
+}
+
+func (p *Peers) adopt(reply PullReply, addr string) error {
+	cfg := reply.Configuration
+	if d := reply.Delta; d != nil {
+		snap := p.State.Current()
+		if snap == nil || snap.Version != d.From {
+			return nil // The store or another node was faster.
+		}
+		var err error
+		if cfg, err = d.Apply(snap.Configuration); err != nil {
+			return err
+		}
+	}
+	return p.State.adopt(&p.Log, reply.Version, cfg, addr)
 }
 
 // Offer passes a record to all other nodes that are known.
 func (p *Peers) Offer(ctx context.Context, in membership.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	done := make(chan struct{})
-	n := 0
+	var others []membership.Instance
 	for _, other := range p.State.All() {
-		if other.ID == in.ID || other.State == membership.StateDeparted {
-			continue
+		if other.ID != in.ID && other.State != membership.StateDeparted {
+			others = append(others, other)
 		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
+	}
+	p.offerTo(ctx, others, OfferArgs{Records: []membership.Instance{in}})
+}
+
+// offerTo waits until all nodes have answered or the time for it is over.
+func (p *Peers) offerTo(ctx context.Context, others []membership.Instance, args OfferArgs) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, other := range others {
+		wg.Go(func() {
 			var reply OfferReply
-			if err := p.Caller.Call(ctx, other.ControlAddress, methodOffer, OfferArgs{Records: []membership.Instance{in}}, &reply); err != nil {
+			if err := p.Caller.Call(ctx, other.ControlAddress, methodOffer, args, &reply); err != nil {
 				p.Metrics.Retried(metric.RetryControlCall)
 			}
-		}()
+		})
 	}
-	for range n {
-		<-done
+	wg.Wait()
+}
+
+// PassOn queues changes in the store for the nodes in this sentinel's charge. It does not block; when the queue is full
+// the change is left to their next question.
+func (p *Peers) PassOn(records []membership.Instance) {
+	select {
+	case p.pass <- records:
+	default:
+	}
+}
+
+// RunPassOn passes changes on until ctx ends. Changes that have queued up go in one message.
+func (p *Peers) RunPassOn(ctx context.Context) {
+	for {
+		select {
+		case records := <-p.pass:
+			for more := true; more; {
+				select {
+				case next := <-p.pass:
+					records = append(records, next...)
+				default:
+					more = false
+				}
+			}
+			if to := charges(p.State.All(), p.Self); len(to) > 0 {
+				p.offerTo(ctx, to, OfferArgs{Records: records, Version: p.State.Version(), From: p.Control})
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
 }
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -16,7 +16,9 @@
 	instances map[membership.InstanceID]membership.Instance
 	listeners []chan struct{}
 	snapshot  atomic.Pointer[config.Snapshot]
-	services  atomic.Pointer[map[string][]membership.Instance]
+	// earlier holds the configurations that were in force before, newest first.
+	earlier  []*config.Snapshot
+	services atomic.Pointer[map[string][]membership.Instance]
 }
 
 var _ View = (*State)(nil)
@@ -47,10 +49,30 @@
 	if snap.Version <= s.Version() {
 		return false
 	}
+	if old := s.Current(); old != nil {
+		s.earlier = append([]*config.Snapshot{old}, s.earlier[:min(len(s.earlier), maxEarlier-1)]...)
+	}
 	s.snapshot.Store(snap)
 	return true
 }
 
+// maxEarlier is how many earlier configurations are kept to tell other nodes what has changed since. A node misses a few
+// changes at most while configurations come in quick succession.
+const maxEarlier = 4
+
+// Since returns what turns the configuration of a version into the one in force, if that version is still kept.
+func (s *State) Since(version config.Version) (config.Delta, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Current()
+	for _, old := range s.earlier {
+		if old.Version == version {
+			return config.NewDelta(version, old.Configuration, now.Version, now.Hash, now.Configuration), true
+		}
+	}
+	return config.Delta{}, false
+}
+
 // Instances implements membership.View.
 func (s *State) Instances(service string) []membership.Instance { return (*s.services.Load())[service] }
 
@@ -109,14 +131,20 @@
 	return changed
 }
 
-// Remove forgets an instance whose record was deleted.
-func (s *State) Remove(id membership.InstanceID) {
+// Depart marks an instance whose record was deleted and returns the mark. It goes to other nodes like any record; the
+// instance replaces it when it comes back, since a restart raises its incarnation.
+func (s *State) Depart(id membership.InstanceID) (membership.Instance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.instances[id]; ok {
-		delete(s.instances, id)
-		s.publish()
+	in, ok := s.instances[id]
+	if !ok || in.State == membership.StateDeparted {
+		return in, false
 	}
+	in.State = membership.StateDeparted
+	in.Sequence++
+	s.instances[id] = in
+	s.publish()
+	return in, true
 }
 
 // Digest is what a node knows, for another to tell what it lacks.
