--- /dev/null
+++ b/internal/standin/metastore/store.go
@@ -0,0 +1,249 @@
+// Package metastore is a stand-in for the users' metadata store: objects by kind and name, one revision counter, watches,
+// and faults on demand. It is an http.Handler.
+package metastore
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageSize is how many objects one answer to a list holds; it is small so that tests see several pages.
+const pageSize = 5
+
+type metadata struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type change struct {
+	revision uint64
+	kind     string
+	removed  bool
+	object   object
+}
+
+// Faults are switched on by tests. The zero value is a sound store.
+type Faults struct {
+	// Status refuses all calls with this status.
+	Status int
+	// Silent leaves all calls without an answer until their caller goes away.
+	Silent bool
+	// LoseWrites carries writes out and breaks their connections without an answer.
+	LoseWrites bool
+	// DeafWatches leaves watches without an answer, although changes are made.
+	DeafWatches bool
+}
+
+// Store is the stand-in. Use New.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object
+	history  []change
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	faults    Faults
+	changed   chan struct{}
+	calls     map[string]int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Compact forgets the history and ends the waiting watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten, s.history = s.revision, nil
+	s.wake()
+}
+
+// Calls returns how many calls of a method were made.
+func (s *Store) Calls(method string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[method]
+}
+
+// Put writes an object as an operator or another program does, without faults.
+func (s *Store) Put(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, object{Metadata: metadata{Name: name}, Spec: json.RawMessage(spec)})
+}
+
+// Get returns the spec of an object, or an empty text.
+func (s *Store) Get(kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.objects[kind][name].Spec)
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) write(kind string, o object) object {
+	s.revision++
+	o.Metadata.Revision = s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]object)
+	}
+	s.objects[kind][o.Metadata.Name] = o
+	s.history = append(s.history, change{s.revision, kind, false, o})
+	s.wake()
+	return o
+}
+
+func (s *Store) remove(kind, name string) {
+	o := s.objects[kind][name]
+	delete(s.objects[kind], name)
+	s.revision++
+	s.history = append(s.history, change{s.revision, kind, true, o})
+	s.wake()
+}
+
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	s.mu.Lock()
+	s.calls[r.Method]++
+	f := s.faults
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind, f)
+	case r.Method == http.MethodGet:
+		s.list(w, r, kind)
+	default:
+		s.change(w, r, kind, name, f)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > r.URL.Query().Get("after") {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	more := len(names) > pageSize
+	names = names[:min(len(names), pageSize)]
+	items := make([]object, 0, len(names))
+	for _, name := range names {
+		items = append(items, s.objects[kind][name])
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "storeRevision": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, f Faults) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64) // Zero watches from the start.
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if f.DeafWatches {
+		<-r.Context().Done()
+		return
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []map[string]any{}
+		for _, c := range s.history {
+			if c.revision > after && c.kind == kind {
+				events = append(events, map[string]any{"removed": c.removed, "object": c.object})
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) change(w http.ResponseWriter, r *http.Request, kind, name string, f Faults) {
+	var o object
+	if r.Method != http.MethodDelete {
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	status := s.apply(r.Method, kind, name, o)
+	if f.LoseWrites {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, map[string]any{})
+}
+
+func (s *Store) apply(method, kind, name string, o object) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch method {
+	case http.MethodPost:
+		if _, ok := s.objects[kind][o.Metadata.Name]; ok {
+			return http.StatusConflict
+		}
+		s.write(kind, o)
+	case http.MethodPut:
+		old, ok := s.objects[kind][name]
+		if !ok {
+			return http.StatusNotFound
+		}
+		o.Metadata.Name = name
+		if string(old.Spec) != string(o.Spec) {
+			s.write(kind, o)
+		}
+	case http.MethodDelete:
+		if _, ok := s.objects[kind][name]; !ok {
+			return http.StatusNotFound
+		}
+		s.remove(kind, name)
+	}
+	return http.StatusOK
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // The caller has gone if this fails.
+}
--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,413 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+const kindTest platform.ObjectKind = "test-configuration"
+
+// schema decodes a configuration that is nothing but a version.
+type schema struct{}
+
+func (schema) ConfigurationKind() platform.ObjectKind { return kindTest }
+
+func (schema) ConfigurationName() string { return "main" }
+
+func (schema) Configuration(spec []byte) (config.Version, config.Configuration, error) {
+	var v config.Version
+	if _, err := fmt.Sscan(string(spec), &v); err != nil {
+		return 0, config.Configuration{}, fault.Wrap(fault.Invalid, "configuration", err, "")
+	}
+	return v, config.Configuration{}, nil
+}
+
+// memoryStore is a store without a network.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision Revision
+	objects  map[platform.ObjectKind]map[string]string
+	changes  []memoryChange
+	changed  chan struct{}
+	// deaf leaves watches without an answer; down fails all calls; gone refuses watches once.
+	deaf, down, gone bool
+	puts             int
+	calls            int
+}
+
+type memoryChange struct {
+	at   Revision
+	kind platform.ObjectKind
+	Change
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: make(map[platform.ObjectKind]map[string]string), changed: make(chan struct{})}
+}
+
+func (m *memoryStore) set(kind platform.ObjectKind, name, spec string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	if m.objects[kind] == nil {
+		m.objects[kind] = make(map[string]string)
+	}
+	m.objects[kind][name] = spec
+	m.changes = append(m.changes, memoryChange{m.revision, kind, Change{Object: platform.Object{Kind: kind, Name: name, Spec: []byte(spec)}}})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memoryStore) fault(f func(*memoryStore)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m)
+}
+
+var errDown = fault.New(fault.Unavailable, "store", "down", "")
+
+func (m *memoryStore) List(_ context.Context, kind platform.ObjectKind) (Listing, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.down {
+		return Listing{}, errDown
+	}
+	l := Listing{Revision: m.revision}
+	for name, spec := range m.objects[kind] {
+		l.Objects = append(l.Objects, platform.Object{Kind: kind, Name: name, Spec: []byte(spec)})
+	}
+	return l, nil
+}
+
+func (m *memoryStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+	timeout := time.After(wait)
+	for first := true; ; first = false {
+		m.mu.Lock()
+		if first {
+			m.calls++
+		}
+		if m.gone {
+			m.gone = false
+			m.mu.Unlock()
+			return Changes{}, fault.New(fault.Stale, "watch", "gone", "")
+		}
+		c := Changes{Revision: m.revision}
+		for _, e := range m.changes {
+			if e.at > after && e.kind == kind {
+				c.Changes = append(c.Changes, e.Change)
+			}
+		}
+		down, deaf, changed := m.down, m.deaf, m.changed
+		m.mu.Unlock()
+		switch {
+		case down:
+			return Changes{}, errDown
+		case deaf:
+			<-ctx.Done()
+			return Changes{}, fault.Wrap(fault.Unavailable, "watch", ctx.Err(), "")
+		case len(c.Changes) > 0:
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return c, nil
+		case <-ctx.Done():
+			return Changes{}, fault.Wrap(fault.Unavailable, "watch", ctx.Err(), "")
+		}
+	}
+}
+
+func (m *memoryStore) Put(_ context.Context, kind platform.ObjectKind, name string, spec []byte) error {
+	m.mu.Lock()
+	m.puts++
+	down := m.down
+	m.mu.Unlock()
+	if down {
+		return errDown
+	}
+	m.set(kind, name, string(spec))
+	return nil
+}
+
+func (m *memoryStore) Delete(_ context.Context, kind platform.ObjectKind, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return errDown
+	}
+	o := m.objects[kind][name]
+	delete(m.objects[kind], name)
+	m.revision++
+	m.changes = append(m.changes, memoryChange{m.revision, kind, Change{Removed: true, Object: platform.Object{Kind: kind, Name: name, Spec: []byte(o)}}})
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
+
+func instance(id string, incarnation, sequence uint64, state membership.State) membership.Instance {
+	return membership.Instance{ID: membership.InstanceID(id), Service: "desk", AvailabilityZone: "zone-" + id[:1], PeerAddress: "10.0.0.1:80",
+		ControlAddress: "10.0.0.1:81", Slots: 18, Incarnation: incarnation, Sequence: sequence, State: state}
+}
+
+func put(t *testing.T, m *memoryStore, in membership.Instance) {
+	t.Helper()
+	spec, err := encodeRecord(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.set(platform.KindInstance, string(in.ID), string(spec))
+}
+
+func follow(t *testing.T, m *memoryStore, trusting func() bool) *Follower {
+	f := &Follower{State: NewState(), Store: m, Schema: schema{}, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
+		Metrics: metric.NewSet(), Trusting: trusting}
+	f.SetApply(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f
+}
+
+func never() bool { return false }
+
+// Guards against the fault "a watch hears nothing while changes are made": the configuration must be in force within the
+// bound of 2 s all the same, and the lost history must not end the following.
+func TestSilentWatchKeepsTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(kindTest, "main", "3")
+		f := follow(t, m, never)
+		time.Sleep(time.Second)
+		m.fault(func(m *memoryStore) { m.deaf = true })
+		time.Sleep(500 * time.Millisecond)
+		m.set(kindTest, "main", "11")
+		time.Sleep(500 * time.Millisecond)
+		m.fault(func(m *memoryStore) { m.deaf, m.gone = false, true })
+		time.Sleep(1500 * time.Millisecond)
+		if got := f.State.Version(); got != 11 {
+			t.Errorf("version %d is in force 2 s after version 11 was accepted", got)
+		}
+	})
+}
+
+// Guards against a node that goes back to an older configuration, from the store or from another node, and against one
+// that an unreadable configuration puts out of work.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(kindTest, "main", "40")
+		f := follow(t, m, never)
+		time.Sleep(time.Second)
+		for _, spec := range []string{"7", "bad", "40"} {
+			m.set(kindTest, "main", spec)
+			time.Sleep(time.Second)
+			if got := f.State.Version(); got != 40 {
+				t.Fatalf("version %d after the store offered %q", got, spec)
+			}
+		}
+		log := zerolog.Nop()
+		if err := f.State.adopt(&log, 39, config.Configuration{}, "peer"); err != nil || f.State.Version() != 40 {
+			t.Errorf("version %d, error %v", f.State.Version(), err)
+		}
+		m.set(kindTest, "main", "61")
+		time.Sleep(time.Second)
+		if got := f.State.Version(); got != 61 {
+			t.Errorf("version %d, want 61", got)
+		}
+	})
+}
+
+// Guards against an entry of another writer that stops the reading of the others, and against late records that bring an
+// earlier state back.
+func TestRecordsOfStrangersAndLateOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(platform.KindInstance, "stranger", `{"service":4}`)
+		m.set(platform.KindInstance, "odd", `{"service":"desk","peers":"10.0.0.1:80","incarnation":1,"state":"flying"}`)
+		put(t, m, instance("a", 2, 5, membership.StateReady))
+		f := follow(t, m, never)
+		time.Sleep(time.Second)
+		put(t, m, instance("b", 1, 1, membership.StateReady))
+		put(t, m, instance("a", 2, 4, membership.StateDraining))
+		put(t, m, instance("a", 1, 9, membership.StateDraining))
+		time.Sleep(time.Second)
+		list := f.State.Instances("desk")
+		if len(list) != 2 || list[0].State != membership.StateReady || list[0].Sequence != 5 {
+			t.Errorf("%+v", list)
+		}
+	})
+}
+
+// Guards against calls to the store that grow with the fleet: a node that hears from sentinels reads the store once.
+func TestTrustingNodeDoesNotWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(kindTest, "main", "3")
+		var trust sync.Mutex
+		trusted := true
+		f := follow(t, m, func() bool { trust.Lock(); defer trust.Unlock(); return trusted })
+		time.Sleep(time.Minute)
+		if m.fault(func(m *memoryStore) {}); m.calls > 2 {
+			t.Errorf("%d calls in a minute, want one list of each kind", m.calls)
+		}
+		m.set(kindTest, "main", "4")
+		trust.Lock()
+		trusted = false
+		trust.Unlock()
+		time.Sleep(trustPeriod + 100*time.Millisecond)
+		if got := f.State.Version(); got != 4 {
+			t.Errorf("version %d shortly after the sentinels fell silent, want 4", got)
+		}
+	})
+}
+
+// Guards against an own record that the store loses: a failed write is repeated, other nodes get the record meanwhile, and
+// a late write of an older record is corrected.
+func TestOwnRecordReachesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.down = true
+		var mu sync.Mutex
+		offered := 0
+		p := NewPublisher(NewState(), m, zerolog.Nop(), func(context.Context, membership.Instance) {
+			mu.Lock()
+			defer mu.Unlock()
+			offered++
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		p.Set(instance("self", 1, 2, membership.StateReady))
+		p.Set(instance("self", 1, 3, membership.StateDraining))
+		time.Sleep(3 * time.Second)
+		m.fault(func(m *memoryStore) { m.down = false })
+		time.Sleep(2 * time.Second)
+		stored := func() membership.Instance {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			in, err := decodeRecord(platform.Object{Name: "self", Spec: []byte(m.objects[platform.KindInstance]["self"])})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return in
+		}
+		if got := stored(); got.Sequence != 3 || got.State != membership.StateDraining {
+			t.Errorf("the store holds %+v", got)
+		}
+		mu.Lock()
+		if offered == 0 {
+			t.Error("no other node got the record while the store was down")
+		}
+		mu.Unlock()
+		late := instance("self", 1, 2, membership.StateReady)
+		put(t, m, late)
+		p.Stored(late)
+		time.Sleep(time.Second)
+		if got := stored(); got.Sequence != 3 {
+			t.Errorf("a late write stays: %+v", got)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// Guards against sentinels that a lost zone takes away together, and against nodes that no sentinel passes changes on to.
+func TestSentinelsAndTheirCharges(t *testing.T) {
+	var all []membership.Instance
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		for i := range 5 {
+			all = append(all, instance(fmt.Sprintf("%s%d", zone, i), 1, 1, membership.StateReady))
+		}
+	}
+	all[3].State = membership.StateDeparted
+	watching := sentinels(all)
+	zones := make(map[string]bool)
+	for _, in := range watching {
+		zones[in.AvailabilityZone] = true
+	}
+	if len(watching) != sentinelCount || len(zones) != sentinelCount {
+		t.Fatalf("%d sentinels in %d zones", len(watching), len(zones))
+	}
+	told := make(map[membership.InstanceID]int)
+	for _, in := range all {
+		for _, c := range charges(all, in.ID) {
+			told[c.ID]++
+		}
+	}
+	for _, in := range all {
+		if in.State != membership.StateDeparted && told[in.ID] == 0 && !contains(watching, in.ID) {
+			t.Errorf("nobody passes changes on to %s", in.ID)
+		}
+		if told[in.ID] > 1 {
+			t.Errorf("%s is told %d times", in.ID, told[in.ID])
+		}
+	}
+	if one := sentinels(all[:1]); len(one) != 1 {
+		t.Errorf("%d sentinels of one node", len(one))
+	}
+}
+
+// Guards against a departure that nodes without a watch do not learn, and a restart that a departure hides.
+func TestDepartureIsPassedOnAndUndoneByARestart(t *testing.T) {
+	a, b := NewState(), NewState()
+	for _, s := range []*State{a, b} {
+		s.Merge(instance("x", 1, 4, membership.StateReady))
+	}
+	a.Depart("x")
+	b.Merge(a.Missing(b.Digest())...)
+	if n := len(b.Instances("desk")); n != 0 {
+		t.Errorf("%d instances after the departure", n)
+	}
+	b.Merge(instance("x", 2, 1, membership.StateReady))
+	if n := len(b.Instances("desk")); n != 1 {
+		t.Errorf("%d instances after the restart", n)
+	}
+}
+
+// Guards against a delta between nodes that loses a part of the configuration.
+func TestSinceGivesTheDifference(t *testing.T) {
+	s, log := NewState(), zerolog.Nop()
+	build := func(routes int, idle time.Duration) config.Configuration {
+		c := config.Configuration{Services: map[string]config.Service{"desk": {Name: "desk"}}, Limits: config.Limits{IdleTimeout: config.Duration(idle)},
+			Policies: map[string]config.Policy{"p": {Name: "p", Target: 1e8, Deadline: 1e9}}, Routes: map[string]config.Route{}}
+		for i := range routes {
+			name := fmt.Sprintf("r%d", i)
+			c.Routes[name] = config.Route{Name: name, PathPrefix: "/" + name + "/", Service: "desk", Policy: "p", Host: "a.example"}
+		}
+		return c
+	}
+	if err := s.adopt(&log, 3, build(3, time.Second), "test"); err != nil {
+		t.Fatal(err)
+	}
+	before := s.Current().Configuration
+	if err := s.adopt(&log, 9, build(5, 2*time.Second), "test"); err != nil {
+		t.Fatal(err)
+	}
+	d, ok := s.Since(3)
+	if !ok || d.To != 9 {
+		t.Fatalf("%+v, %v", d, ok)
+	}
+	after, err := d.Apply(before)
+	if err != nil || len(after.Routes) != 5 || after.Limits.IdleTimeout.Std() != 2*time.Second {
+		t.Errorf("%+v, error %v", after, err)
+	}
+	if _, ok := s.Since(2); ok {
+		t.Error("a delta from a version that was never in force")
+	}
+}
