--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -81,7 +81,7 @@
 	publisher := directory.NewPublisher(state, store, log, peers.Offer)
 	follower.OnOwnRecord = publisher.Stored
 
-	gate := admission.NewGate(admission.New(admission.Settings{Warm: true}), now)
+	gate := admission.NewGate(admission.New(admission.Settings{Warm: true, Exact: true}), now)
 	backend := upstream.NewPool(upstream.Settings{Clock: now, Idle: backendIdle})
 	own := announce.New(announce.Settings{
 		Instance: membership.Instance{ID: membership.InstanceID(vm.Node), Service: vm.Service, AvailabilityZone: vm.AvailabilityZone,
--- a/pkg/admission/backlog_test.go
+++ b/pkg/admission/backlog_test.go
@@ -92,3 +92,29 @@
 		t.Errorf("limit %d after the announcement, want 18", got)
 	}
 }
+
+// Guards against the pattern "all instances shed half of their work although they have room": a limit that falls with each
+// shed call would leave one slot of 18 in use.
+func TestShedWithFreeSlotsKeepsExactSlots(t *testing.T) {
+	q, now := New(Settings{Slots: 18, Warm: true, Exact: true}), time.Unix(0, 0)
+	shed := func(inUse int) {
+		for range inUse {
+			q.Offer(now, Work{Rank: 1, Deadline: now.Add(time.Second)})
+		}
+		for range inUse {
+			q.Done(now, Work{Rank: 1}, Result{Shed: true})
+		}
+	}
+	for range 100 {
+		shed(9)
+	}
+	if got := q.Load().Limit; got != 18 {
+		t.Errorf("limit %d after calls were shed at half use, want 18", got)
+	}
+	for range 100 {
+		shed(18)
+	}
+	if got := q.Load().Limit; got < 13 || got == 18 {
+		t.Errorf("limit %d after calls were shed at full use, want from 13 to 17", got)
+	}
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -35,6 +35,7 @@
 func New(s Settings) *Queue {
 	s = s.withDefaults()
 	q := &Queue{settings: s, limit: newSlotLimit(s.Slots, s.ColdSlots, s.Warm)}
+	q.limit.exact = s.Exact
 	q.estimates = estimates{deviations: s.Deviations, policies: make(map[string]*average)}
 	q.SetShares(time.Time{}, s.Shares)
 	return q
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -8,7 +8,9 @@
 	announced int
 	cold      int
 	warm      bool
-	limit     float64
+	// exact states that the announced slots are what the backend server runs at once.
+	exact bool
+	limit float64
 }
 
 func newSlotLimit(announced, cold int, warm bool) slotLimit {
@@ -30,6 +32,10 @@
 	l.limit = min(l.limit, float64(l.announced))
 }
 
+// exactFloor is the part of exact slots below which the limit does not fall: status checks and new connections hold a few
+// of them for a moment.
+const exactFloor = 0.75
+
 func (l *slotLimit) coldSlots() int {
 	if l.cold > 0 {
 		return min(l.cold, l.announced)
@@ -47,6 +53,10 @@
 		return
 	}
 	switch {
+	case r.Shed && l.exact && inUse < l.slots():
+		// The backend server had free slots: what it shed says nothing about their number.
+	case r.Shed && l.exact:
+		l.limit = max(1, exactFloor*float64(l.announced), l.limit-1)
 	case r.Shed:
 		l.limit = max(1, min(l.limit-1, float64(inUse-1)))
 	case r.Served && 2*inUse >= l.slots():
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -95,6 +95,9 @@
 	Slots int
 	// Warm starts with all slots instead of ColdSlots.
 	Warm bool
+	// Exact states that the backend server runs as many calls at once as it announces, so that what it sheds below them
+	// does not lower the limit.
+	Exact bool
 	// ColdSlots is the limit of a cold instance.
 	ColdSlots int
 	// Shares is the guaranteed share of slot time by rank.
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -57,6 +57,9 @@
 	EventRefused
 	// EventFailed: the instance broke the connection, answered too late or with rubbish.
 	EventFailed
+	// EventErrored: the instance answered with an error, or refused the request itself. Its own fault cannot be told from
+	// that of a call it has made, so that it gets less work than instances with fewer errors but is not ejected.
+	EventErrored
 	// EventUnreachable: no connection could be opened.
 	EventUnreachable
 	// EventAbandoned: the caller went away; it says nothing about the instance.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -164,3 +164,48 @@
 		}
 	}
 }
+
+// Guards against the pattern "a service below fails": its callers answer with errors although they are sound, and ejecting
+// them takes away the instances that remain. Errors at all instances leave the choice as it was.
+func TestErrorsFromBelowEjectNobody(t *testing.T) {
+	p := newPicker(false, instances(4, "a"))
+	for range 50 {
+		for _, id := range []membership.InstanceID{"i0", "i1", "i2", "i3"} {
+			p.Reserve(id)
+			p.Observe(t0, id, Observation{Event: EventErrored})
+		}
+	}
+	for id, n := range spread(p, t0, 400, true) {
+		if n < 50 {
+			t.Errorf("%s got %d of 400 calls", id, n)
+		}
+	}
+}
+
+// Guards against the pattern "one instance fails part of its requests while its status check is good": it must get clearly
+// less work than the sound ones, and work again after its recovery.
+func TestPartlyFailingInstanceGetsLess(t *testing.T) {
+	p := newPicker(false, instances(4, "a"))
+	attempt := func(failing bool) {
+		for i := range 200 {
+			for _, id := range []membership.InstanceID{"i0", "i1", "i2", "i3"} {
+				e := EventAnswered
+				if failing && id == "i0" && i%2 == 0 {
+					e = EventErrored
+				}
+				p.Reserve(id)
+				p.Observe(t0, id, Observation{Event: e})
+			}
+		}
+	}
+	attempt(true)
+	failing := spread(p, t0, 40, true)["i0"]
+	for id := range p.byID {
+		p.byID[id].inFlight = 0
+	}
+	attempt(false)
+	recovered := spread(p, t0, 40, true)["i0"]
+	if failing > 5 || recovered < 7 {
+		t.Errorf("%d of 40 calls while half of them fail, %d after the recovery", failing, recovered)
+	}
+}
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -18,6 +18,8 @@
 	reportedAt  time.Time
 	reportedOwn int
 	latency     time.Duration
+	// errors is the moving average of the share of attempts that ended with EventErrored.
+	errors float64
 
 	failures     int
 	ejections    int
@@ -27,7 +29,7 @@
 func (in *instance) update(now time.Time, rec membership.Instance, slow bool) {
 	restarted := in.rec.Incarnation != 0 && rec.Incarnation != in.rec.Incarnation
 	if restarted {
-		in.failures, in.ejections, in.ejectedUntil = 0, 0, time.Time{}
+		in.failures, in.ejections, in.ejectedUntil, in.errors = 0, 0, time.Time{}, 0
 		in.reportedAt = time.Time{}
 	}
 	if rec.State == membership.StateReady && (in.rec.State != membership.StateReady || restarted) {
@@ -65,7 +67,29 @@
 			capacity = in.reported.Limit
 		}
 	}
-	return float64(load+1) / (float64(max(1, capacity)) * in.warmth(now, slowStart))
+	return float64(load+1) / (float64(max(1, capacity)) * in.warmth(now, slowStart) * in.soundness())
+}
+
+const (
+	// errorWeight is the weight of one attempt in the average of errors; it follows a change within about 20 attempts.
+	errorWeight = 0.05
+	// minSoundness keeps some work at an instance with errors only, so that its recovery shows.
+	minSoundness = 0.05
+)
+
+// soundness is the factor that errors leave of an instance's capacity. It falls with the square of the successes: a request
+// that fails has held a slot and is lost or sent again.
+func (in *instance) soundness() float64 {
+	return max(minSoundness, (1-in.errors)*(1-in.errors))
+}
+
+func (in *instance) count(o Observation) {
+	switch o.Event {
+	case EventAnswered:
+		in.errors -= errorWeight * in.errors
+	case EventErrored:
+		in.errors += errorWeight * (1 - in.errors)
+	}
 }
 
 func (in *instance) observe(now time.Time, o Observation) {
@@ -73,6 +97,7 @@
 	if o.Load != nil {
 		in.reported, in.reportedAt, in.reportedOwn = *o.Load, now, in.inFlight
 	}
+	in.count(o)
 	if o.Event != EventAnswered {
 		return
 	}
--- /dev/null
+++ b/pkg/balance/split_test.go
@@ -0,0 +1,28 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+)
+
+// Guards against shares that lie off the weights over a few hundred requests, a part with weight zero that gets some, and
+// a changed split that goes on with the old weights.
+func TestSplitFollowsTheWeights(t *testing.T) {
+	var s Splitter
+	count := func(parts []config.WeightedService, n int) map[string]int {
+		got := make(map[string]int)
+		for range n {
+			got[s.Next("list", parts)]++
+		}
+		return got
+	}
+	got := count([]config.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}, 300)
+	if got["a"] != 270 || got["b"] != 30 {
+		t.Errorf("%v, want 270 and 30", got)
+	}
+	got = count([]config.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}, 10)
+	if got["a"] != 5 || got["b"] != 5 {
+		t.Errorf("%v after the change, want 5 each", got)
+	}
+}
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -116,18 +116,20 @@
 	return ch.budget.Decide(now, service, a)
 }
 
-// observed classifies an attempt. Statuses of 500 and above count as failures: an instance that answers fast with
-// errors would otherwise attract calls.
+// observed classifies an attempt. Statuses of 500 and above count as errors: an instance that answers fast with errors
+// would otherwise attract calls.
 func observed(rep *reply) balance.Event {
 	switch {
 	case rep.outcome == idempotency.OutcomeAnswered && rep.status < 500:
 		return balance.EventAnswered
 	case rep.outcome == idempotency.OutcomeAnswered:
-		return balance.EventFailed
+		return balance.EventErrored
 	case rep.failure == upstream.FailCancelled, rep.reason == metric.RefusedCallerGone:
 		return balance.EventAbandoned
 	}
 	switch rep.reason {
+	case metric.RefusedShed:
+		return balance.EventErrored
 	case metric.RefusedConnect, metric.RefusedDraining, metric.RefusedNotReady, metric.RefusedWrongService:
 		if rep.failure == upstream.FailConnections {
 			return balance.EventRefused
--- /dev/null
+++ b/pkg/upstream/late_test.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+)
+
+// serve answers the requests of one connection with what reply returns, and tells the heads of the requests that it got.
+func serve(t *testing.T, handle func(n int, r *http.Request, c net.Conn)) (addr string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					handle(n, r, c)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func get(id string) *Exchange {
+	return &Exchange{RequestID: id, EchoHeader: "X-Id", SkipLate: true, AllowUnframed: true, Idempotent: true, Deadline: time.Now().Add(5 * time.Second),
+		Request: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "desk", Header: http.Header{"X-Id": {id}}}}
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against the fault "a second answer arrives late, where the next one is expected": it must be skipped, and the
+// request must get its own answer.
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	addr := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		id := r.Header.Get("X-Id")
+		late := ""
+		if id == "b" {
+			late = reply("a", "answer to a, again")
+		}
+		_, _ = io.WriteString(c, late+reply(id, "answer to "+id))
+	})
+	pool := NewPool(Settings{})
+	defer pool.CloseIdle()
+	for _, id := range []string{"a", "b", "c"} {
+		res := pool.Do(context.Background(), addr, get(id))
+		if res.Answer == nil || string(res.Answer.Body) != "answer to "+id {
+			t.Errorf("%s: %+v", id, res)
+		}
+	}
+}
+
+// Guards against an answer without a length that is lost although it ended whole, and one that a reset cut.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	addr := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n\r\nbody")
+		if r.Header.Get("X-Id") == "reset" {
+			time.Sleep(50 * time.Millisecond) // so that the head has been read
+			c.(*net.TCPConn).SetLinger(0)     //nolint:errcheck // the test fails if it has no effect
+		}
+		c.Close()
+	})
+	pool := NewPool(Settings{})
+	defer pool.CloseIdle()
+	if res := pool.Do(context.Background(), addr, get("whole")); res.Answer == nil || string(res.Answer.Body) != "body" {
+		t.Errorf("whole: %+v", res)
+	}
+	if res := pool.Do(context.Background(), addr, get("reset")); res.Answer != nil {
+		t.Errorf("reset: %+v", res.Answer)
+	}
+}
+
+// Guards against the fault "the server answers before it has read a long body, and reads on later": the answer must arrive
+// at once, and the connection must not carry another request, which would be read as the rest of the body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	const size = 32 << 20
+	stop := make(chan struct{})
+	defer close(stop)
+	addr := serve(t, func(n int, r *http.Request, c net.Conn) {
+		if n > 0 {
+			t.Error("the connection was used again")
+			return
+		}
+		_, _ = io.WriteString(c, reply(r.Header.Get("X-Id"), "early"))
+		if r.ContentLength == size {
+			<-stop
+		}
+	})
+	pool := NewPool(Settings{})
+	defer pool.CloseIdle()
+	ex := get("long")
+	ex.Request.Method, ex.Request.ContentLength, ex.Request.Body = http.MethodPut, size, io.NopCloser(bytes.NewReader(make([]byte, size)))
+	start := time.Now()
+	res := pool.Do(context.Background(), addr, ex)
+	if res.Answer == nil || string(res.Answer.Body) != "early" || !time.Now().Before(ex.Deadline) {
+		t.Fatalf("%+v after %v", res, time.Since(start))
+	}
+	if res = pool.Do(context.Background(), addr, get("next")); res.Answer == nil {
+		t.Errorf("next: %+v", res)
+	}
+}
