--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -29,8 +29,9 @@
 	// peerDialTimeout bounds a new connection to another node, a few milliseconds away. A VM that does not answer is
 	// down or cut off, and the call goes elsewhere.
 	peerDialTimeout = 250 * time.Millisecond
-	// peerSilence ends a connection to another node that acknowledges nothing: three retransmissions on a path with loss.
-	peerSilence = time.Second
+	// peerSilence ends a connection to another node that acknowledges nothing. A lost packet is sent again after 200 ms, so
+	// that one loss in a row does no harm.
+	peerSilence = 500 * time.Millisecond
 	// backendIdle is shorter than the idle timeout of backend servers, 10 s.
 	backendIdle = 5 * time.Second
 	// slowStart is how long a backend server is slow after its start.
@@ -137,7 +138,7 @@
 // retrySettings gives each node a part of the mesh's retry budget. The ratio is halved, since calls of a repeated run
 // count as repeats too. The number of nodes is not known; the bursts of a dozen stay within the slack.
 func retrySettings(b platform.Bounds) retry.Settings {
-	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: 4, Floor: 0.1, FloorBurst: 1, Moves: maxMoves}
+	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: 4, Floor: 0.1, FloorBurst: 1, Moves: maxMoves, ByRequest: true}
 }
 
 // maxMoves is how often a call that no backend server has seen goes on to another node: all instances of a service of
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -19,7 +19,7 @@
 	// DefaultSpill is the load of the better of two instances of the own availability zone above which other zones are
 	// considered. Below it a call stays in the zone, which saves the way between zones.
 	DefaultSpill = 0.8
-	// DefaultFailures in a row eject an instance; a refused dial ejects it at once.
+	// DefaultFailures in a row eject an instance; one that cannot be reached is passed over at once, for as long.
 	DefaultFailures = 5
 	// DefaultEjection is the length of the first ejection; each further one is twice as long up to MaxEjection.
 	DefaultEjection = 2 * time.Second
@@ -57,13 +57,13 @@
 	EventRefused
 	// EventFailed: the instance broke the connection, answered too late or with rubbish.
 	EventFailed
-	// EventErrored: the instance answered with an error, or refused the request itself. Its own fault cannot be told from
-	// that of a call it has made, so that it gets less work than instances with fewer errors but is not ejected.
-	EventErrored
 	// EventUnreachable: no connection could be opened.
 	EventUnreachable
 	// EventAbandoned: the caller went away; it says nothing about the instance.
 	EventAbandoned
+	// EventErrored: the instance answered with an error, or refused the request itself. Its own fault cannot be told from
+	// that of a call it has made, so that it gets less work than instances with fewer errors but is not ejected.
+	EventErrored
 )
 
 // Load is what an egress reports about itself in its answers.
@@ -247,12 +247,17 @@
 		return
 	}
 	in.observe(now, o)
+	if o.Event == EventUnreachable {
+		in.setUnreachable(now, p.set.Ejection)
+		return
+	}
 	if in.suspect(o.Event, p.set.Failures) && p.mayEject(now, in) {
 		in.eject(now, p.set.Ejection)
 	}
 }
 
-// mayEject holds ejections to half of a service, so that misleading health never empties it.
+// mayEject holds ejections to half of a service, so that misleading health never empties it. Instances that cannot be
+// reached do not count: to pass them over loses nothing, and in a zone that is cut off from the others they are most.
 func (p *Picker) mayEject(now time.Time, in *instance) bool {
 	list := p.services[in.rec.Service]
 	ejected := 1
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -62,7 +62,7 @@
 			}
 		}
 		p, now := newPicker(false, recs), t0
-		for _, e := range rapid.SliceOfN(rapid.IntRange(0, 4), 1, 200).Draw(t, "events") {
+		for _, e := range rapid.SliceOfN(rapid.IntRange(0, int(EventErrored)), 1, 200).Draw(t, "events") {
 			now = now.Add(20 * time.Millisecond)
 			in, err := p.Pick(now, "desk", nil)
 			if (err == nil) != (ready > 0) || in.State != membership.StateReady && err == nil {
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -24,12 +24,15 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// unreachableUntil is until when an instance that could not be reached is passed over.
+	unreachableUntil time.Time
 }
 
 func (in *instance) update(now time.Time, rec membership.Instance, slow bool) {
 	restarted := in.rec.Incarnation != 0 && rec.Incarnation != in.rec.Incarnation
 	if restarted {
-		in.failures, in.ejections, in.ejectedUntil, in.errors = 0, 0, time.Time{}, 0
+		in.failures, in.ejections, in.errors = 0, 0, 0
+		in.ejectedUntil, in.unreachableUntil = time.Time{}, time.Time{}
 		in.reportedAt = time.Time{}
 	}
 	if rec.State == membership.StateReady && (in.rec.State != membership.StateReady || restarted) {
@@ -45,8 +48,10 @@
 	return in.rec.State == membership.StateReady && !slices.Contains(exclude, in.rec.ID)
 }
 
+// usable reports whether the instance may be chosen. After an ejection it gets one request at a time until one is
+// answered: others would wait for the same failure.
 func (in *instance) usable(now time.Time, exclude []membership.InstanceID) bool {
-	return in.ready(exclude) && !in.ejectedUntil.After(now)
+	return in.ready(exclude) && !in.ejectedUntil.After(now) && !in.unreachableUntil.After(now) && (in.ejections == 0 || in.inFlight == 0)
 }
 
 // warmth rises from minWarmth to 1 during the slow start.
@@ -98,6 +103,9 @@
 		in.reported, in.reportedAt, in.reportedOwn = *o.Load, now, in.inFlight
 	}
 	in.count(o)
+	if o.Event == EventErrored || o.Event == EventRefused {
+		in.ejections = 0 // It can be reached.
+	}
 	if o.Event != EventAnswered {
 		return
 	}
@@ -110,20 +118,28 @@
 
 // suspect counts failures in a row and reports whether they are enough for an ejection.
 func (in *instance) suspect(e Event, limit int) bool {
-	switch e {
-	case EventFailed:
-		in.failures++
-	case EventUnreachable:
-		in.failures = max(limit, in.failures+1)
-	default:
+	if e != EventFailed {
 		return false
 	}
+	in.failures++
 	return in.failures >= limit
 }
 
 func (in *instance) eject(now time.Time, length time.Duration) {
-	in.ejectedUntil = now.Add(min(MaxEjection, length<<min(in.ejections, 8)))
-	in.ejections++
+	in.ejectedUntil = now.Add(in.pause(length))
 	in.failures = 0
 	in.readySince = in.ejectedUntil
 }
+
+func (in *instance) setUnreachable(now time.Time, length time.Duration) {
+	if !in.unreachableUntil.After(now) {
+		in.unreachableUntil = now.Add(in.pause(length))
+	}
+}
+
+// pause doubles with each ejection in a row.
+func (in *instance) pause(length time.Duration) time.Duration {
+	d := min(MaxEjection, length<<min(in.ejections, 8))
+	in.ejections++
+	return d
+}
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -28,6 +28,9 @@
 func (ch *choice) pick(now time.Time, service string, exclude []membership.InstanceID) (membership.Instance, error) {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
+	if len(exclude) == 0 {
+		ch.budget.Request(service)
+	}
 	if !ch.picker.Knows(service) {
 		ch.update(now, service)
 	}
@@ -127,6 +130,9 @@
 	case rep.failure == upstream.FailCancelled, rep.reason == metric.RefusedCallerGone:
 		return balance.EventAbandoned
 	}
+	if rep.failure == upstream.FailSilent {
+		return balance.EventUnreachable
+	}
 	switch rep.reason {
 	case metric.RefusedShed:
 		return balance.EventErrored
--- a/pkg/retry/budgets.go
+++ b/pkg/retry/budgets.go
@@ -23,7 +23,10 @@
 	return d
 }
 
-// Success adds to the budget of a service.
+// Request counts a request to a service, before its first attempt.
+func (b *Budgets) Request(service string) { b.of(service).Request() }
+
+// Success counts a request to a service that was answered.
 func (b *Budgets) Success(service string) { b.of(service).Success() }
 
 // Decide takes one retry from the budget of the service if the attempt may be retried.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -30,6 +30,9 @@
 	Floor        float64
 	FloorBurst   float64
 	MinRemaining time.Duration
+	// ByRequest pays each request into the budget instead of each success. Retries then stay the same part of the load when
+	// many requests fail, which is when they help.
+	ByRequest bool
 	// Moves is how often a call that no backend server has seen may go on to another node without a budget; 0 means that
 	// such a call counts like any other.
 	Moves int
@@ -90,8 +93,21 @@
 	return &Decider{set: s, floor: s.FloorBurst}
 }
 
-// Success adds to the budget.
-func (d *Decider) Success() { d.tokens = min(d.set.Burst, d.tokens+d.set.Ratio) }
+// Success counts a request that was answered.
+func (d *Decider) Success() {
+	if !d.set.ByRequest {
+		d.earn()
+	}
+}
+
+// Request counts a request, before its first attempt.
+func (d *Decider) Request() {
+	if d.set.ByRequest {
+		d.earn()
+	}
+}
+
+func (d *Decider) earn() { d.tokens = min(d.set.Burst, d.tokens+d.set.Ratio) }
 
 // Decide takes one retry from the budget if the attempt may be retried.
 func (d *Decider) Decide(now time.Time, a Attempt) Decision {
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
@@ -288,6 +289,8 @@
 		return FailCancelled
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return FailDeadline
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return FailSilent
 	case other == FailWrite || other == FailRequest:
 		return other
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
--- a/pkg/upstream/result.go
+++ b/pkg/upstream/result.go
@@ -36,10 +36,12 @@
 	FailMismatch
 	// FailMalformed: the answer is not valid HTTP/1.1.
 	FailMalformed
+	// FailSilent: the peer's host acknowledged nothing for as long as the connection allows.
+	FailSilent
 )
 
 var failureNames = [...]string{"none", "connect", "connections", "request", "write", "deadline", "cancelled", "cut",
-	"mismatch", "malformed"}
+	"mismatch", "malformed", "silent"}
 
 func (f Failure) String() string { return failureNames[f] }
 
