Log what decides on calls, bounded and without blocking

One line for each refusal, retry, error and call turned away, with the request's id, its time, the load of the backend server and the configuration version.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/platform"
 )
 
@@ -50,8 +51,12 @@
 		return exitBadSettings
 	}
 	level, _ := zerolog.ParseLevel(s.LogLevel) // The parser has checked it.
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("node", vm.Node).Logger()
-	if err := serve(&s, vm, log); err != nil {
+	metrics := metric.NewSet()
+	metric.WatchProcess(metrics)
+	log, ring := newLogger(os.Stdout, level, metrics)
+	defer func() { _ = ring.Close() }() // Nothing can be logged if it fails.
+	log = log.With().Str("node", vm.Node).Logger()
+	if err := serve(&s, vm, log, metrics); err != nil {
 		event.NodeFailed.Write(event.NodeFailed.Log(&log).Err(err))
 		return exitFailed
 	}
@@ -59,9 +64,9 @@
 }
 
 // serve runs the node until SIGTERM or SIGINT.
-func serve(s *Settings, vm platform.Machine, log zerolog.Logger) error {
+func serve(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) error {
 	tune(vm.MemoryBytes)
-	n, err := newNode(s, vm, log)
+	n, err := newNode(s, vm, log, metrics)
 	if err != nil {
 		return err
 	}
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -55,10 +55,9 @@
 }
 
 // newNode puts the node together.
-func newNode(s *Settings, vm platform.Machine, log zerolog.Logger) (*node, error) {
+func newNode(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) (*node, error) {
 	var now clock.Clock = clock.System{}
-	metrics := metric.NewSet()
-	metric.WatchProcess(metrics)
+	callLog := forCalls(log, metrics)
 	peerDial := network.Dialer(peerDialTimeout, peerSilence)
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		return peerDial.DialContext(ctx, "tcp", addr)
@@ -100,11 +99,11 @@
 	calls := proxy.NewCalls()
 	dialect := platform.Dialect{}
 	egress := proxy.NewEgress(proxy.EgressSettings{Own: own, Gate: slots{gate}, Backend: backend, Calls: calls, Metrics: metrics,
-		Clock: now, Log: log, Dialect: dialect, Source: state, OnNewer: peers.Ask})
+		Clock: now, Log: callLog, Dialect: dialect, Source: state, OnNewer: peers.Ask})
 	peerPool := upstream.NewPool(upstream.Settings{Clock: now, Dial: dial, DialTimeout: peerDialTimeout})
 	ingress := proxy.NewIngress(proxy.IngressSettings{Self: membership.InstanceID(vm.Node), Source: state, View: state, Egress: egress,
 		Calls: calls, Peers: peerPool, Picker: balance.New(balance.Settings{AvailabilityZone: vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
-		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: log, Dialect: dialect,
+		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: callLog, Dialect: dialect,
 		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask})
 
 	idle := newIdleConns(state)
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -49,20 +49,20 @@
 	}
 	switch {
 	case q.limit.announced == 0:
-		return q.refuse(metric.RefusedNotReady)
+		return q.refuse(metric.RefusedNotReady, w)
 	case q.estimates.tooSlow(now, w):
-		return q.refuse(metric.RefusedDeadline)
+		return q.refuse(metric.RefusedDeadline, w)
 	case len(q.queues[w.Rank]) == 0 && q.mayStart(now, w.Rank):
 		// Other ranks that wait could not use the slot, unless the headroom has run out since: every call that frees one
 		// hands it out at once.
 		q.start(now, w.Rank)
 		return Decision{Verdict: Run}
 	case q.tooLate(now, w):
-		return q.refuse(metric.RefusedDeadline)
+		return q.refuse(metric.RefusedDeadline, w)
 	}
 	displaced, ok := q.makeRoom(now, w)
 	if !ok {
-		return q.refuse(metric.RefusedQueueFull)
+		return q.refuse(metric.RefusedQueueFull, w)
 	}
 	q.lastID++
 	q.queues[w.Rank] = append(q.queues[w.Rank], waiting{q.lastID, w})
@@ -108,7 +108,7 @@
 		for i := 0; i < len(q.queues[r]); {
 			if e := q.queues[r][i]; q.expired(now, e.work) {
 				q.remove(r, i)
-				q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline)})
+				q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline, e.work)})
 				continue
 			}
 			i++
@@ -169,7 +169,7 @@
 		}
 		e := q.remove(rank, q.choose(now, rank))
 		if q.expired(now, e.work) {
-			q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline)})
+			q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline, e.work)})
 			continue
 		}
 		q.start(now, rank)
@@ -279,12 +279,18 @@
 	return seconds(wait)
 }
 
-func (q *Queue) refuse(reason metric.Refusal) Decision {
-	return Decision{Verdict: Refuse, Refusal: q.refusal(reason)}
+func (q *Queue) refuse(reason metric.Refusal, w Work) Decision {
+	return Decision{Verdict: Refuse, Refusal: q.refusal(reason, w)}
 }
 
-func (q *Queue) refusal(reason metric.Refusal) Refusal {
-	return Refusal{reason, retryAfter(q.wait(Ranks - 1))}
+// refusal tells when to come back: when the backlog is worked off as it is now, but not before a part of the time that the
+// target allows. A caller that comes back at once meets the same backlog and uses up its tries.
+func (q *Queue) refusal(reason metric.Refusal, w Work) Refusal {
+	wait := q.wait(Ranks - 1)
+	if !w.Target.IsZero() {
+		wait = max(wait, w.Target.Sub(w.Arrived)/returnPart)
+	}
+	return Refusal{reason, retryAfter(wait)}
 }
 
 func (q *Queue) refuseAll(reason metric.Refusal) {
@@ -295,6 +301,9 @@
 	}
 }
 
+// returnPart of the time that a target allows is the shortest time after which refused work comes back.
+const returnPart = 2
+
 // Bounds of Refusal.RetryAfter: shorter ones repeat the refusal, longer ones leave slots idle after a flood.
 const (
 	minRetryAfter = 10 * time.Millisecond
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -71,10 +71,14 @@
 		c.signal = func() { w.WriteHeader(http.StatusProcessing) }
 		rep = e.serve(r.Context(), c)
 	}
+	l := e.Gate.Load()
 	if rep.reason != "" {
 		e.Metrics.Refused(rep.reason)
+		now := e.Clock.Now()
+		event.CallTurnedAway.Write(event.CallTurnedAway.Log(&e.Log).Str("request", c.id).Str("service", c.service).Str("route", c.route).
+			Str("reason", string(rep.reason)).Str("outcome", outcomeNames[rep.outcome]).Int("rank", c.rank).Dur("took_ms", now.Sub(c.arrived)).
+			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
-	l := e.Gate.Load()
 	set(w.Header(), HeaderLoad, l.String())
 	e.compareVersions(w, r, c.version)
 	if err := rep.write(w, r, Native{}, c.id, c.deadline); err != nil {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -39,6 +39,7 @@
 		if target, ok = in.again(ctx, c, rep); !ok {
 			return in.finish(c, rep, true)
 		}
+		in.describe(event.CallRetried.Log(&in.Log).Str("next", string(target.ID)), c, rep, event.CallRetried.Write)
 		if rep.outcome != idempotency.OutcomeNotRun {
 			ran = rep.whole()
 		}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -132,6 +132,7 @@
 	if rep.reason != "" {
 		in.Metrics.Refused(rep.reason)
 	}
+	in.record(c, rep)
 	rep.late = !c.deadline.IsZero() && !in.Clock.Now().Before(c.deadline)
 	if err := rep.write(w, r, in.Dialect, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&in.Log).Err(err).Str("service", c.service).Str("request", c.id))
@@ -139,6 +140,39 @@
 	}
 }
 
+// record writes one line for a call that did not end with a good answer.
+func (in *Ingress) record(c *call, rep *reply) {
+	e := event.CallRefused
+	if rep.reason == "" {
+		if rep.status < http.StatusInternalServerError {
+			return
+		}
+		e = event.CallFailed
+	}
+	in.describe(e.Log(&in.Log), c, rep, func(z *zerolog.Event) { e.Write(z) })
+}
+
+// describe adds what decided on a call.
+func (in *Ingress) describe(z *zerolog.Event, c *call, rep *reply, write func(*zerolog.Event)) {
+	now := in.Clock.Now()
+	z = z.Str("request", c.id).Str("service", c.service).Str("route", c.route).Str("reason", string(rep.reason)).
+		Str("outcome", outcomeNames[rep.outcome]).Int("attempts", len(c.tried)).Int("rank", c.rank).Uint64("version", uint64(c.version)).
+		Dur("took_ms", now.Sub(c.arrived)).Dur("left_ms", c.deadline.Sub(now)).Dur("retry_after_ms", rep.retryAfter)
+	if n := len(c.tried); n > 0 {
+		z = z.Str("instance", string(c.tried[n-1]))
+	}
+	if rep.status != 0 {
+		z = z.Int("status", rep.status)
+	}
+	if rep.load != nil {
+		z = z.Int("in_use", rep.load.InUse).Int("limit", rep.load.Limit).Int("queued", rep.load.Queued)
+	}
+	if rep.err != nil {
+		z = z.Err(rep.err)
+	}
+	write(z)
+}
+
 // minPatience leaves room for the way between regions and back, and for the first signs of life.
 const minPatience = 100 * time.Millisecond
 
@@ -166,7 +200,7 @@
 		c.service = in.splits.Next(m.Route.Name, m.Route.Split)
 	}
 	if from.Remaining > 0 {
-		c.deadline = earlier(c.deadline, now.Add(from.Remaining))
+		c.deadline = earlier(c.deadline, now.Add(from.Remaining-min(callerMargin, from.Remaining/10)))
 	}
 	if parent != nil {
 		c.inherit(parent)
@@ -179,6 +213,10 @@
 	return c, c.load(r, bodyLimit(snap))
 }
 
+// callerMargin is the part of the caller's time that is kept back for the way of the request and of the answer, some
+// milliseconds each, so that a final answer still reaches the caller.
+const callerMargin = 25 * time.Millisecond
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
