Bound the memory of request bodies; let displaced callers come back later

A body may be 64 MiB, and a VM has 284 MB for the node: bodies of several calls together could end the process. They now share a quarter of the memory; a call beyond it is refused as not run.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -42,6 +42,8 @@
 	// stayInZone is by how much the load of an instance in another zone must be lower, as a fraction of its slots, for a
 	// call to leave the zone: bytes between zones are dear.
 	stayInZone = 0.3
+	// bodyPart of the VM's memory for the process may hold request bodies; the kernel's buffers hold as much again.
+	bodyPart = 4
 	// drainPart is the part of the drain time in which a leaving backend server still takes new work; the rest is for
 	// requests on their way to it.
 	drainPart = 2
@@ -96,15 +98,15 @@
 			publisher.Set(in)
 		},
 	})
-	calls := proxy.NewCalls()
+	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(vm.MemoryBytes/bodyPart)
 	dialect := platform.Dialect{}
 	egress := proxy.NewEgress(proxy.EgressSettings{Own: own, Gate: slots{gate}, Backend: backend, Calls: calls, Metrics: metrics,
-		Clock: now, Log: callLog, Dialect: dialect, Source: state, OnNewer: peers.Ask})
+		Clock: now, Log: callLog, Dialect: dialect, Source: state, OnNewer: peers.Ask, Bodies: bodies})
 	peerPool := upstream.NewPool(upstream.Settings{Clock: now, Dial: dial, DialTimeout: peerDialTimeout})
 	ingress := proxy.NewIngress(proxy.IngressSettings{Self: membership.InstanceID(vm.Node), Source: state, View: state, Egress: egress,
 		Calls: calls, Peers: peerPool, Picker: balance.New(balance.Settings{AvailabilityZone: vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
 		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: callLog, Dialect: dialect,
-		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask})
+		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask, Bodies: bodies})
 
 	idle := newIdleConns(state)
 	callers := proxy.NewServer(ingress)
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -21,7 +21,10 @@
 }
 
 // waiter is one blocked Acquire. ready holds one Notice and is written at most once, so a send never blocks.
-type waiter struct{ ready chan Notice }
+type waiter struct {
+	ready chan Notice
+	work  Work
+}
 
 // NewGate returns a gate around d, which it owns from now on.
 func NewGate(d Discipline, c clock.Clock) *Gate {
@@ -49,16 +52,23 @@
 		refused := d.Refusal // a copy, so that d stays off the heap on the fast path
 		return nil, &refused
 	}
-	wt := &waiter{ready: make(chan Notice, 1)}
+	wt := &waiter{ready: make(chan Notice, 1), work: w}
 	g.waiters[d.Ticket] = wt
 	if d.Displaced != 0 {
-		g.notify(Notice{d.Displaced, Refusal{metric.RefusedDisplaced, minRetryAfter}})
+		g.displace(d.Displaced)
 	}
 	latest := g.discipline.LatestStart(w)
 	g.mu.Unlock()
 	return g.wait(ctx, w, d.Ticket, wt, latest)
 }
 
+// displace refuses work that has lost its place to other work.
+func (g *Gate) displace(t Ticket) {
+	if wt := g.waiters[t]; wt != nil {
+		g.notify(Notice{t, Refusal{metric.RefusedDisplaced, retryAfter(returnTime(wt.work))}})
+	}
+}
+
 func (g *Gate) wait(ctx context.Context, w Work, t Ticket, wt *waiter, latest time.Time) (func(bool, bool, time.Duration), *Refusal) {
 	var timeout <-chan time.Time
 	if !latest.IsZero() {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -286,11 +286,15 @@
 // refusal tells when to come back: when the backlog is worked off as it is now, but not before a part of the time that the
 // target allows. A caller that comes back at once meets the same backlog and uses up its tries.
 func (q *Queue) refusal(reason metric.Refusal, w Work) Refusal {
-	wait := q.wait(Ranks - 1)
-	if !w.Target.IsZero() {
-		wait = max(wait, w.Target.Sub(w.Arrived)/returnPart)
+	return Refusal{reason, retryAfter(max(q.wait(Ranks-1), returnTime(w)))}
+}
+
+// returnTime is the shortest time after which refused work comes back.
+func returnTime(w Work) time.Duration {
+	if w.Target.IsZero() {
+		return 0
 	}
-	return Refusal{reason, retryAfter(wait)}
+	return w.Target.Sub(w.Arrived) / returnPart
 }
 
 func (q *Queue) refuseAll(reason metric.Refusal) {
@@ -301,7 +305,7 @@
 	}
 }
 
-// returnPart of the time that a target allows is the shortest time after which refused work comes back.
+// returnPart of the time that a target allows is when refused work may come back.
 const returnPart = 2
 
 // Bounds of Refusal.RetryAfter: shorter ones repeat the refusal, longer ones leave slots idle after a flood.
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -21,6 +21,7 @@
 	RefusedTooLarge         Refusal = "too_large"
 	RefusedForbidden        Refusal = "forbidden"
 	RefusedQueueFull        Refusal = "queue_full"
+	RefusedMemory           Refusal = "body_memory"
 	RefusedDeadline         Refusal = "deadline"
 	RefusedDisplaced        Refusal = "displaced"
 	RefusedDraining         Refusal = "draining"
@@ -45,7 +46,7 @@
 // Refusals lists all reasons of refusals.
 var Refusals = []Refusal{
 	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
-	RefusedQueueFull, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedWrongService, RefusedShed,
+	RefusedQueueFull, RefusedMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedWrongService, RefusedShed,
 	RefusedConnect, RefusedHops, RefusedKeyMismatch, RefusedKeyRunning, RefusedKeyClaim, RefusedKeyConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
 	RefusedAnswerNotKept, RefusedVersionMismatch, RefusedSynchronisations,
--- a/pkg/proxy/body.go
+++ b/pkg/proxy/body.go
@@ -10,7 +10,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
 
-var errTooLarge = errors.New("the request body is larger than 1 MiB")
+var errTooLarge = errors.New("the request body is larger than the configuration allows")
 
 // body is a request body in memory.
 type body struct{ bytes.Reader }
--- /dev/null
+++ b/pkg/proxy/budget_test.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against request bodies that together take more memory than the VM has, and against a budget that is not given
+// back, which would refuse all bodies in the end.
+func TestBodyBudget(t *testing.T) {
+	const limit = 1 << 20
+	budget := NewBodyBudget(limit)
+	read := func(size int, chunked bool) ([]byte, error) {
+		r := httptest.NewRequest("PUT", "/", io.MultiReader(bytes.NewReader(make([]byte, size))))
+		r.ContentLength = int64(size)
+		if chunked {
+			r.ContentLength = -1
+		}
+		return readBody(r, 2*limit, budget)
+	}
+	for _, chunked := range []bool{false, true} {
+		first, err := read(limit/2, chunked)
+		if err != nil || len(first) != limit/2 {
+			t.Fatalf("chunked %v: %d bytes, error %v", chunked, len(first), err)
+		}
+		if _, err := read(limit/2+1, chunked); err != errNoMemory {
+			t.Errorf("chunked %v: error %v beyond the budget", chunked, err)
+		}
+		if _, err := read(3*limit, chunked); err == nil {
+			t.Errorf("chunked %v: a body beyond the limit was read", chunked)
+		}
+		budget.give(int64(len(first)))
+		if used := budget.used.Load(); used != 0 {
+			t.Errorf("chunked %v: %d bytes stay taken", chunked, used)
+		}
+	}
+}
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -152,25 +151,6 @@
 	return idempotency.Request{Service: c.service, Key: c.key, Digest: c.digest(), Window: c.window}
 }
 
-// readBody reads a request body of at most most bytes; errTooLarge marks a longer one.
-func readBody(r *http.Request, most int64) ([]byte, error) {
-	switch {
-	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
-		return nil, nil
-	case r.ContentLength > most:
-		return nil, errTooLarge
-	case r.ContentLength > 0:
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	if err == nil && int64(len(body)) > most {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // newID returns 128 random bits in hexadecimal form. The generator is seeded from the system and cannot be predicted.
 func newID() string {
 	var b [16]byte
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -35,6 +35,8 @@
 	Log     zerolog.Logger
 	// Dialect is the protocol of the backend server; nil means Native.
 	Dialect Dialect
+	// Bodies bounds the memory of request bodies; nil means no bound.
+	Bodies *BodyBudget
 	// Source, if set, tells the configuration in force here; answers to other nodes carry its version.
 	Source config.Source
 	// OnNewer, if set, is called with the IP address of a node that serves a newer configuration.
@@ -67,6 +69,7 @@
 // ServeHTTP takes a call from another node.
 func (e *Egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, rep := e.parse(r)
+	defer e.Bodies.give(int64(len(c.body)))
 	if rep == nil {
 		c.signal = func() { w.WriteHeader(http.StatusProcessing) }
 		rep = e.serve(r.Context(), c)
@@ -130,10 +133,10 @@
 	c.attempt, c.version, c.window = int(attempt), config.Version(version), time.Duration(window)*time.Microsecond
 	clearPeer(h)
 	stripHopByHop(h)
-	body, err := readBody(r, math.MaxInt64)
+	body, err := readBody(r, math.MaxInt64, e.Bodies)
 	switch {
-	case err == errTooLarge:
-		return c, refuseUnread(metric.RefusedTooLarge)
+	case err == errNoMemory:
+		return c, refuseUnread(metric.RefusedMemory)
 	case err != nil:
 		return c, refuseUnread(metric.RefusedMalformed)
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -39,6 +39,8 @@
 	Dialect Dialect
 	// Caller is the service that runs on this VM; backend servers may be told where a request entered the mesh.
 	Caller string
+	// Bodies bounds the memory of request bodies; nil means no bound.
+	Bodies *BodyBudget
 	// Steadfast makes each attempt wait for its answer until the deadline. Without it an idempotent call that shows no
 	// sign of life is sent elsewhere, which ends the work on the first attempt.
 	Steadfast bool
@@ -123,6 +125,7 @@
 	}
 	defer in.track.leave()
 	c, rep := in.parse(r, from, parent)
+	defer in.Bodies.give(int64(len(c.body)))
 	if rep == nil && in.endsTooLate(c) {
 		rep = refuse(metric.RefusedDraining)
 	}
@@ -210,7 +213,7 @@
 		return c, refuseUnread(metric.RefusedHops)
 	}
 	stripHopByHop(c.header)
-	return c, c.load(r, bodyLimit(snap))
+	return c, c.load(r, bodyLimit(snap), in.Bodies)
 }
 
 // callerMargin is the part of the caller's time that is kept back for the way of the request and of the answer, some
@@ -252,11 +255,13 @@
 }
 
 // load reads the body whole, so that a slow caller takes no slot and the call can be sent again.
-func (c *call) load(r *http.Request, most int64) *reply {
-	b, err := readBody(r, most)
+func (c *call) load(r *http.Request, most int64, budget *BodyBudget) *reply {
+	b, err := readBody(r, most, budget)
 	switch {
 	case err == errTooLarge:
 		return refuseUnread(metric.RefusedTooLarge)
+	case err == errNoMemory:
+		return refuseUnread(metric.RefusedMemory)
 	case err != nil && r.Context().Err() != nil:
 		return refuse(metric.RefusedCallerGone)
 	case err != nil:
