--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -26,7 +26,7 @@
 
 // Settings are the node's own flags; what belongs to the VM stands in the platform's settings file.
 type Settings struct {
-	File     string `required:"" env:"MONSOONLATCH_NODE_FILE" help:"Settings file that the platform writes for this VM."`
+	File     string `env:"MONSOONLATCH_FILE" help:"Settings file that the platform writes for this VM; without it the platform tells its path."`
 	Metrics  string `env:"MONSOONLATCH_METRICS" default:":7990" help:"Listen address for metrics and state (HTTP)."`
 	LogLevel string `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
 }
@@ -45,6 +45,9 @@
 		fmt.Fprintf(os.Stderr, "monsoonlatch-sidecar: %v; remedy: see --help for the settings\n", err)
 		return exitBadSettings
 	}
+	if s.File == "" {
+		s.File = platform.SettingsPath()
+	}
 	vm, err := platform.ReadSettings(s.File)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -125,7 +125,7 @@
 		newListener("announcements", vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: vm.Backend.String()}), log),
 		newListener("callers", vm.Callers.String(), callers, log),
 		newListener("ready", vm.Ready.String(), plainServer(ready), log),
-		newListener("metrics", s.Metrics, plainServer(metrics), log),
+		newListener("metrics", s.Metrics, plainServer(http.HandlerFunc(metrics.Text)), log),
 		d,
 	}
 	for _, svc := range services {
--- a/cmd/monsoonlatch/operations_test.go
+++ b/cmd/monsoonlatch/operations_test.go
@@ -13,7 +13,7 @@
 // Guards against a command on the pages that the tool does not take, or that names a file that is not in the examples.
 func TestPagesNameCommands(t *testing.T) {
 	found := 0
-	for _, page := range []string{"docs/operations.md", "README.md"} {
+	for _, page := range []string{"docs/OPERATIONS.md", "README.md"} {
 		text, err := os.ReadFile(filepath.Join("../..", page))
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/event/operations_test.go
+++ b/pkg/event/operations_test.go
@@ -9,7 +9,7 @@
 
 // Guards against an operators' page that names an event by a wrong number or name.
 func TestOperationsPageNamesEvents(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/metric/reasons_test.go
+++ b/pkg/metric/reasons_test.go
@@ -67,7 +67,7 @@
 // Guards against an operators' page that names a counter that no code counts. Counters made up of a prefix and a kind
 // are looked up by their prefix.
 func TestOperationsPageNamesCounters(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -195,12 +195,14 @@
 		return rep
 	}
 	start := e.Clock.Now()
+	e.Metrics.Observe(metric.QueueTime, start.Sub(c.arrived))
 	if !e.Own.Admits(start) {
 		// The backend server began to leave while the call waited.
 		release(false, false, 0)
 		return refuse(metric.RefusedDraining)
 	}
 	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
+	e.Metrics.Observe(metric.SlotTime, e.Clock.Now().Sub(start))
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedShed
 	if rep.rest == nil {
 		release(served, shed, e.Clock.Now().Sub(start))
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -136,6 +136,7 @@
 		in.Metrics.Refused(rep.reason)
 	}
 	in.record(c, rep)
+	defer func() { in.Metrics.Observe(metric.CallTime, in.Clock.Now().Sub(c.arrived)) }()
 	rep.late = !c.deadline.IsZero() && !in.Clock.Now().Before(c.deadline)
 	if err := rep.write(w, r, in.Dialect, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&in.Log).Err(err).Str("service", c.service).Str("request", c.id))
