--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -157,7 +157,8 @@
 }
 
 // Pick chooses an instance of the service outside exclude and counts a request in flight there. Observe must follow.
-// Ejected instances are chosen only if there is no other: a wrong suspicion must not empty a service.
+// Ejected and unreachable instances are chosen only for a first attempt and only if there is no other: a wrong suspicion
+// must not empty a service. A call that others have refused would wait there for a failure that is known.
 func (p *Picker) Pick(now time.Time, service string, exclude []membership.InstanceID) (membership.Instance, error) {
 	var in *instance
 	list := p.services[service]
@@ -196,7 +197,10 @@
 	if best := p.less(now, own, other); best != nil {
 		return best
 	}
-	return p.one(list, func(i *instance) bool { return i.ready(exclude) })
+	if len(exclude) > 0 {
+		return nil
+	}
+	return p.one(list, func(i *instance) bool { return i.ready(nil) })
 }
 
 // one returns a random instance among those that pass the filter.
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -209,3 +209,19 @@
 		t.Errorf("%d of 40 calls while half of them fail, %d after the recovery", failing, recovered)
 	}
 }
+
+// Guards against the pattern "the reachable instances of a service are full, the others cut off": a call that a full
+// instance has refused must be refused at once, and not after a connection that is known to fail.
+func TestRefusedCallDoesNotWaitForAnUnreachableInstance(t *testing.T) {
+	p := newPicker(false, instances(2, "a"))
+	p.Reserve("i1")
+	p.Observe(t0, "i1", Observation{Event: EventUnreachable})
+	if in, err := p.Pick(t0, "desk", []membership.InstanceID{"i0"}); err == nil {
+		t.Errorf("a refused call goes to %s, which cannot be reached", in.ID)
+	}
+	p.Reserve("i0")
+	p.Observe(t0, "i0", Observation{Event: EventUnreachable})
+	if _, err := p.Pick(t0, "desk", nil); err != nil {
+		t.Error("no instance is tried although all may be reachable again")
+	}
+}
