Build the node on the users' platform from parts that find each other by name

The listener and the adapter of the admission gate stood in both node programs; they are in internal/parts now, and the builder in pkg/kernel.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -9,12 +9,15 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
 	"github.com/monsoonlatch/monsoonlatch/platform"
 )
 
@@ -69,7 +72,11 @@
 // serve runs the node until SIGTERM or SIGINT.
 func serve(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) error {
 	tune(vm.MemoryBytes)
-	n, err := newNode(s, vm, log, metrics)
+	k, err := newNode(s, vm, log, metrics)
+	if err != nil {
+		return err
+	}
+	reload, err := kernel.Find[*reloader](k, nameReload)
 	if err != nil {
 		return err
 	}
@@ -78,13 +85,21 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	go n.reload.run(ctx, hup)
+	go reload.run(ctx, hup)
 	event.NodeStarted.Write(event.NodeStarted.Log(&log).Str("service", vm.Service).Str("zone", vm.AvailabilityZone))
-	err = n.kernel.Run(ctx, vm.Bounds.Grace-exitMargin)
-	n.caller.Close()
+	err = runNode(ctx, k, vm.Bounds.Grace-exitMargin)
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	event.NodeStopped.Write(event.NodeStopped.Log(&log).AnErr("cut_short_by", err))
 	return nil
 }
+
+// runNode runs all services until ctx ends, and then closes the connections to other nodes, which they use until the end.
+func runNode(ctx context.Context, k *kernel.Kernel, grace time.Duration) error {
+	err := k.Run(ctx, grace)
+	if caller, findErr := kernel.Find[*rpcwire.Pool](k, nameCaller); findErr == nil {
+		caller.Close()
+	}
+	return err
+}
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/internal/parts"
 	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
 	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
@@ -44,104 +45,197 @@
 	stayInZone = 0.3
 	// bodyPart of the VM's memory for the process may hold request bodies; the kernel's buffers hold as much again.
 	bodyPart = 4
+	// connectionsPerSlot bounds the connections to the backend server, far below the number that it accepts.
+	connectionsPerSlot = 2
 	// drainPart is the part of the drain time in which a leaving backend server still takes new work; the rest is for
 	// requests on their way to it.
 	drainPart = 2
 )
 
-// node is the parts that the lifecycle needs beyond the kernel.
-type node struct {
-	kernel *kernel.Kernel
-	caller *rpcwire.Pool
-	reload *reloader
+// Names under which the parts of the node find each other.
+const (
+	nameMetrics   = "metrics"
+	nameCaller    = "caller"
+	nameControl   = "control" // the name that the server of rpcwire gives itself
+	nameState     = "state"
+	nameFollower  = "follower"
+	namePeers     = "peers"
+	namePublisher = "publisher"
+	nameGate      = "gate"
+	nameBackend   = "backend"
+	nameOwn       = "own"
+	nameCalls     = "calls"
+	nameBodies    = "bodies"
+	nameEgress    = "egress"
+	nameIngress   = "ingress"
+	nameReady     = "readiness"
+	nameReload    = "reload"
+)
+
+// builder puts the node together. Each part finds the parts that it needs by name.
+type builder struct {
+	*kernel.Builder
+	settings *Settings
+	vm       platform.Machine
+	now      clock.Clock
+	log      zerolog.Logger
+	// calls is the logger for lines about single calls.
+	calls zerolog.Logger
 }
 
-// newNode puts the node together.
-func newNode(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) (*node, error) {
-	var now clock.Clock = clock.System{}
-	callLog := forCalls(log, metrics)
-	peerDial := network.Dialer(peerDialTimeout, peerSilence)
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		return peerDial.DialContext(ctx, "tcp", addr)
+// builders run in this order. Services start in the same order and stop in the reverse one: the drainer first, the
+// control server last.
+var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildEgress, buildIngress, buildDuties, buildListeners, buildLifecycle}
+
+// newNode builds all parts. It reports the first error.
+func newNode(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) (*kernel.Kernel, error) {
+	b := &builder{Builder: kernel.NewBuilder(), settings: s, vm: vm, now: clock.System{}, log: log, calls: forCalls(log, metrics)}
+	b.Provide(nameMetrics, metrics)
+	for _, build := range builders {
+		if build(b); b.Err != nil {
+			return nil, b.Err
+		}
 	}
-	caller := rpcwire.NewPool(rpcwire.PoolSettings{Dial: dial, DialTimeout: peerDialTimeout}, metrics)
-	everyNode, err := network.Parse([]string{"0.0.0.0/0"})
-	if err != nil {
-		return nil, err
+	return b.Kernel, nil
+}
+
+// find returns a part by name, or the zero value after an error.
+func find[T any](b *builder, name string) T { return kernel.Part[T](b.Builder, name) }
+
+func (b *builder) metrics() *metric.Set { return find[*metric.Set](b, nameMetrics) }
+
+func (b *builder) self() membership.InstanceID { return membership.InstanceID(b.vm.Node) }
+
+func (b *builder) controlPort() string { return strconv.Itoa(b.vm.FirstPort) }
+
+func (b *builder) controlAddress() string { return net.JoinHostPort(b.vm.IP.String(), b.controlPort()) }
+
+// dialPeer opens a connection to another node.
+func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	return network.Dialer(peerDialTimeout, peerSilence).DialContext(ctx, "tcp", addr)
+}
+
+// buildControl makes both ends of the calls between nodes.
+func buildControl(b *builder) {
+	all, err := network.Parse([]string{"0.0.0.0/0"})
+	b.Fail(err)
+	server := rpcwire.NewServer(rpcwire.ServerSettings{Address: b.controlAddress(), Networks: all}, b.log, b.metrics())
+	b.Provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: dialPeer, DialTimeout: peerDialTimeout}, b.metrics()))
+	b.Register(server)
+}
+
+// buildDirectory makes what follows the store and other nodes, and publishes the own record.
+func buildDirectory(b *builder) {
+	store, state := platform.NewStore(b.vm.Store), directory.NewState()
+	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: b.self(), Clock: b.now, Log: b.log,
+		Metrics: b.metrics()}
+	follower.SetApply(b.vm.Bounds.Apply)
+	server := find[*rpcwire.Server](b, nameControl)
+	if b.Err != nil {
+		return
 	}
-	controlPort := strconv.Itoa(vm.FirstPort)
-	control := rpcwire.NewServer(rpcwire.ServerSettings{Address: net.JoinHostPort(vm.IP.String(), controlPort), Networks: everyNode}, log, metrics)
-
-	store := platform.NewStore(vm.Store)
-	state := directory.NewState()
-	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: membership.InstanceID(vm.Node),
-		Clock: now, Log: log, Metrics: metrics}
-	follower.SetApply(vm.Bounds.Apply)
-	peers := directory.NewPeers(&directory.Peers{State: state, Caller: caller, Control: net.JoinHostPort(vm.IP.String(), controlPort), ControlPort: controlPort,
-		Self: membership.InstanceID(vm.Node), Log: log, Metrics: metrics, Silence: follower.Silence}, control)
-	follower.Trusting, follower.OnChange = peers.Trusting, peers.PassOn
-	publisher := directory.NewPublisher(state, store, log, peers.Offer)
-	follower.OnOwnRecord = publisher.Stored
-
-	gate := admission.NewGate(admission.New(admission.Settings{Warm: true, Exact: true}), now)
-	backend := upstream.NewPool(upstream.Settings{Clock: now, Idle: backendIdle})
-	own := announce.New(announce.Settings{
-		Instance: membership.Instance{ID: membership.InstanceID(vm.Node), Service: vm.Service, AvailabilityZone: vm.AvailabilityZone,
-			Region: vm.Region, PeerAddress: vm.Peers.String(), ControlAddress: net.JoinHostPort(vm.IP.String(), controlPort),
-			Incarnation: uint64(now.Now().UnixMilli()), Sequence: 1},
-		Backend: vm.Backend.Addr(), Timeout: heartbeatsMissed * vm.Heartbeat, Clock: now, Log: log, DrainTime: vm.Bounds.Drain / drainPart,
+	peers := directory.NewPeers(&directory.Peers{State: state, Caller: find[*rpcwire.Pool](b, nameCaller), Control: b.controlAddress(),
+		ControlPort: b.controlPort(), Self: b.self(), Log: b.log, Metrics: b.metrics(), Silence: follower.Silence}, server)
+	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
+	follower.Trusting, follower.OnChange, follower.OnOwnRecord = peers.Trusting, peers.PassOn, publisher.Stored
+	b.Provide(nameState, state)
+	b.Provide(nameFollower, follower)
+	b.Provide(namePeers, peers)
+	b.Provide(namePublisher, publisher)
+}
+
+// buildBackend makes what the node knows of its backend server, its slots and the connections to it.
+func buildBackend(b *builder) {
+	gate := admission.NewGate(admission.New(admission.Settings{Warm: true, Exact: true}), b.now)
+	backend := upstream.NewPool(upstream.Settings{Clock: b.now, Idle: backendIdle})
+	publisher := find[*directory.Publisher](b, namePublisher)
+	b.Provide(nameGate, gate)
+	b.Provide(nameBackend, backend)
+	b.Provide(nameOwn, announce.New(announce.Settings{
+		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
+			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Incarnation: uint64(b.now.Now().UnixMilli()), Sequence: 1},
+		Backend: b.vm.Backend.Addr(), Timeout: heartbeatsMissed * b.vm.Heartbeat, Clock: b.now, Log: b.log, DrainTime: b.vm.Bounds.Drain / drainPart,
 		OnChange: func(in membership.Instance) {
 			if in.State == membership.StateReady {
 				gate.SetSlots(in.Slots)
-				backend.SetMaxOpen(2 * in.Slots)
+				backend.SetMaxOpen(connectionsPerSlot * in.Slots)
 			}
 			publisher.Set(in)
 		},
-	})
-	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(vm.MemoryBytes/bodyPart)
-	dialect := platform.Dialect{}
-	egress := proxy.NewEgress(proxy.EgressSettings{Own: own, Gate: slots{gate}, Backend: backend, Calls: calls, Metrics: metrics,
-		Clock: now, Log: callLog, Dialect: dialect, Source: state, OnNewer: peers.Ask, Bodies: bodies})
-	peerPool := upstream.NewPool(upstream.Settings{Clock: now, Dial: dial, DialTimeout: peerDialTimeout})
-	ingress := proxy.NewIngress(proxy.IngressSettings{Self: membership.InstanceID(vm.Node), Source: state, View: state, Egress: egress,
-		Calls: calls, Peers: peerPool, Picker: balance.New(balance.Settings{AvailabilityZone: vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
-		Retry: retry.NewBudgets(retrySettings(vm.Bounds)), Metrics: metrics, Clock: now, Log: callLog, Dialect: dialect,
-		Caller: vm.Service, Steadfast: true, OnNewer: peers.Ask, Bodies: bodies})
+	}))
+}
 
+// buildEgress makes the part that hands calls to the backend server.
+func buildEgress(b *builder) {
+	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(b.vm.MemoryBytes/bodyPart)
+	b.Provide(nameCalls, calls)
+	b.Provide(nameBodies, bodies)
+	b.Provide(nameEgress, proxy.NewEgress(proxy.EgressSettings{Own: find[*announce.Service](b, nameOwn),
+		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), Targets: true}, Backend: find[*upstream.Pool](b, nameBackend), Calls: calls,
+		Metrics: b.metrics(), Clock: b.now, Log: b.calls, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameState),
+		OnNewer: find[*directory.Peers](b, namePeers).Ask, Bodies: bodies}))
+}
+
+// buildIngress makes the part that takes callers' requests.
+func buildIngress(b *builder) {
+	state := find[*directory.State](b, nameState)
+	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
+		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
+		Peers:  upstream.NewPool(upstream.Settings{Clock: b.now, Dial: dialPeer, DialTimeout: peerDialTimeout}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
+		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), Metrics: b.metrics(), Clock: b.now, Log: b.calls, Dialect: platform.Dialect{},
+		Caller: b.vm.Service, Steadfast: true, OnNewer: find[*directory.Peers](b, namePeers).Ask, Bodies: find[*proxy.BodyBudget](b, nameBodies)}))
+}
+
+// buildDuties makes the service of all that runs beside the listeners.
+func buildDuties(b *builder) {
+	follower, peers, ingress := find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers), find[*proxy.Ingress](b, nameIngress)
+	if b.Err != nil {
+		return
+	}
+	b.Register(newTasks("duties", follower.Run, peers.Run, peers.RunPassOn, find[*directory.Publisher](b, namePublisher).Run,
+		find[*announce.Service](b, nameOwn).Run, ingress.Run, ingress.Peers.Run, find[*upstream.Pool](b, nameBackend).Run))
+}
+
+// buildListeners makes the services of all addresses.
+func buildListeners(b *builder) {
+	state, own, ingress := find[*directory.State](b, nameState), find[*announce.Service](b, nameOwn), find[*proxy.Ingress](b, nameIngress)
+	ready := &readiness{source: state, listed: find[*directory.Follower](b, nameFollower).Listed}
+	b.Provide(nameReady, ready)
 	idle := newIdleConns(state)
 	callers := proxy.NewServer(ingress)
 	callers.ConnState = idle.track
-	ready := &readiness{source: state, listed: follower.Listed}
-	d := &drainer{ready: ready, ingress: ingress, egress: egress, publisher: publisher, grace: vm.Bounds.Grace, log: log}
-	reload := &reloader{path: s.File, current: vm, log: log, apply: func(b platform.Bounds) {
-		own.SetDrainTime(b.Drain / drainPart)
-		follower.SetApply(b.Apply)
-	}}
-	n := &node{kernel: kernel.New(), caller: caller, reload: reload}
-	services := []kernel.Service{
-		control,
-		newTasks("directory", follower.Run, peers.Run, peers.RunPassOn, publisher.Run, own.Run, ingress.Run, peerPool.Run, backend.Run, idle.run),
-		newListener("peers", vm.Peers.String(), proxy.NewPeerServer(egress), log),
-		newListener("announcements", vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: vm.Backend.String()}), log),
-		newListener("callers", vm.Callers.String(), callers, log),
-		newListener("ready", vm.Ready.String(), plainServer(ready), log),
-		newListener("metrics", s.Metrics, plainServer(http.HandlerFunc(metrics.Text)), log),
-		d,
-	}
-	for _, svc := range services {
-		if err := n.kernel.Register(svc); err != nil {
-			return nil, err
-		}
+	listen := func(name, address string, s *http.Server, duties ...func(context.Context)) {
+		b.Register(parts.NewListener(name, address, nil, s, b.log, duties...))
 	}
-	return n, nil
+	listen("inbound", b.vm.Peers.String(), proxy.NewPeerServer(find[*proxy.Egress](b, nameEgress)))
+	listen("announcements", b.vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: b.vm.Backend.String()}))
+	listen("callers", b.vm.Callers.String(), callers, idle.run)
+	listen("ready", b.vm.Ready.String(), plainServer(ready))
+	listen("operators", b.settings.Metrics, plainServer(http.HandlerFunc(b.metrics().Text)))
+}
+
+// buildLifecycle makes the reload of the settings and the graceful stop.
+func buildLifecycle(b *builder) {
+	own, follower := find[*announce.Service](b, nameOwn), find[*directory.Follower](b, nameFollower)
+	b.Provide(nameReload, &reloader{path: b.settings.File, current: b.vm, log: b.log, apply: func(bounds platform.Bounds) {
+		own.SetDrainTime(bounds.Drain / drainPart)
+		follower.SetApply(bounds.Apply)
+	}})
+	b.Register(&drainer{ready: find[*readiness](b, nameReady), ingress: find[*proxy.Ingress](b, nameIngress),
+		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), grace: b.vm.Bounds.Grace, log: b.log})
 }
 
 // retrySettings gives each node a part of the mesh's retry budget. The ratio is halved, since calls of a repeated run
 // count as repeats too. The number of nodes is not known; the bursts of a dozen stay within the slack.
 func retrySettings(b platform.Bounds) retry.Settings {
-	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: 4, Floor: 0.1, FloorBurst: 1, Moves: maxMoves, ByRequest: true}
+	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: 4, Floor: 0.1, FloorBurst: 1, Moves: maxMoves, ByRequest: true, MinRemaining: minRemaining}
 }
 
+// minRemaining is the time below which another attempt can hardly end: the way to another zone and back, and the shortest
+// service time.
+const minRemaining = 20 * time.Millisecond
+
 // maxMoves is how often a call that no backend server has seen goes on to another node: all instances of a service of
 // the usual size are asked before a caller is refused.
 const maxMoves = 4
@@ -152,17 +246,3 @@
 func plainServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 }
-
-// slots makes an admission gate usable by the egress; proxy and admission do not know each other.
-type slots struct{ *admission.Gate }
-
-func (g slots) Acquire(ctx context.Context, w proxy.Work) (func(served, shed bool, took time.Duration), *proxy.Refusal) {
-	release, refusal := g.Gate.Acquire(ctx, admission.Work{Rank: w.Rank, Policy: w.Policy, Arrived: w.Arrived, Deadline: w.Deadline,
-		Target: w.Target})
-	if refusal != nil {
-		return nil, &proxy.Refusal{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
-	}
-	return release, nil
-}
-
-func (g slots) Load() proxy.Load { return proxy.Load(g.Gate.Load()) }
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -77,7 +77,6 @@
 type vm struct {
 	platform.Machine
 	app    *application
-	node   *node
 	cancel context.CancelFunc
 	done   chan error
 	seq    int
@@ -104,16 +103,13 @@
 }
 
 func (v *vm) start(t *testing.T) {
-	n, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.Machine, zerolog.Nop(), metric.NewSet())
+	k, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.Machine, zerolog.Nop(), metric.NewSet())
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	v.node, v.cancel, v.done = n, cancel, make(chan error, 1)
-	go func() {
-		v.done <- n.kernel.Run(ctx, v.Bounds.Grace)
-		n.caller.Close()
-	}()
+	v.cancel, v.done = cancel, make(chan error, 1)
+	go func() { v.done <- runNode(ctx, k, v.Bounds.Grace) }()
 	t.Cleanup(func() { v.cancel() })
 }
 
@@ -365,13 +361,13 @@
 	v.Machine = platform.Machine{Node: "n", Service: "desk", IP: netip.MustParseAddr("127.0.0.1"), Callers: freePort(t), Peers: freePort(t),
 		Ready: freePort(t), Announcements: freePort(t), FirstPort: int(freePort(t).Port()), Store: strings.TrimPrefix(srv.URL, "http://"),
 		Heartbeat: time.Second, Backend: freePort(t), Bounds: platform.Bounds{Drain: time.Second, Grace: 6 * time.Second, Apply: 2 * time.Second}}
-	n, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.Machine, log, set)
+	k, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.Machine, log, set)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { _ = n.kernel.Run(ctx, time.Second); close(done) }() // The stop is not what this test is about.
+	go func() { _ = runNode(ctx, k, time.Second); close(done) }() // The stop is not what this test is about.
 	await(t, "ready", func() bool { return v.ready() == 200 })
 	if r := v.call("POST", "/lodge/1", "refused-1"); r.status != 503 || r.header.Get("Retry-After") == "" {
 		t.Errorf("%+v", r)
--- a/cmd/monsoonlatch-sidecar/services.go
+++ b/cmd/monsoonlatch-sidecar/services.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
-	"github.com/rs/zerolog"
-
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
-	"github.com/monsoonlatch/monsoonlatch/pkg/event"
-	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 )
 
@@ -48,36 +42,6 @@
 	return nil
 }
 
-// listener is the kernel service of one HTTP address.
-type listener struct {
-	name    string
-	address string
-	server  *http.Server
-	log     zerolog.Logger
-}
-
-func newListener(name, address string, server *http.Server, log zerolog.Logger) *listener {
-	return &listener{name: name, address: address, server: server, log: log}
-}
-
-func (l *listener) Name() string { return l.name }
-
-func (l *listener) Start(context.Context) error {
-	ln, err := net.Listen("tcp", l.address)
-	if err != nil {
-		return fault.Wrap(fault.Unavailable, "listen for "+l.name, err, "free the address or change the settings")
-	}
-	go func() {
-		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			event.ListenerFailed.Write(event.ListenerFailed.Log(&l.log).Err(err).Str("listener", l.name))
-		}
-	}()
-	return nil
-}
-
-// Stop waits for the requests in progress.
-func (l *listener) Stop(ctx context.Context) error { return l.server.Shutdown(ctx) }
-
 // readiness answers the platform's question whether callers may be sent here.
 type readiness struct {
 	source  config.Source
--- a/cmd/monsoonlatchd/control.go
+++ b/cmd/monsoonlatchd/control.go
@@ -20,16 +20,16 @@
 	s, metrics := b.settings, find[*metric.Set](b, nameMetrics)
 	client, err := platform.NewClient(platform.Settings{BaseURL: s.Platform, Token: s.PlatformToken, CallTimeout: s.PlatformTimeout})
 	if err != nil {
-		b.fail(err)
+		b.Fail(err)
 		return
 	}
-	b.provide(namePlatform, platform.Limit(platform.Observe(client, &b.log, metrics), s.PlatformCallRate, platformBurst, metrics))
+	b.Provide(namePlatform, platform.Limit(platform.Observe(client, &b.log, metrics), s.PlatformCallRate, platformBurst, metrics))
 }
 
 func buildControl(b *builder) {
 	metrics := find[*metric.Set](b, nameMetrics)
-	b.provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: find[dialFunc](b, nameDial)}, metrics))
-	b.register(rpcwire.NewServer(rpcwire.ServerSettings{
+	b.Provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: find[dialFunc](b, nameDial)}, metrics))
+	b.Register(rpcwire.NewServer(rpcwire.ServerSettings{
 		Address: b.settings.Control, Networks: find[network.Set](b, namePeers),
 	}, b.log, metrics))
 }
@@ -44,7 +44,7 @@
 	node := syncer.New(syncer.Settings{Instance: own, Seeds: s.Seeds, PlatformTimeout: s.PlatformTimeout},
 		find[platform.Store](b, namePlatform), find[rpcwire.Caller](b, nameCaller), now, b.log, find[*metric.Set](b, nameMetrics))
 	node.Register(find[*rpcwire.Server](b, nameControl))
-	b.register(node)
+	b.Register(node)
 }
 
 func orElse(v, other string) string {
@@ -59,7 +59,7 @@
 		find[platform.Store](b, namePlatform), find[rpcwire.Caller](b, nameCaller), find[clock.Clock](b, nameClock), b.log,
 		find[*metric.Set](b, nameMetrics))
 	duty.Register(find[*rpcwire.Server](b, nameControl))
-	b.register(duty)
+	b.Register(duty)
 }
 
 func buildIdempotency(b *builder) {
@@ -75,7 +75,7 @@
 		MaxWindow: config.MaxIdempotencyWindow.Std(),
 	})
 	handleKeys(find[*rpcwire.Server](b, nameControl), keys.Keys())
-	b.register(keys)
+	b.Register(keys)
 }
 
 // handleKeys registers the methods through which other nodes claim keys here.
--- a/cmd/monsoonlatchd/datapath.go
+++ b/cmd/monsoonlatchd/datapath.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/internal/parts"
 	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
 	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
@@ -24,12 +24,12 @@
 // buildAnnounce takes the backend server's announcements and passes them on to admission and to the other nodes.
 func buildAnnounce(b *builder) {
 	s, now, node := b.settings, find[clock.Clock](b, nameClock), find[*syncer.Syncer](b, nameSyncer)
-	if b.err != nil {
+	if b.Err != nil {
 		return
 	}
 	slots := admission.NewGate(discipline(s), now)
-	b.provide(nameGate, slots)
-	b.provide(nameAnnounce, announce.New(announce.Settings{
+	b.Provide(nameGate, slots)
+	b.Provide(nameAnnounce, announce.New(announce.Settings{
 		Instance: node.Self(), Backend: netip.MustParseAddrPort(s.BackendServer).Addr(), Clock: now, Log: b.log,
 		OnChange: func(i membership.Instance) {
 			i.Slots = min(i.Slots, s.Slots)
@@ -52,22 +52,22 @@
 // buildEgress makes the part that hands calls to the backend server, with its listener for other nodes.
 func buildEgress(b *builder) {
 	now, metrics, own := find[clock.Clock](b, nameClock), find[*metric.Set](b, nameMetrics), find[*announce.Service](b, nameAnnounce)
-	if b.err != nil {
+	if b.Err != nil {
 		return
 	}
 	calls := proxy.NewCalls()
 	backend := upstream.NewPool(upstream.Settings{Clock: now, MaxOpen: b.settings.Slots})
 	egress := proxy.NewEgress(proxy.EgressSettings{
-		Own: own, Gate: gate{find[*admission.Gate](b, nameGate)}, Guard: find[idempotency.Guard](b, nameIdempotency),
+		Own: own, Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate)}, Guard: find[idempotency.Guard](b, nameIdempotency),
 		Backend: backend, Calls: calls, Metrics: metrics, Clock: now, Log: b.log,
 	})
 	filter := &network.Listener{Allowed: find[network.Set](b, namePeers), Refused: func(remote string) {
 		metrics.Refused(metric.RefusedForbidden)
 		event.SourceRefused.Write(event.SourceRefused.Log(&b.log).Str("remote", remote))
 	}}
-	b.provide(nameCalls, calls)
-	b.provide(nameEgress, egress)
-	b.register(newListener("peers", b.settings.Peers, filter, proxy.NewPeerServer(egress), b.log, own.Run, backend.Run))
+	b.Provide(nameCalls, calls)
+	b.Provide(nameEgress, egress)
+	b.Register(parts.NewListener("peers", b.settings.Peers, filter, proxy.NewPeerServer(egress), b.log, own.Run, backend.Run))
 }
 
 // buildIngress makes the part that takes callers' requests, with its listener.
@@ -82,9 +82,9 @@
 		Retry:  retry.NewBudgets(retry.Settings{Unlimited: s.Retries == "unlimited"}), Metrics: find[*metric.Set](b, nameMetrics),
 		Clock: now, Log: b.log,
 	})
-	b.provide(nameIngress, ingress)
+	b.Provide(nameIngress, ingress)
 	follow := &shares{source: node, gate: find[*admission.Gate](b, nameGate)}
-	b.register(newListener("callers", s.Callers, nil, proxy.NewServer(ingress), b.log, ingress.Run, peers.Run, every(sharesPeriod, follow.update)))
+	b.Register(parts.NewListener("callers", s.Callers, nil, proxy.NewServer(ingress), b.log, ingress.Run, peers.Run, every(sharesPeriod, follow.update)))
 }
 
 // sharesPeriod bounds how long a changed guaranteed share waits to take effect.
@@ -114,16 +114,3 @@
 	}
 	return byRank
 }
-
-// gate makes an admission gate usable by the egress; proxy and admission do not know each other.
-type gate struct{ *admission.Gate }
-
-func (g gate) Acquire(ctx context.Context, w proxy.Work) (func(served, shed bool, took time.Duration), *proxy.Refusal) {
-	release, refusal := g.Gate.Acquire(ctx, admission.Work{Rank: w.Rank, Policy: w.Policy, Arrived: w.Arrived, Deadline: w.Deadline})
-	if refusal != nil {
-		return nil, &proxy.Refusal{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
-	}
-	return release, nil
-}
-
-func (g gate) Load() proxy.Load { return proxy.Load(g.Gate.Load()) }
--- a/cmd/monsoonlatchd/drainer.go
+++ b/cmd/monsoonlatchd/drainer.go
@@ -36,7 +36,7 @@
 }
 
 func buildDrainer(b *builder) {
-	b.register(&drainer{
+	b.Register(&drainer{
 		syncer: find[*syncer.Syncer](b, nameSyncer), ingress: find[*proxy.Ingress](b, nameIngress),
 		egress: find[*proxy.Egress](b, nameEgress), keys: find[idempotency.Guard](b, nameIdempotency), log: b.log,
 	})
--- a/cmd/monsoonlatchd/node.go
+++ b/cmd/monsoonlatchd/node.go
@@ -41,66 +41,48 @@
 // dialFunc opens a connection to another node.
 type dialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
-// builder puts the node together. Each part finds the parts that it needs by name. The first error is kept, so that
-// the parts need no checks of their own.
+// builder puts the node together. Each part finds the parts that it needs by name.
 type builder struct {
+	*kernel.Builder
 	settings *Settings
 	log      zerolog.Logger
-	kernel   *kernel.Kernel
-	err      error
 }
 
-// parts are built in this order. Services start in the same order and stop in the reverse one: the drainer first, the
+// builders run in this order. Services start in the same order and stop in the reverse one: the drainer first, the
 // control server last.
-var parts = []func(*builder){
+var builders = []func(*builder){
 	buildBasics, buildPlatform, buildControl, buildSyncer, buildRelay, buildIdempotency,
 	buildAnnounce, buildEgress, buildIngress, buildAdmin, buildDrainer,
 }
 
 // newNode builds all parts. It reports the first error.
 func newNode(s *Settings, log zerolog.Logger) (*kernel.Kernel, error) {
-	b := &builder{settings: s, log: log, kernel: kernel.New()}
-	for _, build := range parts {
-		if build(b); b.err != nil {
-			return nil, b.err
+	b := &builder{Builder: kernel.NewBuilder(), settings: s, log: log}
+	for _, build := range builders {
+		if build(b); b.Err != nil {
+			return nil, b.Err
 		}
 	}
-	return b.kernel, nil
+	return b.Kernel, nil
 }
 
 // find returns a part by name, or the zero value after an error.
-func find[T any](b *builder, name string) T {
-	part, err := kernel.Find[T](b.kernel, name)
-	b.fail(err)
-	return part
-}
-
-func (b *builder) fail(err error) {
-	if b.err == nil {
-		b.err = err
-	}
-}
-
-// provide adds a part without a lifecycle.
-func (b *builder) provide(name string, part any) { b.fail(b.kernel.Provide(name, part)) }
-
-// register adds a service.
-func (b *builder) register(s kernel.Service) { b.fail(b.kernel.Register(s)) }
+func find[T any](b *builder, name string) T { return kernel.Part[T](b.Builder, name) }
 
 // networks parses a list that the check of the settings has accepted.
 func (b *builder) networks(blocks []string) network.Set {
 	set, err := network.Parse(blocks)
-	b.fail(err)
+	b.Fail(err)
 	return set
 }
 
 func buildBasics(b *builder) {
 	metrics := metric.NewSet()
 	metric.WatchProcess(metrics)
-	b.provide(nameClock, clock.System{})
-	b.provide(nameMetrics, metrics)
-	b.provide(namePeers, b.networks(b.settings.PeerNetworks))
-	b.provide(nameDial, dialFrom(netip.MustParseAddrPort(b.settings.Peers).Addr()))
+	b.Provide(nameClock, clock.System{})
+	b.Provide(nameMetrics, metrics)
+	b.Provide(namePeers, b.networks(b.settings.PeerNetworks))
+	b.Provide(nameDial, dialFrom(netip.MustParseAddrPort(b.settings.Peers).Addr()))
 }
 
 // dialFrom opens connections from the VM's own address, so that peers can recognise the source on a VM with several.
--- a/cmd/monsoonlatchd/status.go
+++ b/cmd/monsoonlatchd/status.go
@@ -25,10 +25,10 @@
 
 func buildAdmin(b *builder) {
 	st := &status{
-		kernel: b.kernel, syncer: find[*syncer.Syncer](b, nameSyncer), relay: find[*relay.Relay](b, nameRelay),
+		kernel: b.Kernel, syncer: find[*syncer.Syncer](b, nameSyncer), relay: find[*relay.Relay](b, nameRelay),
 		clock: find[clock.Clock](b, nameClock), settle: max(b.settings.MembershipLag, idempotency.DefaultSettle),
 	}
-	b.register(admin.New(admin.Settings{
+	b.Register(admin.New(admin.Settings{
 		Listen: b.settings.Admin, Operators: b.networks(b.settings.OperatorNetworks), State: st.state, Ready: st.ready,
 		Announce: find[*announce.Service](b, nameAnnounce), Metrics: find[*metric.Set](b, nameMetrics), Log: b.log,
 	}))
--- a/cmd/monsoonlatchd/listener.go
+++ b/internal/parts/listener.go
@@ -1,4 +1,5 @@
-package main
+// Package parts holds kernel services and adapters that the node programs share.
+package parts
 
 import (
 	"context"
@@ -13,25 +14,27 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
-// listener is the kernel service of one HTTP address of the data path. The duties run beside it until Stop.
-type listener struct {
+// Listener is the kernel service of one HTTP address of the data path. The duties run beside it until Stop.
+type Listener struct {
 	name    string
 	address string
 	filter  *network.Listener
 	server  *http.Server
-	duties  []background
+	duties  []func(context.Context)
 	log     zerolog.Logger
 	cancel  context.CancelFunc
 }
 
-// newListener returns a service that takes connections from the filter's networks; a nil filter takes all.
-func newListener(name, address string, filter *network.Listener, server *http.Server, log zerolog.Logger, duties ...background) *listener {
-	return &listener{name: name, address: address, filter: filter, server: server, duties: duties, log: log}
+// NewListener returns a service that takes connections from the filter's networks; a nil filter takes all.
+func NewListener(name, address string, filter *network.Listener, server *http.Server, log zerolog.Logger, duties ...func(context.Context)) *Listener {
+	return &Listener{name: name, address: address, filter: filter, server: server, duties: duties, log: log}
 }
 
-func (l *listener) Name() string { return l.name }
+// Name implements kernel.Service.
+func (l *Listener) Name() string { return l.name }
 
-func (l *listener) Start(context.Context) error {
+// Start listens and serves.
+func (l *Listener) Start(context.Context) error {
 	ln, err := net.Listen("tcp", l.address)
 	if err != nil {
 		return fault.Wrap(fault.Unavailable, "listen for "+l.name, err, "free the address or set --"+l.name+" to another one")
@@ -53,7 +56,7 @@
 }
 
 // Stop waits for the requests in progress.
-func (l *listener) Stop(ctx context.Context) error {
+func (l *Listener) Stop(ctx context.Context) error {
 	err := l.server.Shutdown(ctx)
 	l.cancel()
 	return err
