Ask sentinels with a sum of the records instead of a list

Cause: each question listed all records, some 50 KB at the size to design for, against a budget of 5 KB a second.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -370,7 +370,7 @@
 		s.Merge(instance("x", 1, 4, membership.StateReady))
 	}
 	a.Depart("x")
-	b.Merge(a.Missing(b.Digest())...)
+	b.Merge(a.Missing(b.FullDigest())...)
 	if n := len(b.Instances("desk")); n != 0 {
 		t.Errorf("%d instances after the departure", n)
 	}
@@ -411,3 +411,86 @@
 		t.Error("a delta from a version that was never in force")
 	}
 }
+
+// fakeCaller calls the methods of other nodes without a network.
+type fakeCaller struct {
+	peers map[string]*Peers
+	calls int
+	// spoil, if set, changes an answer on its way.
+	spoil func(*PullReply)
+}
+
+func (c *fakeCaller) Call(_ context.Context, addr, method string, args, reply any) error {
+	c.calls++
+	p := c.peers[addr]
+	if p == nil {
+		return errDown
+	}
+	if method == methodOffer {
+		a := args.(OfferArgs)
+		return p.offer(&a, reply.(*OfferReply))
+	}
+	d := args.(Digest)
+	r := reply.(*PullReply)
+	err := p.pull(&d, r)
+	if c.spoil != nil {
+		c.spoil(r)
+	}
+	return err
+}
+
+func newPeer(c *fakeCaller, id, addr string, silence time.Duration) *Peers {
+	p := &Peers{State: NewState(), Caller: c, Self: membership.InstanceID(id), Control: addr, ControlPort: "81", Log: zerolog.Nop(),
+		Metrics: metric.NewSet(), Silence: func() time.Duration { return silence }, ask: make(chan string, 1), pass: make(chan []membership.Instance, 1)}
+	c.peers[addr] = p
+	return p
+}
+
+// Guards against questions that grow with the fleet while nothing has changed, and against a change that the short form of
+// a question misses.
+func TestQuestionListsRecordsOnlyWhenTheyDiffer(t *testing.T) {
+	c := &fakeCaller{peers: make(map[string]*Peers)}
+	a, b := newPeer(c, "a1", "a:81", time.Hour), newPeer(c, "b1", "b:81", 0)
+	b.State.Merge(instance("x", 1, 1, membership.StateReady), instance("y", 1, 1, membership.StateReady))
+	if !a.pullFrom(t.Context(), "b:81") || len(a.State.All()) != 2 || c.calls != 2 {
+		t.Errorf("%d records after %d calls", len(a.State.All()), c.calls)
+	}
+	if a.pullFrom(t.Context(), "b:81"); c.calls != 3 {
+		t.Errorf("%d calls although nothing has changed", c.calls)
+	}
+	b.State.Depart("x")
+	if a.pullFrom(t.Context(), "b:81"); len(a.State.Instances("desk")) != 1 {
+		t.Error("a departure was missed")
+	}
+	if a.pullFrom(t.Context(), "c:81") {
+		t.Error("a node that does not answer counts as heard")
+	}
+}
+
+// Guards against a difference between configurations that does not fit and is sent again for ever.
+func TestMisfittingDifferenceLeadsToTheWhole(t *testing.T) {
+	c, log := &fakeCaller{peers: make(map[string]*Peers)}, zerolog.Nop()
+	a, b := newPeer(c, "a1", "a:81", time.Hour), newPeer(c, "b1", "b:81", 0)
+	for _, p := range []*Peers{a, b} {
+		if err := p.State.adopt(&log, 3, config.Configuration{}, "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := config.Configuration{Services: map[string]config.Service{"desk": {Name: "desk"}}}
+	if err := b.State.adopt(&log, 4, next, "test"); err != nil {
+		t.Fatal(err)
+	}
+	c.spoil = func(r *PullReply) {
+		if r.Delta != nil {
+			r.Delta.Upsert = config.Items{}
+		}
+	}
+	a.pullFrom(t.Context(), "b:81")
+	if got := a.State.Version(); got != 3 {
+		t.Fatalf("version %d from a spoiled difference", got)
+	}
+	a.pullFrom(t.Context(), "b:81")
+	if got := a.State.Version(); got != 4 {
+		t.Errorf("version %d after the whole configuration, want 4", got)
+	}
+}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -47,6 +47,8 @@
 	Delta         *config.Delta
 	Configuration config.Configuration
 	Records       []membership.Instance
+	// Differs states that the records differ from those of a digest without records.
+	Differs bool
 	// Fresh states that the store has answered the asked node lately.
 	Fresh bool
 }
@@ -76,6 +78,8 @@
 
 	ask  chan string
 	pass chan []membership.Instance
+	// whole makes the next question ask for the whole configuration, after a difference that did not fit.
+	whole atomic.Bool
 	// answered is the Unix time in nanoseconds of the last answer of another node to a question.
 	answered atomic.Int64
 }
@@ -91,7 +95,12 @@
 
 // pull answers another node.
 func (p *Peers) pull(args *Digest, reply *PullReply) error {
-	reply.Records, reply.Fresh = p.State.Missing(*args), p.Silence() <= silenceLimit
+	reply.Fresh = p.Silence() <= silenceLimit
+	if args.Records == nil {
+		reply.Differs = args.Sum != p.State.Digest().Sum
+	} else {
+		reply.Records = p.State.Missing(*args)
+	}
 	if snap := p.State.Current(); snap != nil && snap.Version > args.Version {
 		reply.Version = snap.Version
 		if d, ok := p.State.Since(args.Version); ok {
@@ -172,15 +181,25 @@
 	return addrs[rand.IntN(len(addrs))], true
 }
 
-// pullFrom reports whether the node answered.
+// pullFrom takes from a node what this one lacks and reports whether the node answered.
 func (p *Peers) pullFrom(ctx context.Context, addr string) bool {
+	reply, ok := p.question(ctx, addr, p.State.Digest())
+	if ok && reply.Differs {
+		_, ok = p.question(ctx, addr, p.State.FullDigest())
+	}
+	return ok
+}
+
+func (p *Peers) question(ctx context.Context, addr string, d Digest) (reply PullReply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var reply PullReply
-	if err := p.Caller.Call(ctx, addr, methodPull, p.State.Digest(), &reply); err != nil {
+	if p.whole.Swap(false) {
+		d.Version = 0
+	}
+	if err := p.Caller.Call(ctx, addr, methodPull, d, &reply); err != nil {
 		p.Metrics.Retried(metric.RetryControlCall)
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
-		return false
+		return reply, false
 	}
 	if reply.Fresh {
 		p.answered.Store(time.Now().UnixNano())
@@ -189,12 +208,13 @@
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
 	}
 	if reply.Version == 0 {
-		return true
+		return reply, true
 	}
 	if err := p.adopt(reply, addr); err != nil {
 		event.ConfigInvalid.Write(event.ConfigInvalid.Log(&p.Log).Err(err).Uint64("version", uint64(reply.Version)).Str("peer", addr))
+		p.whole.Store(true)
 	}
-	return true
+	return reply, true
 }
 
 func (p *Peers) adopt(reply PullReply, addr string) error {
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
@@ -15,7 +18,9 @@
 	mu        sync.Mutex
 	instances map[membership.InstanceID]membership.Instance
 	listeners []chan struct{}
-	snapshot  atomic.Pointer[config.Snapshot]
+	// sum covers the names, incarnations and sequences of all records.
+	sum      uint64
+	snapshot atomic.Pointer[config.Snapshot]
 	// earlier holds the configurations that were in force before, newest first.
 	earlier  []*config.Snapshot
 	services atomic.Pointer[map[string][]membership.Instance]
@@ -150,22 +155,31 @@
 // Digest is what a node knows, for another to tell what it lacks.
 type Digest struct {
 	Version config.Version
-	// Records holds the incarnation and sequence of each record.
+	// Sum is equal for equal records. It takes the place of Records in most questions, since these grow with the fleet.
+	Sum uint64
+	// Records holds the incarnation and sequence of each record; nil asks only whether the sums differ.
 	Records map[membership.InstanceID][2]uint64
 }
 
-// Digest returns the digest of the state.
+// Digest returns the digest of the state without the records.
 func (s *State) Digest() Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := Digest{Version: s.Version(), Records: make(map[membership.InstanceID][2]uint64, len(s.instances))}
+	return Digest{Version: s.Version(), Sum: s.sum}
+}
+
+// FullDigest returns the digest of the state.
+func (s *State) FullDigest() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Digest{Version: s.Version(), Sum: s.sum, Records: make(map[membership.InstanceID][2]uint64, len(s.instances))}
 	for id, in := range s.instances {
 		d.Records[id] = [2]uint64{in.Incarnation, in.Sequence}
 	}
 	return d
 }
 
-// Missing returns the records that the owner of a digest lacks.
+// Missing returns the records that the owner of a full digest lacks.
 func (s *State) Missing(d Digest) []membership.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,7 +196,9 @@
 // publish builds the view of each service and wakes the listeners.
 func (s *State) publish() {
 	next := make(map[string][]membership.Instance)
+	s.sum = 0
 	for _, in := range s.instances {
+		s.sum ^= xxhash.Sum64String(fmt.Sprintf("%s %d %d", in.ID, in.Incarnation, in.Sequence))
 		if in.State != membership.StateDeparted {
 			next[in.Service] = append(next[in.Service], in)
 		}
