Wait for the writer of a long request before its answer counts as early

A request over 4 KiB is written beside reading its answer; when the answer came while the writer, done with its last write, still waited for a processor, the answer counted as early and a sound connection was dropped. The bound and the test stay as they are.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -126,12 +126,14 @@
 	written := make(chan Result, 1)
 	go func() { written <- c.send(ctx, ex) }()
 	res := c.receive(ctx, ex)
+	grace := time.NewTimer(writerGrace)
+	defer grace.Stop()
 	select {
 	case sent := <-written:
 		if sent.Failure != FailNone && res.Answer == nil {
 			return sent
 		}
-	default:
+	case <-grace.C:
 		c.SetWriteDeadline(longAgo) //nolint:errcheck // fails only on a closed connection, where the write ends too
 		<-written
 		if res.Answer != nil {
@@ -144,6 +146,10 @@
 	return res
 }
 
+// writerGrace is how long the writer of a long request may take to end after its answer has arrived. A server that has read
+// the whole body has answered after the last write, but the writer may still wait for a processor.
+const writerGrace = 100 * time.Millisecond
+
 // send writes the request. Its result has no failure if all of it was written.
 func (c *conn) send(ctx context.Context, ex *Exchange) Result {
 	if err := ex.Request.Write(c.bw); err != nil {
