Give the node's tests ports that nobody else takes

A test picked a free port of 127.0.0.1 and closed it; before the node listened there, another process or an outgoing connection took it, and the node ended unseen. With 10,000 connections held open on 127.0.0.1 beside them, 4 tests twice: 1 failed before with the same line, none after. The tests now use a loopback address of their own process and report a node that ends early.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -82,19 +83,34 @@
 	seq    int
 }
 
+// testIP is a loopback address of this process alone: the port of a listener that is yet to start could otherwise be
+// taken meanwhile, by another process or as the source of a connection to 127.0.0.1.
+var testIP = netip.AddrFrom4([4]byte{127, 77, byte(os.Getpid() >> 8), byte(os.Getpid())})
+
+// failedNodes gets the errors of nodes that end without being stopped.
+var failedNodes = make(chan error, 16)
+
+// handedOut holds the ports that freePort has returned.
+var handedOut sync.Map
+
 func freePort(t *testing.T) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(testIP, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := ln.Addr().(*net.TCPAddr).AddrPort()
+		ln.Close()
+		if _, taken := handedOut.LoadOrStore(addr.Port(), true); !taken {
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func startVM(t *testing.T, store, name, service string) *vm {
 	v := &vm{app: newApplication(t, "i-"+name)}
 	control := freePort(t)
-	v.Machine = platform.Machine{Node: name, Service: service, AvailabilityZone: "west", IP: netip.MustParseAddr("127.0.0.1"),
+	v.Machine = platform.Machine{Node: name, Service: service, AvailabilityZone: "west", IP: testIP,
 		Backend: netip.MustParseAddrPort(v.app.web.Listener.Addr().String()), Callers: freePort(t), Peers: freePort(t), Ready: freePort(t),
 		Announcements: freePort(t), FirstPort: int(control.Port()), LastPort: int(control.Port()), Store: store, Heartbeat: time.Second,
 		MemoryBytes: 284 << 20, Bounds: platform.Bounds{Drain: 600 * time.Millisecond, Grace: 6 * time.Second, Apply: 2 * time.Second, RetryRatio: 0.2}}
@@ -109,7 +125,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.done = cancel, make(chan error, 1)
-	go func() { v.done <- runNode(ctx, k, v.Bounds.Grace) }()
+	go func() {
+		err := runNode(ctx, k, v.Bounds.Grace)
+		if ctx.Err() == nil {
+			failedNodes <- err
+		}
+		v.done <- err
+	}()
 	t.Cleanup(func() { v.cancel() })
 }
 
@@ -165,6 +187,11 @@
 func await(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for range 1000 {
+		select {
+		case err := <-failedNodes:
+			t.Fatalf("a node ended while waiting for %s: %v", what, err)
+		default:
+		}
 		if ok() {
 			return
 		}
@@ -358,7 +385,7 @@
 	srv := httptest.NewServer(store)
 	defer srv.CloseClientConnections()
 	v := &vm{app: newApplication(t, "i-1")}
-	v.Machine = platform.Machine{Node: "n", Service: "desk", IP: netip.MustParseAddr("127.0.0.1"), Callers: freePort(t), Peers: freePort(t),
+	v.Machine = platform.Machine{Node: "n", Service: "desk", IP: testIP, Callers: freePort(t), Peers: freePort(t),
 		Ready: freePort(t), Announcements: freePort(t), FirstPort: int(freePort(t).Port()), Store: strings.TrimPrefix(srv.URL, "http://"),
 		Heartbeat: time.Second, Backend: freePort(t), Bounds: platform.Bounds{Drain: time.Second, Grace: 6 * time.Second, Apply: 2 * time.Second}}
 	k, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.Machine, log, set)
