--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -26,7 +26,10 @@
 	services atomic.Pointer[map[string][]membership.Instance]
 }
 
-var _ View = (*State)(nil)
+var (
+	_ membership.View = (*State)(nil)
+	_ config.Source   = (*State)(nil)
+)
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
@@ -101,14 +104,6 @@
 	return out
 }
 
-// Get returns the record of an instance.
-func (s *State) Get(id membership.InstanceID) (membership.Instance, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	in, ok := s.instances[id]
-	return in, ok
-}
-
 // supersedes reports whether record a replaces record b of the same instance.
 func supersedes(a, b membership.Instance) bool {
 	if a.Incarnation != b.Incarnation {
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
-	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
 
@@ -53,9 +52,3 @@
 	// Configuration decodes the spec of that object.
 	Configuration(spec []byte) (config.Version, config.Configuration, error)
 }
-
-// View answers where instances are and which configuration is in force.
-type View interface {
-	membership.View
-	config.Source
-}
