Handle SIGHUP from the first moment of the node

Cause: the handler of SIGHUP was registered after the settings file had been read and the parts built; a SIGHUP before that ended the process.

Ruled out: a failure of the reload (the node has no log line of it).

Before: TestHangupDuringStart ends with 'signal: hangup'.

Conclusion: what is left is the time before the Go runtime runs main.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -34,9 +34,14 @@
 	LogLevel string `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	// Registered before anything that takes time: a SIGHUP without a handler would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	os.Exit(run(os.Args[1:], hup))
+}
 
-func run(args []string) int {
+func run(args []string, hup <-chan os.Signal) int {
 	var s Settings
 	parser, err := kong.New(&s, kong.Name("monsoonlatch-sidecar"),
 		kong.Description("Node of the mesh on the users' platform. Settings are flags or environment variables."))
@@ -62,15 +67,15 @@
 	log, ring := newLogger(os.Stdout, level, metrics)
 	defer func() { _ = ring.Close() }() // Nothing can be logged if it fails.
 	log = log.With().Str("node", vm.Node).Logger()
-	if err := serve(&s, vm, log, metrics); err != nil {
+	if err := serve(&s, vm, log, metrics, hup); err != nil {
 		event.NodeFailed.Write(event.NodeFailed.Log(&log).Err(err))
 		return exitFailed
 	}
 	return 0
 }
 
-// serve runs the node until SIGTERM or SIGINT.
-func serve(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set) error {
+// serve runs the node until SIGTERM or SIGINT; hup tells that the settings file may have changed.
+func serve(s *Settings, vm platform.Machine, log zerolog.Logger, metrics *metric.Set, hup <-chan os.Signal) error {
 	tune(vm.MemoryBytes)
 	k, err := newNode(s, vm, log, metrics)
 	if err != nil {
@@ -80,9 +85,6 @@
 	if err != nil {
 		return err
 	}
-	// Registered before the first service starts: a SIGHUP without a handler would end the process.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	go reload.run(ctx, hup)
--- /dev/null
+++ b/cmd/monsoonlatch-sidecar/process_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// asNode makes the test binary run as the node.
+const asNode = "MONSOONLATCH_TEST_AS_NODE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asNode) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a node that a SIGHUP ends while it starts: the signal arrives while the settings file is being read.
+func TestHangupDuringStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	cmd := exec.Command(os.Args[0], "--file", path)
+	cmd.Env = append(os.Environ(), asNode+"=1")
+	cmd.Stdout, cmd.Stderr = &out, &out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	// Opening waits until the node reads.
+	w, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Error(err)
+	}
+	_, _ = w.WriteString("self = 3\n") // The node has ended if this fails.
+	w.Close()
+	var exit *exec.ExitError
+	if err := cmd.Wait(); !errors.As(err, &exit) || exit.ExitCode() != exitBadSettings {
+		t.Errorf("the node ended with %v, want exit code %d", err, exitBadSettings)
+	}
+	if !strings.Contains(out.String(), "remedy") {
+		t.Errorf("no remedy in %q", out.String())
+	}
+}
