Add a seeded fault soak of node processes

mlsoak plays random faults and planned work against six or more nodes that run as processes of their own: links that delay, hold back, cut one way or reset, a store that refuses, goes silent, loses answers or forgets, nodes that are paused, killed or stopped, backend servers that crash, leave or answer wrongly.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,5 @@
 GO ?= go
-BINARIES := monsoonlatchd monsoonlatch mlload platform-standin backend-standin
-
-.PHONY: all build fmt-check vet lint unit test demo clean
+.PHONY: all build fmt-check vet lint unit test demo soak clean
 
 all: build
 
@@ -9,7 +7,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 fmt-check:
-	@out="$$(gofmt -l cmd pkg internal)"; if [ -n "$$out" ]; then echo "gofmt needed: $$out"; exit 1; fi
+	@out="$$(gofmt -l cmd pkg internal platform)"; if [ -n "$$out" ]; then echo "gofmt needed: $$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
@@ -26,5 +24,11 @@
 demo: build
 	bash scripts/demo.sh
 
+# Random faults against nodes on the users' platform: make soak SEED=n SECONDS=n
+SEED ?= 1
+SECONDS ?= 60
+soak: build
+	bin/mlsoak --seed $(SEED) --length $(SECONDS)s
+
 clean:
 	rm -rf bin out
--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -31,6 +32,7 @@
 type Settings struct {
 	File     string `env:"MONSOONLATCH_FILE" help:"Settings file that the platform writes for this VM; without it the platform tells its path."`
 	Metrics  string `env:"MONSOONLATCH_METRICS" default:":7990" help:"Listen address for metrics and state (HTTP)."`
+	Bind     string `env:"MONSOONLATCH_BIND" help:"IP number to listen at and to call from, where it differs from the ones in the settings file; the ports stay."`
 	LogLevel string `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
 }
 
@@ -62,6 +64,12 @@
 		return exitBadSettings
 	}
 	level, _ := zerolog.ParseLevel(s.LogLevel) // The parser has checked it.
+	if s.Bind != "" {
+		if _, err := netip.ParseAddr(s.Bind); err != nil {
+			fmt.Fprintf(os.Stderr, "monsoonlatch-sidecar: --bind: %v; remedy: give an IP number\n", err)
+			return exitBadSettings
+		}
+	}
 	metrics := metric.NewSet()
 	metric.WatchProcess(metrics)
 	log, ring := newLogger(os.Stdout, level, metrics)
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -110,17 +110,31 @@
 
 func (b *builder) controlAddress() string { return net.JoinHostPort(b.vm.IP.String(), b.controlPort()) }
 
+// bound returns where the node listens, given the address that others use.
+func (b *builder) bound(addr string) string {
+	if b.settings.Bind == "" {
+		return addr
+	}
+	_, port, err := net.SplitHostPort(addr)
+	b.Fail(err)
+	return net.JoinHostPort(b.settings.Bind, port)
+}
+
 // dialPeer opens a connection to another node.
-func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	return network.Dialer(peerDialTimeout, peerSilence).DialContext(ctx, "tcp", addr)
+func (b *builder) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	d := network.Dialer(peerDialTimeout, peerSilence)
+	if b.settings.Bind != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(b.settings.Bind)}
+	}
+	return d.DialContext(ctx, "tcp", addr)
 }
 
 // buildControl makes both ends of the calls between nodes.
 func buildControl(b *builder) {
 	all, err := network.Parse([]string{"0.0.0.0/0"})
 	b.Fail(err)
-	server := rpcwire.NewServer(rpcwire.ServerSettings{Address: b.controlAddress(), Networks: all}, b.log, b.metrics())
-	b.Provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: dialPeer, DialTimeout: peerDialTimeout}, b.metrics()))
+	server := rpcwire.NewServer(rpcwire.ServerSettings{Address: b.bound(b.controlAddress()), Networks: all}, b.log, b.metrics())
+	b.Provide(nameCaller, rpcwire.NewPool(rpcwire.PoolSettings{Dial: b.dialPeer, DialTimeout: peerDialTimeout}, b.metrics()))
 	b.Register(server)
 }
 
@@ -181,7 +195,7 @@
 	state := find[*directory.State](b, nameState)
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
-		Peers:  upstream.NewPool(upstream.Settings{Clock: b.now, Dial: dialPeer, DialTimeout: peerDialTimeout}),
+		Peers:  upstream.NewPool(upstream.Settings{Clock: b.now, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStart, Stay: stayInZone}),
 		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), Metrics: b.metrics(), Clock: b.now, Log: b.calls, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, Steadfast: true, OnNewer: find[*directory.Peers](b, namePeers).Ask, Bodies: find[*proxy.BodyBudget](b, nameBodies)}))
@@ -206,13 +220,13 @@
 	callers := proxy.NewServer(ingress)
 	callers.ConnState = idle.track
 	listen := func(name, address string, s *http.Server, duties ...func(context.Context)) {
-		b.Register(parts.NewListener(name, address, nil, s, b.log, duties...))
+		b.Register(parts.NewListener(name, b.bound(address), nil, s, b.log, duties...))
 	}
 	listen("inbound", b.vm.Peers.String(), proxy.NewPeerServer(find[*proxy.Egress](b, nameEgress)))
 	listen("announcements", b.vm.Announcements.String(), plainServer(&platform.Announcements{Receiver: own, Backend: b.vm.Backend.String()}))
 	listen("callers", b.vm.Callers.String(), callers, idle.run)
 	listen("ready", b.vm.Ready.String(), plainServer(ready))
-	listen("operators", b.settings.Metrics, plainServer(http.HandlerFunc(b.metrics().Text)))
+	b.Register(parts.NewListener("operators", b.settings.Metrics, nil, plainServer(http.HandlerFunc(b.metrics().Text)), b.log))
 }
 
 // buildLifecycle makes the reload of the settings and the graceful stop.
--- /dev/null
+++ b/internal/soak/backend.go
@@ -0,0 +1,259 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// slots is how many requests a backend server works on at once.
+	slots = 8
+	// heartbeat is the time between announcements.
+	heartbeat = time.Second
+	// ackTimeout bounds one announcement.
+	ackTimeout = time.Second
+	// leaveTries is how many announcements of a drain go without an answer before the backend server leaves anyway.
+	leaveTries = 5
+	// work bounds the time that a request takes.
+	work = 40 * time.Millisecond
+	// longWork is the time of one request in longShare, so that stops and faults meet requests in progress.
+	longWork  = 700 * time.Millisecond
+	longShare = 20
+	// largest is the largest body of an answer in bytes: some dozen chunks of a link.
+	largest = 120 << 10
+)
+
+// backendServer is what runs beside a node: it announces itself, runs requests and tells the ledger. One boot follows
+// another at the same address.
+type backendServer struct {
+	vm     *vm
+	ledger *ledger
+	mu     sync.Mutex // held by one replacement or crash at a time
+	boot   atomic.Pointer[boot]
+	boots  int
+}
+
+// boot is one start of a backend server.
+type boot struct {
+	*backendServer
+	id       string
+	born     int64
+	sequence atomic.Uint64
+	state    atomic.Value // string
+	// left is the Unix time in nanoseconds of the acknowledgement of the drain.
+	left    atomic.Int64
+	busy    chan struct{}
+	failing atomic.Bool
+	server  *http.Server
+	cancel  context.CancelFunc
+}
+
+// start begins a boot. An id that was used before is used again if same is set.
+func (s *backendServer) start(same bool) error {
+	if !same || s.boots == 0 {
+		s.boots++
+	}
+	ln, err := net.Listen("tcp", s.vm.backendAddress())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &boot{backendServer: s, id: fmt.Sprintf("%s-boot-%d", s.vm.name, s.boots), born: time.Now().UnixMilli(),
+		busy: make(chan struct{}, slots), cancel: cancel}
+	b.state.Store("ready")
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	s.boot.Store(b)
+	go func() { _ = b.server.Serve(ln) }() // It ends with the boot.
+	go b.announce(ctx)
+	return nil
+}
+
+// announce sends heartbeats until the boot ends.
+func (b *boot) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.beat(ctx, "instances.heartbeat")
+		select {
+		case <-time.After(heartbeat - heartbeat/10 + rand.N(heartbeat/5)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// beat makes one call and reports whether it was acknowledged.
+func (b *boot) beat(ctx context.Context, call string) bool {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	body, err := json.Marshal(map[string]any{"service": b.vm.service, "address": b.vm.backendAddress(), "zone": b.vm.zone, "version": "v1",
+		"slots": slots, "state": b.state.Load(), "coldLeftMs": 0, "sequence": b.sequence.Add(1), "born": b.born})
+	if err != nil {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.vm.address(portAnnouncements)+"/rpc?call="+call+"&of="+b.id,
+		strings.NewReader(string(body)))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
+// replace lets the boot leave as planned and starts the next one.
+func (s *backendServer) replace(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.boot.Load()
+	b.state.Store("draining")
+	for range leaveTries {
+		if b.beat(ctx, "instances.heartbeat") {
+			b.left.Store(time.Now().UnixNano())
+			break
+		}
+		time.Sleep(heartbeat)
+	}
+	time.Sleep(drainTime + time.Second)
+	b.beat(ctx, "instances.deregister")
+	stop, cancel := context.WithTimeout(context.Background(), 2*longWork)
+	defer cancel()
+	_ = b.server.Shutdown(stop) // What is still open then is closed.
+	b.end()
+	return s.start(false)
+}
+
+// crash ends the boot without notice; the next one starts after a while.
+func (s *backendServer) crash(lasts time.Duration, same bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boot.Load().end()
+	time.Sleep(lasts)
+	return s.start(same)
+}
+
+func (b *boot) end() {
+	b.cancel()
+	b.server.Close()
+}
+
+func (b *boot) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Instance-Id", b.id)
+	if r.Header.Get("X-Target-Instance") != b.id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.judgeDrain(id)
+	select {
+	case b.busy <- struct{}{}:
+		defer func() { <-b.busy }()
+	default:
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.ledger.ran(id, b.id)
+	if r.Header.Get("X-Caller-Service") == "" {
+		b.ledger.violate("unasked", "%s has no X-Caller-Service", id)
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // A cut body shows in the caller's answer.
+	b.work(r.Context())
+	b.answer(w, r, id)
+}
+
+// judgeDrain checks that no request comes later than the bound after an acknowledged drain.
+func (b *boot) judgeDrain(id string) {
+	left := b.left.Load()
+	if left == 0 {
+		return
+	}
+	now := time.Now()
+	late := now.Sub(time.Unix(0, left)) - drainTime
+	if late > 0 && b.ledger.calm(&b.vm.touch, now, stability+drainTime) && !b.vm.stalls.within(now.Add(-stability), now) {
+		b.ledger.violate("drain", "%s reached %s %v after the end of its drain", id, b.id, late.Round(time.Millisecond))
+	}
+}
+
+func (b *boot) work(ctx context.Context) {
+	d := rand.N(work)
+	if rand.IntN(longShare) == 0 {
+		d = longWork
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// answer sends the answer that its caller expects, or a faulty one while the backend server fails.
+func (b *boot) answer(w http.ResponseWriter, r *http.Request, id string) {
+	body := expectedBody(id, r.URL.Path)
+	w.Header().Set("X-Server-Seal", "seal-"+id)
+	kind := rand.IntN(8)
+	if !b.failing.Load() {
+		kind = 7
+	}
+	switch kind {
+	case 0:
+		w.WriteHeader(http.StatusInternalServerError)
+	case 1: // ends early
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body[:len(body)/2]) // The caller may have gone.
+		panic(http.ErrAbortHandler)
+	case 2: // ends early, without a length
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case 3, 4: // answers twice, or with bytes that are no answer
+		b.stray(w, id, body, kind == 4)
+	default:
+		if len(id)%2 == 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// stray sends bytes that belong to no request after the answer, or in its place.
+func (b *boot) stray(w http.ResponseWriter, id, body string, garbage bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if garbage {
+		_, _ = io.WriteString(conn, "these bytes are no answer\r\n\r\n")
+		return
+	}
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	_, _ = io.WriteString(conn, whole)
+	time.Sleep(rand.N(work))
+	_, _ = io.WriteString(conn, whole)
+}
+
+// expectedBody is the body of the answer to an attempt. Its size follows from the id.
+func expectedBody(id, path string) string {
+	line := id + " " + path + "\n"
+	size := 0
+	for _, c := range id {
+		size = (size*31 + int(c)) % largest
+	}
+	if size%4 != 0 {
+		size %= 200
+	}
+	return strings.Repeat(line, 1+size/len(line))
+}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// mostShown is how many broken rules a report shows in full.
+const mostShown = 20
+
+// Report is the result of a run.
+type Report struct {
+	Seed       uint64
+	Length     time.Duration
+	VMs        int
+	Outcomes   map[string]int
+	Faults     map[string]int
+	Stalls     int
+	Violations []Violation
+}
+
+// Passed reports whether no rule was broken.
+func (r *Report) Passed() bool { return len(r.Violations) == 0 }
+
+func (r *run) report() *Report {
+	rep := &Report{Seed: r.Seed, Length: r.Length, VMs: r.VMs, Outcomes: r.ledger.outcomes, Faults: r.ledger.faults, Stalls: r.stalls.count()}
+	total := 0
+	for _, n := range rep.Outcomes {
+		total += n
+	}
+	if served := rep.Outcomes["200"]; float64(served) < leastServed*float64(total) {
+		r.ledger.violate("served", "%d of %d requests were served", served, total)
+	}
+	rep.Violations = r.ledger.violations()
+	return rep
+}
+
+// String is the report as a page of text.
+func (r *Report) String() string {
+	var b strings.Builder
+	verdict := "passed"
+	if !r.Passed() {
+		verdict = fmt.Sprintf("FAILED: %d broken rules", len(r.Violations))
+	}
+	fmt.Fprintf(&b, "seed %d, %v, %d VMs: %s\n", r.Seed, r.Length, r.VMs, verdict)
+	table(&b, "answers", r.Outcomes)
+	table(&b, "events", r.Faults)
+	fmt.Fprintf(&b, "spans without processor: %d\n", r.Stalls)
+	for i, v := range r.Violations {
+		if i == mostShown {
+			fmt.Fprintf(&b, "and %d more\n", len(r.Violations)-mostShown)
+			break
+		}
+		fmt.Fprintf(&b, "%8v %s: %s\n", v.At, v.Rule, v.Detail)
+	}
+	return b.String()
+}
+
+func table(b *strings.Builder, title string, counts map[string]int) {
+	fmt.Fprintf(b, "%s:", title)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(b, " %s %d;", name, counts[name])
+	}
+	b.WriteString("\n")
+}
