Keep changes of the configuration instead of earlier ones

Cause: each node kept the four earlier configurations whole, and worked out the difference anew for each question. With over a thousand routes that is some megabytes on each node, and two sorted lists of all names for each of the nodes that a sentinel feeds.

Now a change is worked out once, kept and passed on as it is; a node that missed several gets them in order and hashes the result once.

--- a/pkg/config/delta.go
+++ b/pkg/config/delta.go
@@ -31,21 +31,34 @@
 	return upsert, withdraw
 }
 
+// Size is the number of items that a delta carries.
+func (d Delta) Size() int {
+	return len(d.Upsert.Services) + len(d.Upsert.Policies) + len(d.Upsert.Routes) +
+		len(d.Withdraw.Services) + len(d.Withdraw.Policies) + len(d.Withdraw.Routes)
+}
+
 // Apply returns the configuration of version d.To. The result is refused with Stale unless its hash is d.ToHash; the
 // receiver of the delta then needs the whole configuration. The input is unchanged.
-func (d Delta) Apply(c Configuration) (Configuration, error) {
+func (d Delta) Apply(c Configuration) (Configuration, error) { return ApplyAll(c, []Delta{d}) }
+
+// ApplyAll applies deltas one after the other, as Delta.Apply does. The input is copied and the result hashed only once.
+func ApplyAll(c Configuration, deltas []Delta) (Configuration, error) {
 	out := c.Clone()
-	out.Limits = d.Limits
-	merge(out.Services, d.Upsert.Services, d.Withdraw.Services, func(s Service) string { return s.Name })
-	merge(out.Policies, d.Upsert.Policies, d.Withdraw.Policies, func(p Policy) string { return p.Name })
-	merge(out.Routes, d.Upsert.Routes, d.Withdraw.Routes, func(r Route) string { return r.Name })
+	var last Delta
+	for _, d := range deltas {
+		out.Limits = d.Limits
+		merge(out.Services, d.Upsert.Services, d.Withdraw.Services, func(s Service) string { return s.Name })
+		merge(out.Policies, d.Upsert.Policies, d.Withdraw.Policies, func(p Policy) string { return p.Name })
+		merge(out.Routes, d.Upsert.Routes, d.Withdraw.Routes, func(r Route) string { return r.Name })
+		last = d
+	}
 	hash, err := out.Hash()
 	if err != nil {
 		return Configuration{}, err
 	}
-	if hash != d.ToHash {
-		return Configuration{}, fault.New(fault.Stale, fmt.Sprintf("delta from version %d to %d", d.From, d.To),
-			fmt.Sprintf("the result has hash %s, want %s", shortHash(hash), shortHash(d.ToHash)), "ask for the whole configuration")
+	if hash != last.ToHash {
+		return Configuration{}, fault.New(fault.Stale, fmt.Sprintf("delta from version %d to %d", last.From, last.To),
+			fmt.Sprintf("the result has hash %s, want %s", shortHash(hash), shortHash(last.ToHash)), "ask for the whole configuration")
 	}
 	return out, nil
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -241,7 +241,7 @@
 			}
 		}
 		log := zerolog.Nop()
-		if err := f.State.adopt(&log, 39, config.Configuration{}, "peer"); err != nil || f.State.Version() != 40 {
+		if err := f.State.adopt(&log, 39, config.Configuration{}, nil, "peer"); err != nil || f.State.Version() != 40 {
 			t.Errorf("version %d, error %v", f.State.Version(), err)
 		}
 		m.set(kindTest, "main", "61")
@@ -411,24 +411,43 @@
 		}
 		return c
 	}
-	if err := s.adopt(&log, 3, build(3, time.Second), "test"); err != nil {
+	if err := s.adopt(&log, 3, build(3, time.Second), nil, "test"); err != nil {
 		t.Fatal(err)
 	}
 	before := s.Current().Configuration
-	if err := s.adopt(&log, 9, build(5, 2*time.Second), "test"); err != nil {
+	if err := s.adopt(&log, 9, build(5, 2*time.Second), nil, "test"); err != nil {
 		t.Fatal(err)
 	}
 	d, ok := s.Since(3)
-	if !ok || d.To != 9 {
+	if !ok || d[len(d)-1].To != 9 {
 		t.Fatalf("%+v, %v", d, ok)
 	}
-	after, err := d.Apply(before)
+	after, err := config.ApplyAll(before, d)
 	if err != nil || len(after.Routes) != 5 || after.Limits.IdleTimeout.Std() != 2*time.Second {
 		t.Errorf("%+v, error %v", after, err)
 	}
 	if _, ok := s.Since(2); ok {
 		t.Error("a delta from a version that was never in force")
 	}
+	// A node that missed two changes gets both, the withdrawn route included.
+	if err := s.adopt(&log, 11, build(4, 2*time.Second), nil, "test"); err != nil {
+		t.Fatal(err)
+	}
+	if d, ok = s.Since(3); !ok || len(d) != 2 {
+		t.Fatalf("%+v, %v", d, ok)
+	}
+	if after, err = config.ApplyAll(before, d); err != nil || len(after.Routes) != 4 {
+		t.Errorf("%+v, error %v", after, err)
+	}
+	// The whole configuration is smaller than the changes to it.
+	for v := range config.Version(3) {
+		if err := s.adopt(&log, 12+v, build(1+40*int(v%2), time.Second), nil, "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d, ok := s.Since(9); ok {
+		t.Errorf("%d changes for a configuration of one route", len(d))
+	}
 }
 
 // fakeCaller calls the methods of other nodes without a network.
@@ -491,17 +510,17 @@
 	c, log := &fakeCaller{peers: make(map[string]*Peers)}, zerolog.Nop()
 	a, b := newPeer(c, "a1", "a:81", time.Hour), newPeer(c, "b1", "b:81", 0)
 	for _, p := range []*Peers{a, b} {
-		if err := p.State.adopt(&log, 3, config.Configuration{}, "test"); err != nil {
+		if err := p.State.adopt(&log, 3, config.Configuration{}, nil, "test"); err != nil {
 			t.Fatal(err)
 		}
 	}
 	next := config.Configuration{Services: map[string]config.Service{"desk": {Name: "desk"}}}
-	if err := b.State.adopt(&log, 4, next, "test"); err != nil {
+	if err := b.State.adopt(&log, 4, next, nil, "test"); err != nil {
 		t.Fatal(err)
 	}
 	c.spoil = func(r *PullReply) {
-		if r.Delta != nil {
-			r.Delta.Upsert = config.Items{}
+		if len(r.Changes) > 0 {
+			r.Changes[0].Upsert = config.Items{}
 		}
 	}
 	a.pullFrom(t.Context(), "b:81")
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -179,7 +179,7 @@
 		}
 		version, cfg, err := f.Schema.Configuration(c.Object.Spec)
 		if err == nil {
-			err = f.State.adopt(&f.Log, version, cfg, "store")
+			err = f.State.adopt(&f.Log, version, cfg, nil, "store")
 		}
 		if err == nil && version == f.State.Version() {
 			f.changed(nil)
@@ -190,8 +190,9 @@
 	}
 }
 
-// adopt checks a configuration, builds its routing table and puts it in force if it is newer.
-func (s *State) adopt(log *zerolog.Logger, version config.Version, cfg config.Configuration, source string) error {
+// adopt checks a configuration, builds its routing table and puts it in force if it is newer. The changes, if given, lead
+// to it.
+func (s *State) adopt(log *zerolog.Logger, version config.Version, cfg config.Configuration, changes []config.Delta, source string) error {
 	if version <= s.Version() {
 		return nil
 	}
@@ -204,7 +205,7 @@
 		return err
 	}
 	before := s.Version()
-	if s.Accept(snap) {
+	if s.Accept(snap, changes) {
 		event.ConfigAccepted.Write(event.ConfigAccepted.Log(log).Uint64("version", uint64(version)).
 			Uint64("before", uint64(before)).Int("routes", len(cfg.Routes)).Str("source", source))
 	}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -40,11 +40,11 @@
 	pullsMissed = 2
 )
 
-// PullReply is what the asking node lacks. Version is zero if its configuration is not older; otherwise either Delta or
+// PullReply is what the asking node lacks. Version is zero if its configuration is not older; otherwise either Changes or
 // the whole Configuration is set.
 type PullReply struct {
 	Version       config.Version
-	Delta         *config.Delta
+	Changes       []config.Delta
 	Configuration config.Configuration
 	Records       []membership.Instance
 	// Differs states that the records differ from those of a digest without records.
@@ -103,8 +103,8 @@
 	}
 	if snap := p.State.Current(); snap != nil && snap.Version > args.Version {
 		reply.Version = snap.Version
-		if d, ok := p.State.Since(args.Version); ok {
-			reply.Version, reply.Delta = d.To, &d
+		if changes, ok := p.State.Since(args.Version); ok {
+			reply.Version, reply.Changes = changes[len(changes)-1].To, changes
 		} else {
 			reply.Configuration = snap.Configuration
 		}
@@ -218,18 +218,18 @@
 }
 
 func (p *Peers) adopt(reply PullReply, addr string) error {
-	cfg := reply.Configuration
-	if d := reply.Delta; d != nil {
-		snap := p.State.Current()
-		if snap == nil || snap.Version != d.From {
-			return nil // The store or another node was faster.
-		}
-		var err error
-		if cfg, err = d.Apply(snap.Configuration); err != nil {
-			return err
-		}
+	if len(reply.Changes) == 0 {
+		return p.State.adopt(&p.Log, reply.Version, reply.Configuration, nil, addr)
+	}
+	snap := p.State.Current()
+	if snap == nil || snap.Version != reply.Changes[0].From {
+		return nil // The store or another node was faster.
+	}
+	cfg, err := config.ApplyAll(snap.Configuration, reply.Changes)
+	if err != nil {
+		return err
 	}
-	return p.State.adopt(&p.Log, reply.Version, cfg, addr)
+	return p.State.adopt(&p.Log, reply.Version, cfg, reply.Changes, addr)
 }
 
 // Offer passes a record to all other nodes that are known.
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -21,8 +21,8 @@
 	// sum covers the names, incarnations and sequences of all records.
 	sum      uint64
 	snapshot atomic.Pointer[config.Snapshot]
-	// earlier holds the configurations that were in force before, newest first.
-	earlier  []*config.Snapshot
+	// changes lead to the configuration in force, one from another, oldest first.
+	changes  []config.Delta
 	services atomic.Pointer[map[string][]membership.Instance]
 }
 
@@ -50,35 +50,47 @@
 }
 
 // Accept puts a configuration in force and reports whether it did. One that is not newer than the one in force is
-// refused, wherever it comes from, so that a node never goes back.
-func (s *State) Accept(snap *config.Snapshot) bool {
+// refused, wherever it comes from, so that a node never goes back. The changes, if given, lead to it from the one in force;
+// without them they are worked out.
+func (s *State) Accept(snap *config.Snapshot, changes []config.Delta) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snap.Version <= s.Version() {
 		return false
 	}
 	if old := s.Current(); old != nil {
-		s.earlier = append([]*config.Snapshot{old}, s.earlier[:min(len(s.earlier), maxEarlier-1)]...)
+		if len(changes) == 0 || changes[0].From != old.Version {
+			changes = []config.Delta{config.NewDelta(old.Version, old.Configuration, snap.Version, snap.Hash, snap.Configuration)}
+		}
+		s.changes = append(s.changes, changes...)
+		s.changes = slices.Clone(s.changes[max(0, len(s.changes)-maxChanges):])
 	}
 	s.snapshot.Store(snap)
 	return true
 }
 
-// maxEarlier is how many earlier configurations are kept to tell other nodes what has changed since. A node misses a few
-// changes at most while configurations come in quick succession.
-const maxEarlier = 4
+// maxChanges is how many changes of the configuration are kept for nodes that lack some. A node misses a few changes at
+// most while configurations come in quick succession.
+const maxChanges = 8
 
-// Since returns what turns the configuration of a version into the one in force, if that version is still kept.
-func (s *State) Since(version config.Version) (config.Delta, bool) {
+// Since returns the changes that lead from the configuration of a version to the one in force, if they are still kept and
+// carry less than the whole configuration.
+func (s *State) Since(version config.Version) ([]config.Delta, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Current()
-	for _, old := range s.earlier {
-		if old.Version == version {
-			return config.NewDelta(version, old.Configuration, now.Version, now.Hash, now.Configuration), true
-		}
+	at := slices.IndexFunc(s.changes, func(d config.Delta) bool { return d.From == version })
+	if at < 0 {
+		return nil, false
+	}
+	size := 0
+	for _, d := range s.changes[at:] {
+		size += d.Size()
+	}
+	now := s.Current().Configuration
+	if size > len(now.Services)+len(now.Policies)+len(now.Routes) {
+		return nil, false
 	}
-	return config.Delta{}, false
+	return slices.Clone(s.changes[at:]), true
 }
 
 // Instances implements membership.View.
