Make a start cost few calls to the store

Cause: after its list each node watched both kinds until a sentinel had answered it, and each record that another node wrote answered all these watches; first writes took two calls.

Now a node that has just started, or was a sentinel until now, gives the sentinels the usual time to answer before it watches itself, and asks after 0.2 s; a watch of the instances gathers changes for 0.1 s; the first listing may be old, which costs a tenth, since a watch from its revision or a sentinel makes up for it; a record that is not in the store is created with one call.

Test with 60 nodes: 872 calls within 6 s before, 227 after (TestStartOfManyNodesCostsFewCalls).

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -80,7 +80,11 @@
 
 var errDown = fault.New(fault.Unavailable, "store", "down", "")
 
-func (m *memoryStore) List(_ context.Context, kind platform.ObjectKind) (Listing, error) {
+func (m *memoryStore) Create(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) error {
+	return m.Put(ctx, kind, name, spec)
+}
+
+func (m *memoryStore) List(_ context.Context, kind platform.ObjectKind, _ bool) (Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -296,6 +300,54 @@
 	})
 }
 
+// Guards against calls to the store that grow with the square of the fleet at a start: each node that watches is answered
+// by each record that another one writes.
+func TestStartOfManyNodesCostsFewCalls(t *testing.T) {
+	const nodes = 60
+	synctest.Test(t, func(t *testing.T) {
+		m, c := newMemoryStore(), &fakeCaller{peers: make(map[string]*Peers)}
+		m.set(kindTest, "main", "3")
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		var states []*State
+		for i := range nodes {
+			addr := fmt.Sprintf("10.0.0.%d:81", i+1)
+			in := instance(fmt.Sprintf("%c%d", 'a'+i%4, i), 1, 1, membership.StateReady)
+			in.ControlAddress = addr
+			p := newPeer(c, string(in.ID), addr, 0)
+			f := &Follower{State: p.State, Store: m, Schema: schema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+				Metrics: p.Metrics, Trusting: p.Trusting, OnChange: p.PassOn}
+			f.SetApply(2 * time.Second)
+			p.Silence = f.Silence
+			pub := NewPublisher(p.State, m, zerolog.Nop(), p.Offer)
+			f.OnOwnRecord = pub.Stored
+			states = append(states, p.State)
+			wg.Go(func() { f.Run(ctx) })
+			wg.Go(func() { p.Run(ctx) })
+			wg.Go(func() { p.RunPassOn(ctx) })
+			wg.Go(func() { pub.Run(ctx) })
+			// Heartbeats come within 1.5 s of the start.
+			wg.Go(func() { time.Sleep(time.Duration(i) * 1500 * time.Millisecond / nodes); pub.Set(in) })
+		}
+		time.Sleep(6 * time.Second)
+		for i, s := range states {
+			if n := len(s.Instances("desk")); n != nodes || s.Version() != 3 {
+				t.Errorf("node %d knows %d instances and version %d", i, n, s.Version())
+			}
+		}
+		// A list of each kind and three watches for each node; each sentinel watches both kinds all the time, and is
+		// answered by a change each gatherPause at most.
+		most := nodes*5 + sentinelCount*(6*3+15)
+		m.fault(func(m *memoryStore) {
+			if m.calls > most {
+				t.Errorf("%d calls of %d nodes within 6 s, want at most %d", m.calls, nodes, most)
+			}
+		})
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against an own record that the store loses: a failed write is repeated, other nodes get the record meanwhile, and
 // a late write of an older record is corrected.
 func TestOwnRecordReachesTheStore(t *testing.T) {
@@ -452,6 +504,7 @@
 
 // fakeCaller calls the methods of other nodes without a network.
 type fakeCaller struct {
+	mu    sync.Mutex
 	peers map[string]*Peers
 	calls int
 	// spoil, if set, changes an answer on its way.
@@ -459,8 +512,10 @@
 }
 
 func (c *fakeCaller) Call(_ context.Context, addr, method string, args, reply any) error {
+	c.mu.Lock()
 	c.calls++
 	p := c.peers[addr]
+	c.mu.Unlock()
 	if p == nil {
 		return errDown
 	}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -31,6 +31,9 @@
 	waitSpread = 4
 	// listTimeout bounds a read of all objects of a kind.
 	listTimeout = 1500 * time.Millisecond
+	// gatherPause is how long a node that watches the instances waits after a change for others: at a start and in a
+	// release they come by dozens, and each would take a call. No bound rests on the instances.
+	gatherPause = 100 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed call; the pause doubles and half of it is random.
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = 1500 * time.Millisecond
@@ -84,7 +87,12 @@
 		defer close(done)
 		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWait, f.applyConfiguration)
 	}()
-	f.follow(ctx, platform.KindInstance, func() time.Duration { return instancesWait }, f.applyInstances)
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instancesWait }, func(changes []Change, whole bool) {
+		f.applyInstances(changes, whole)
+		if len(changes) > 0 && !whole {
+			sleep(ctx, gatherPause)
+		}
+	})
 	<-done
 }
 
@@ -95,7 +103,8 @@
 func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, take apply) {
 	var at Revision
 	// watched states that a watch has been answered since the last list.
-	known, watched, lost, pause := false, false, false, firstBackoff
+	// exact states that a listing must not be old: one that lags behind the history would lose it again.
+	known, watched, lost, exact, pause := false, false, false, false, firstBackoff
 	for ctx.Err() == nil {
 		if known && f.Trusting() {
 			sleep(ctx, trustPeriod)
@@ -106,7 +115,7 @@
 			at, err = f.watch(ctx, kind, at, spread(wait()), take)
 			watched = watched || err == nil
 		} else {
-			at, err = f.list(ctx, kind, take)
+			at, err = f.list(ctx, kind, !exact, take)
 			watched = false
 		}
 		if err == nil {
@@ -125,7 +134,7 @@
 		}
 		f.Metrics.Retried(metric.RetryPlatformRequest)
 		if fault.Is(err, fault.Stale) {
-			known = false
+			known, exact = false, true
 			event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(at)))
 			if watched {
 				// The changes since the last answer may be late already, so the list does not wait. A history that is lost
@@ -144,10 +153,10 @@
 // spread takes a random part off a wait.
 func spread(wait time.Duration) time.Duration { return wait - rand.N(wait/waitSpread) }
 
-func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, take apply) (Revision, error) {
+func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, mayBeOld bool, take apply) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	l, err := f.Store.List(ctx, kind)
+	l, err := f.Store.List(ctx, kind, mayBeOld)
 	if err != nil {
 		return 0, err
 	}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -32,6 +32,8 @@
 	// pullPeriod is the pause between questions to sentinels. With a sentinel's watch of the configuration, a second, it
 	// stays within the bound on a configuration of 2 s.
 	pullPeriod = 700 * time.Millisecond
+	// firstPull is the time of the first question after a start. A listing may be seconds old.
+	firstPull = 200 * time.Millisecond
 	// pullTries is how many nodes are asked in one period when some do not answer.
 	pullTries = 2
 	// passQueue bounds the changes that wait to be passed on.
@@ -80,8 +82,9 @@
 	pass chan []membership.Instance
 	// whole makes the next question ask for the whole configuration, after a difference that did not fit.
 	whole atomic.Bool
-	// answered is the Unix time in nanoseconds of the last answer of another node to a question.
-	answered atomic.Int64
+	// trusted is the Unix time in nanoseconds from which silence of the sentinels counts: the last answer of another node
+	// that hears from the store, or the moment at which this node had nobody to ask any more.
+	trusted atomic.Int64
 }
 
 // NewPeers registers the methods at the server.
@@ -138,25 +141,39 @@
 func (p *Peers) Run(ctx context.Context) {
 	tick := time.NewTicker(pullPeriod)
 	defer tick.Stop()
+	first := time.After(firstPull)
 	for {
 		select {
 		case addr := <-p.ask:
 			p.pullFrom(ctx, addr)
+		case <-first:
+			p.pullNext(ctx)
 		case <-tick.C:
-			for range pullTries {
-				if addr, ok := p.next(); !ok || p.pullFrom(ctx, addr) {
-					break
-				}
-			}
+			p.pullNext(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// Trusting reports whether sentinels tell this node what it would miss in a long watch.
+// pullNext asks nodes until one answers.
+func (p *Peers) pullNext(ctx context.Context) {
+	for range pullTries {
+		if addr, ok := p.next(); !ok || p.pullFrom(ctx, addr) {
+			return
+		}
+	}
+}
+
+// Trusting reports whether sentinels tell this node what it would miss in a long watch. A node that has just started, or
+// was a sentinel until now, waits for the first answer as long as for any other.
 func (p *Peers) Trusting() bool {
-	return !contains(sentinels(p.State.All()), p.Self) && time.Since(time.Unix(0, p.answered.Load())) < pullsMissed*pullPeriod+peerTimeout
+	now := time.Now()
+	watching := sentinels(p.State.All())
+	if contains(watching, p.Self) || p.trusted.Load() == 0 {
+		p.trusted.Store(now.UnixNano())
+	}
+	return !contains(watching, p.Self) && now.Sub(time.Unix(0, p.trusted.Load())) < pullsMissed*pullPeriod+peerTimeout
 }
 
 // next returns the control address of the node to ask now: a random sentinel, or any node while the store is silent,
@@ -202,7 +219,7 @@
 		return reply, false
 	}
 	if reply.Fresh {
-		p.answered.Store(time.Now().UnixNano())
+		p.trusted.Store(time.Now().UnixNano())
 	}
 	if n := p.State.Merge(reply.Records...); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -70,6 +70,13 @@
 	return p.latest
 }
 
+// exists reports whether the store has held a record of the instance.
+func (p *Publisher) exists() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stored.ID != "" && p.stored.State != membership.StateDeparted
+}
+
 // due returns the record if the store does not hold it yet.
 func (p *Publisher) due() (membership.Instance, bool) {
 	p.mu.Lock()
@@ -120,7 +127,11 @@
 		if err != nil {
 			return err
 		}
-		if err := p.Store.Put(ctx, platform.KindInstance, string(in.ID), spec); err != nil {
+		write := p.Store.Put
+		if !p.exists() {
+			write = p.Store.Create
+		}
+		if err := write(ctx, platform.KindInstance, string(in.ID), spec); err != nil {
 			return err
 		}
 	}
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -35,10 +35,14 @@
 // Store is the platform's store as the directory uses it. Errors are fault.Error values: Stale when the history since a
 // revision is gone, Unavailable when the store did not answer, Limited when it refuses calls for now.
 type Store interface {
-	List(ctx context.Context, kind platform.ObjectKind) (Listing, error)
+	// List returns all objects of a kind. With mayBeOld they may be seconds old, and the call costs less; a watch from the
+	// revision of the listing makes up for it.
+	List(ctx context.Context, kind platform.ObjectKind, mayBeOld bool) (Listing, error)
 	// Watch returns the changes after a revision, as soon as there is one or after wait.
 	Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error)
-	// Put creates or replaces an object.
+	// Create makes an object that should not exist yet; one that exists is replaced.
+	Create(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) error
+	// Put replaces an object; one that does not exist is created.
 	Put(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) error
 	// Delete removes an object; one that does not exist is no error.
 	Delete(ctx context.Context, kind platform.ObjectKind, name string) error
