Hash configurations item by item and collect sooner

Cause: a hash built the canonical JSON of the whole configuration, about a megabyte with two thousand routes, several times in a storm of configurations, and the collector let the heap grow by 60%. Memory at its peak is priced.

--- a/cmd/monsoonlatch-sidecar/services.go
+++ b/cmd/monsoonlatch-sidecar/services.go
@@ -65,7 +65,7 @@
 const (
 	// collectPercent keeps the peak of the memory near the live heap, which is a few megabytes. Memory costs the VM's
 	// owner more than the processor time of the collector.
-	collectPercent = 60
+	collectPercent = 25
 	// memoryPart of the VM's memory for the process is the soft limit of the runtime, below the platform's hard one.
 	memoryPart = 0.6
 )
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -1,8 +1,12 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -156,3 +160,30 @@
 		t.Errorf("got %s", text)
 	}
 }
+
+// Guards against a hash that differs from the one of the canonical JSON, which is stored with accepted configurations, and
+// against one that needs memory for the whole text.
+func TestHashIsThatOfTheCanonicalJSON(t *testing.T) {
+	big := benchConfiguration()
+	big.Limits = Limits{MaxBodyBytes: 1 << 20}
+	big.Services["odd"] = Service{Name: "odd", CallableFrom: []string{"\"quoted\"", "a<b", "\u2028"}}
+	for _, c := range []Configuration{{}, Configuration{}.Clone(), benchConfiguration(), big} {
+		whole, err := json.Marshal(c.Clone())
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := sha256.Sum256(whole)
+		if got, err := c.Hash(); err != nil || got != hex.EncodeToString(want[:]) {
+			t.Errorf("hash %s, error %v, want %x", got, err, want)
+		}
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := big.Hash(); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if used, most := after.TotalAlloc-before.TotalAlloc, uint64(1500<<10); used > most {
+		t.Errorf("a hash of %d routes takes %d bytes, want at most %d", len(big.Routes), used, most)
+	}
+}
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -1,10 +1,13 @@
 package config
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"hash"
+	"io"
 	"maps"
 	"slices"
 
@@ -14,7 +17,69 @@
 // Hash returns the SHA-256 of the canonical JSON in hexadecimal. Canonical JSON has its map keys in order; a missing
 // and an empty map or list are the same, and lists that are sets are in order.
 func (c Configuration) Hash() (string, error) {
-	return digest("hash configuration", c.canonical())
+	w := jsonHash{sum: sha256.New()}
+	w.enc = json.NewEncoder(&w.buf)
+	w.text("{")
+	if c.Limits != (Limits{}) {
+		w.text(`"limits":`)
+		w.value(c.Limits)
+		w.text(",")
+	}
+	writeMap(&w, "services", c.Services, func(s Service) Service {
+		if slices.IsSorted(s.CallableFrom) {
+			return s
+		}
+		return s.canonical()
+	})
+	w.text(",")
+	writeMap(&w, "policies", c.Policies, func(p Policy) Policy { return p })
+	w.text(",")
+	writeMap(&w, "routes", c.Routes, func(r Route) Route {
+		if slices.IsSorted(r.Methods) {
+			return r
+		}
+		return r.canonical()
+	})
+	w.text("}")
+	if w.err != nil {
+		return "", fault.Wrap(fault.Invalid, "hash configuration", w.err, "correct the value that cannot be written as JSON")
+	}
+	return hex.EncodeToString(w.sum.Sum(nil)), nil
+}
+
+// jsonHash hashes JSON item by item: the text of a configuration with thousands of routes is about a megabyte, more than
+// a node otherwise needs at a change.
+type jsonHash struct {
+	sum hash.Hash
+	buf bytes.Buffer
+	enc *json.Encoder
+	err error
+}
+
+func (w *jsonHash) text(s string) { _, _ = io.WriteString(w.sum, s) } // A hash never fails.
+
+func (w *jsonHash) value(v any) {
+	w.buf.Reset()
+	if err := w.enc.Encode(v); err != nil && w.err == nil {
+		w.err = err
+	}
+	_, _ = w.sum.Write(bytes.TrimSuffix(w.buf.Bytes(), []byte("\n"))) // A hash never fails.
+}
+
+// writeMap writes a member whose value is a map, with its keys in order.
+func writeMap[V any](w *jsonHash, name string, m map[string]V, canonical func(V) V) {
+	w.text(`"` + name + `":{`)
+	var item V // one for all, since a pointer to it is handed on
+	for i, key := range slices.Sorted(maps.Keys(m)) {
+		if i > 0 {
+			w.text(",")
+		}
+		w.value(&key)
+		w.text(":")
+		item = canonical(m[key])
+		w.value(&item)
+	}
+	w.text("}")
 }
 
 // Digest returns the SHA-256 of the note's JSON in hexadecimal.
@@ -31,21 +96,6 @@
 	return hex.EncodeToString(sum[:]), nil
 }
 
-func (c Configuration) canonical() Configuration {
-	out := c.Clone()
-	for name, s := range out.Services {
-		if !slices.IsSorted(s.CallableFrom) {
-			out.Services[name] = s.canonical()
-		}
-	}
-	for name, r := range out.Routes {
-		if !slices.IsSorted(r.Methods) {
-			out.Routes[name] = r.canonical()
-		}
-	}
-	return out
-}
-
 func (s Service) canonical() Service {
 	s.CallableFrom = sorted(s.CallableFrom)
 	return s
