Choose feeders by their links, and more of them in a large fleet

Cause: three nodes chosen by a hash of their names passed each change on to the whole fleet. On the grown sites nine of ten VMs have 7 Mbit/s: 0.3 MB of new routes to 30 nodes take 10 s there. At 2,100 nodes each of the three was asked 1,000 times a second.

Now the best connected nodes come first, and one feeder serves 50 nodes; those beyond the three sentinels hear from these. A node asks the feeder of its own zone first. The choice is kept until the membership changes, in place of a sort at each question.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -149,7 +149,7 @@
 		return
 	}
 	peers := directory.NewPeers(&directory.Peers{State: state, Caller: find[*rpcwire.Pool](b, nameCaller), Control: b.controlAddress(),
-		ControlPort: b.controlPort(), Self: b.self(), Log: b.log, Metrics: b.metrics(), Silence: follower.Silence}, server)
+		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), Silence: follower.Silence}, server)
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.Trusting, follower.OnChange, follower.OnOwnRecord = peers.Trusting, peers.PassOn, publisher.Stored
 	b.Provide(nameState, state)
@@ -167,7 +167,7 @@
 	b.Provide(nameBackend, backend)
 	b.Provide(nameOwn, announce.New(announce.Settings{
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
-			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Incarnation: uint64(b.now.Now().UnixMilli()), Sequence: 1},
+			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.Link, Incarnation: uint64(b.now.Now().UnixMilli()), Sequence: 1},
 		Backend: b.vm.Backend.Addr(), Timeout: heartbeatsMissed * b.vm.Heartbeat, Clock: b.now, Log: b.log, DrainTime: b.vm.Bounds.Drain / drainPart,
 		OnChange: func(in membership.Instance) {
 			if in.State == membership.StateReady {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -300,52 +300,67 @@
 	})
 }
 
-// Guards against calls to the store that grow with the square of the fleet at a start: each node that watches is answered
-// by each record that another one writes.
-func TestStartOfManyNodesCostsFewCalls(t *testing.T) {
-	const nodes = 60
-	synctest.Test(t, func(t *testing.T) {
-		m, c := newMemoryStore(), &fakeCaller{peers: make(map[string]*Peers)}
-		m.set(kindTest, "main", "3")
-		ctx, cancel := context.WithCancel(context.Background())
-		var wg sync.WaitGroup
-		var states []*State
-		for i := range nodes {
-			addr := fmt.Sprintf("10.0.0.%d:81", i+1)
-			in := instance(fmt.Sprintf("%c%d", 'a'+i%4, i), 1, 1, membership.StateReady)
-			in.ControlAddress = addr
-			p := newPeer(c, string(in.ID), addr, 0)
-			f := &Follower{State: p.State, Store: m, Schema: schema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
-				Metrics: p.Metrics, Trusting: p.Trusting, OnChange: p.PassOn}
-			f.SetApply(2 * time.Second)
-			p.Silence = f.Silence
-			pub := NewPublisher(p.State, m, zerolog.Nop(), p.Offer)
-			f.OnOwnRecord = pub.Stored
-			states = append(states, p.State)
-			wg.Go(func() { f.Run(ctx) })
-			wg.Go(func() { p.Run(ctx) })
-			wg.Go(func() { p.RunPassOn(ctx) })
-			wg.Go(func() { pub.Run(ctx) })
-			// Heartbeats come within 1.5 s of the start.
-			wg.Go(func() { time.Sleep(time.Duration(i) * 1500 * time.Millisecond / nodes); pub.Set(in) })
-		}
-		time.Sleep(6 * time.Second)
+// Guards against calls to the store that grow with the square of the fleet at a start, since each node that watches is
+// answered by each record that another one writes, and against a change that a part of a large fleet learns late.
+func TestManyNodesTakeFewCalls(t *testing.T) {
+	for _, nodes := range []int{60, 220} {
+		synctest.Test(t, func(t *testing.T) { playManyNodes(t, nodes) })
+	}
+}
+
+func playManyNodes(t *testing.T, nodes int) {
+	m, c := newMemoryStore(), &fakeCaller{peers: make(map[string]*Peers)}
+	m.set(kindTest, "main", "3")
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var states []*State
+	for i := range nodes {
+		addr := fmt.Sprintf("10.0.0.%d:81", i+1)
+		in := instance(fmt.Sprintf("%c%d", 'a'+i%4, i), 1, 1, membership.StateReady)
+		in.ControlAddress = addr
+		p := newPeer(c, string(in.ID), addr, 0)
+		p.AvailabilityZone = in.AvailabilityZone
+		f := &Follower{State: p.State, Store: m, Schema: schema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+			Metrics: p.Metrics, Trusting: p.Trusting, OnChange: p.PassOn}
+		f.SetApply(2 * time.Second)
+		p.Silence = f.Silence
+		pub := NewPublisher(p.State, m, zerolog.Nop(), p.Offer)
+		f.OnOwnRecord = pub.Stored
+		states = append(states, p.State)
+		wg.Go(func() { f.Run(ctx) })
+		wg.Go(func() { p.Run(ctx) })
+		wg.Go(func() { p.RunPassOn(ctx) })
+		wg.Go(func() { pub.Run(ctx) })
+		// Heartbeats come within 1.5 s of the start.
+		wg.Go(func() { time.Sleep(time.Duration(i) * 1500 * time.Millisecond / time.Duration(nodes)); pub.Set(in) })
+	}
+	know := func(version config.Version) {
+		t.Helper()
 		for i, s := range states {
-			if n := len(s.Instances("desk")); n != nodes || s.Version() != 3 {
-				t.Errorf("node %d knows %d instances and version %d", i, n, s.Version())
+			if n := len(s.Instances("desk")); n != nodes || s.Version() != version {
+				t.Errorf("node %d of %d knows %d instances and version %d", i, nodes, n, s.Version())
 			}
 		}
-		// A list of each kind and three watches for each node; each sentinel watches both kinds all the time, and is
-		// answered by a change each gatherPause at most.
-		most := nodes*5 + sentinelCount*(6*3+15)
-		m.fault(func(m *memoryStore) {
-			if m.calls > most {
-				t.Errorf("%d calls of %d nodes within 6 s, want at most %d", m.calls, nodes, most)
-			}
-		})
-		cancel()
-		wg.Wait()
+	}
+	time.Sleep(6 * time.Second)
+	know(3)
+	// A list of each kind and three watches for each node; each sentinel watches both kinds all the time, and is answered
+	// by a change each gatherPause at most.
+	calls, most := 0, nodes*5+sentinelCount*(6*3+15)
+	m.fault(func(m *memoryStore) { calls = m.calls })
+	if calls > most {
+		t.Errorf("%d calls of %d nodes within 6 s, want at most %d", calls, nodes, most)
+	}
+	m.set(kindTest, "main", "9")
+	time.Sleep(time.Second)
+	know(9)
+	m.fault(func(m *memoryStore) {
+		if n := m.calls - calls; n > sentinelCount*6 {
+			t.Errorf("%d calls of %d nodes for a change, want at most %d", n, nodes, sentinelCount*6)
+		}
 	})
+	cancel()
+	wg.Wait()
 }
 
 // Guards against an own record that the store loses: a failed write is repeated, other nodes get the record meanwhile, and
@@ -407,7 +422,7 @@
 		}
 	}
 	all[3].State = membership.StateDeparted
-	watching := sentinels(all)
+	watching := newRoster(all).sentinels()
 	zones := make(map[string]bool)
 	for _, in := range watching {
 		zones[in.AvailabilityZone] = true
@@ -415,22 +430,58 @@
 	if len(watching) != sentinelCount || len(zones) != sentinelCount {
 		t.Fatalf("%d sentinels in %d zones", len(watching), len(zones))
 	}
+	checkFed(t, all)
+	if one := newRoster(all[:1]).sentinels(); len(one) != 1 {
+		t.Errorf("%d sentinels of one node", len(one))
+	}
+}
+
+// checkFed checks that each node but the sentinels is told by exactly one other, and none tells too many.
+func checkFed(t *testing.T, all []membership.Instance) {
+	t.Helper()
+	r := newRoster(all)
 	told := make(map[membership.InstanceID]int)
 	for _, in := range all {
-		for _, c := range charges(all, in.ID) {
+		charges := r.charges(in.ID)
+		if len(charges) > 2*fedByOne {
+			t.Errorf("%s passes changes on to %d nodes", in.ID, len(charges))
+		}
+		for _, c := range charges {
 			told[c.ID]++
 		}
 	}
 	for _, in := range all {
-		if in.State != membership.StateDeparted && told[in.ID] == 0 && !contains(watching, in.ID) {
-			t.Errorf("nobody passes changes on to %s", in.ID)
+		want := 1
+		if in.State == membership.StateDeparted || r.isSentinel(in.ID) {
+			want = 0
 		}
-		if told[in.ID] > 1 {
-			t.Errorf("%s is told %d times", in.ID, told[in.ID])
+		if told[in.ID] != want {
+			t.Errorf("%s is told %d times, want %d", in.ID, told[in.ID], want)
 		}
 	}
-	if one := sentinels(all[:1]); len(one) != 1 {
-		t.Errorf("%d sentinels of one node", len(one))
+}
+
+// Guards against sentinels whose weak links carry each change to the whole fleet, and against a single node that a large
+// fleet asks.
+func TestFeedersOfALargeFleet(t *testing.T) {
+	var all []membership.Instance
+	for i := range 2100 {
+		in := instance(fmt.Sprintf("%c%d", 'a'+i%16, i), 1, 1, membership.StateReady)
+		in.Link = 7
+		if i%9 == 0 {
+			in.Link = 140
+		}
+		all = append(all, in)
+	}
+	checkFed(t, all)
+	r := newRoster(all)
+	for _, in := range r.feeders {
+		if in.Link != 140 {
+			t.Errorf("%s with a link of %d Mbit/s is a feeder", in.ID, in.Link)
+		}
+	}
+	if n := len(r.sentinels()); n != sentinelCount {
+		t.Errorf("%d sentinels", n)
 	}
 }
 
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -73,8 +73,10 @@
 	Control     string
 	ControlPort string
 	Self        membership.InstanceID
-	Log         zerolog.Logger
-	Metrics     *metric.Set
+	// AvailabilityZone is the own one.
+	AvailabilityZone string
+	Log              zerolog.Logger
+	Metrics          *metric.Set
 	// Silence is how long ago the store last answered.
 	Silence func() time.Duration
 
@@ -98,7 +100,7 @@
 
 // pull answers another node.
 func (p *Peers) pull(args *Digest, reply *PullReply) error {
-	reply.Fresh = p.Silence() <= silenceLimit
+	reply.Fresh = p.Silence() <= silenceLimit || p.fed()
 	if args.Records == nil {
 		reply.Differs = args.Sum != p.State.Digest().Sum
 	} else {
@@ -115,9 +117,15 @@
 	return nil
 }
 
+// fed reports whether this node, which is no sentinel, has lately heard from one that hears from the store.
+func (p *Peers) fed() bool {
+	return time.Since(time.Unix(0, p.trusted.Load())) <= silenceLimit && p.Trusting()
+}
+
 func (p *Peers) offer(args *OfferArgs, _ *OfferReply) error {
 	if n := p.State.Merge(args.Records...); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
+		p.PassOn(args.Records)
 	}
 	if args.Version > p.State.Version() {
 		p.Ask(args.From)
@@ -158,37 +166,45 @@
 
 // pullNext asks nodes until one answers.
 func (p *Peers) pullNext(ctx context.Context) {
-	for range pullTries {
-		if addr, ok := p.next(); !ok || p.pullFrom(ctx, addr) {
+	for try := range pullTries {
+		if addr, ok := p.next(try); !ok || p.pullFrom(ctx, addr) {
 			return
 		}
 	}
 }
 
-// Trusting reports whether sentinels tell this node what it would miss in a long watch. A node that has just started, or
+// Trusting reports whether feeders tell this node what it would miss in a long watch. A node that has just started, or
 // was a sentinel until now, waits for the first answer as long as for any other.
 func (p *Peers) Trusting() bool {
-	now := time.Now()
-	watching := sentinels(p.State.All())
-	if contains(watching, p.Self) || p.trusted.Load() == 0 {
-		p.trusted.Store(now.UnixNano())
+	watches := p.State.roster().isSentinel(p.Self)
+	if watches || p.trusted.Load() == 0 {
+		p.trusted.Store(time.Now().UnixNano())
 	}
-	return !contains(watching, p.Self) && now.Sub(time.Unix(0, p.trusted.Load())) < pullsMissed*pullPeriod+peerTimeout
+	return !watches && p.trusts()
 }
 
-// next returns the control address of the node to ask now: a random sentinel, or any node while the store is silent,
-// since the sentinels may be cut off from it too. A sentinel asks nobody while the store answers.
-func (p *Peers) next() (string, bool) {
-	all := p.State.All()
-	from := sentinels(all)
-	if p.Silence() > silenceLimit && (contains(from, p.Self) || !p.Trusting()) {
-		from = all
-	} else if contains(from, p.Self) {
+func (p *Peers) trusts() bool {
+	return time.Since(time.Unix(0, p.trusted.Load())) < pullsMissed*pullPeriod+peerTimeout
+}
+
+// next returns the control address of the node to ask at a try: the own feeder first, then a random one, or any node while
+// the store is silent, since the feeders may be cut off from it too. A sentinel asks nobody while the store answers.
+func (p *Peers) next(try int) (string, bool) {
+	r := p.State.roster()
+	from := r.feeders
+	switch watches := r.isSentinel(p.Self); {
+	case p.Silence() > silenceLimit && (watches || !p.Trusting()):
+		from = r.nodes
+	case watches:
 		return "", false
+	case try == 0:
+		if i := r.feederOf(p.Self, p.AvailabilityZone); i >= 0 {
+			return r.feeders[i].ControlAddress, true
+		}
 	}
 	var addrs []string
 	for _, in := range from {
-		if in.ID != p.Self && in.State != membership.StateDeparted && in.ControlAddress != "" {
+		if in.ID != p.Self {
 			addrs = append(addrs, in.ControlAddress)
 		}
 	}
@@ -223,6 +239,7 @@
 	}
 	if n := p.State.Merge(reply.Records...); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
+		p.PassOn(reply.Records)
 	}
 	if reply.Version == 0 {
 		return reply, true
@@ -230,7 +247,9 @@
 	if err := p.adopt(reply, addr); err != nil {
 		event.ConfigInvalid.Write(event.ConfigInvalid.Log(&p.Log).Err(err).Uint64("version", uint64(reply.Version)).Str("peer", addr))
 		p.whole.Store(true)
+		return reply, true
 	}
+	p.PassOn(nil)
 	return reply, true
 }
 
@@ -276,8 +295,8 @@
 	wg.Wait()
 }
 
-// PassOn queues changes in the store for the nodes in this sentinel's charge. It does not block; when the queue is full
-// the change is left to their next question.
+// PassOn queues changes for the nodes that this one feeds. It does not block; when the queue is full the change is left to
+// their next question.
 func (p *Peers) PassOn(records []membership.Instance) {
 	select {
 	case p.pass <- records:
@@ -298,7 +317,7 @@
 					more = false
 				}
 			}
-			if to := charges(p.State.All(), p.Self); len(to) > 0 {
+			if to := p.State.roster().charges(p.Self); len(to) > 0 {
 				p.offerTo(ctx, to, OfferArgs{Records: records, Version: p.State.Version(), From: p.Control})
 			}
 		case <-ctx.Done():
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -19,6 +19,7 @@
 	Control     string `json:"control"`
 	Backend     string `json:"backend,omitempty"`
 	Slots       int    `json:"slots"`
+	Link        int    `json:"linkMbps,omitempty"`
 	Incarnation uint64 `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
 	State       string `json:"state"`
@@ -31,7 +32,7 @@
 
 func encodeRecord(in membership.Instance) ([]byte, error) {
 	return json.Marshal(record{Service: in.Service, Zone: in.AvailabilityZone, Region: in.Region, Peers: in.PeerAddress,
-		Control: in.ControlAddress, Backend: in.BackendID, Slots: in.Slots, Incarnation: in.Incarnation,
+		Control: in.ControlAddress, Backend: in.BackendID, Slots: in.Slots, Link: in.Link, Incarnation: in.Incarnation,
 		Sequence: in.Sequence, State: in.State.String()})
 }
 
@@ -55,6 +56,6 @@
 		return bad("service or incarnation is missing")
 	}
 	return membership.Instance{ID: membership.InstanceID(obj.Name), Service: r.Service, AvailabilityZone: r.Zone,
-		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, Slots: r.Slots,
+		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, Slots: r.Slots, Link: r.Link,
 		Incarnation: r.Incarnation, Sequence: r.Sequence, State: state}, nil
 }
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,8 @@
 	// changes lead to the configuration in force, one from another, oldest first.
 	changes  []config.Delta
 	services atomic.Pointer[map[string][]membership.Instance]
+	// feeding is worked out when it is asked for after a change.
+	feeding atomic.Pointer[roster]
 }
 
 var (
@@ -116,6 +119,18 @@
 	return out
 }
 
+// roster returns who feeds whom.
+func (s *State) roster() *roster {
+	if r := s.feeding.Load(); r != nil {
+		return r
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := newRoster(slices.Collect(maps.Values(s.instances)))
+	s.feeding.Store(r)
+	return r
+}
+
 // supersedes reports whether record a replaces record b of the same instance.
 func supersedes(a, b membership.Instance) bool {
 	if a.Incarnation != b.Incarnation {
@@ -214,6 +229,7 @@
 		slices.SortFunc(list, func(a, b membership.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	s.services.Store(&next)
+	s.feeding.Store(nil)
 	for _, c := range s.listeners {
 		select {
 		case c <- struct{}{}:
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -43,8 +43,10 @@
 	// ControlAddress takes net/rpc calls.
 	ControlAddress string
 	// BackendID names the backend server's present start, where it has a name of its own; a restart may change it.
-	BackendID   string
-	Slots       int
+	BackendID string
+	Slots     int
+	// Link is the bandwidth of the VM's link in Mbit/s; 0 if it is not known.
+	Link        int
 	Incarnation uint64
 	Sequence    uint64
 	State       State
