End idle connections without cutting a request that arrives meanwhile

Cause, by reading and by a test: connections past their idle limit were closed by a timer. A request that the server had just read, and not yet marked as active, lost its connection and was passed on all the same.

Ruled out: the read time-out of the server (the runtime clears it before the handler runs; a test on a virtual clock passed without a change), a panic (no line), a stop of the node (none ran).

Now the server's wait for the next request is ended instead; a request that was read first keeps its connection. TestIdleLimitCutsNoRequest fails before with EOF, and passes 20 of 20 after.

--- a/cmd/monsoonlatch-sidecar/idle.go
+++ b/cmd/monsoonlatch-sidecar/idle.go
@@ -20,16 +20,21 @@
 	idlePeriod = time.Second
 )
 
-// idleConns closes callers' connections that have been idle for longer than the configuration in force allows. The
-// server's own idle timeout cannot change while it runs. Each connection holds buffers and a goroutine.
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// idleConns ends callers' connections that have been idle for longer than the configuration in force allows. The server's
+// own idle timeout cannot change while it runs. Each connection holds buffers and a goroutine.
 type idleConns struct {
 	source config.Source
 	mu     sync.Mutex
 	since  map[net.Conn]time.Time
+	// ended holds the connections that the server has been told to end.
+	ended map[net.Conn]bool
 }
 
 func newIdleConns(source config.Source) *idleConns {
-	return &idleConns{source: source, since: make(map[net.Conn]time.Time)}
+	return &idleConns{source: source, since: make(map[net.Conn]time.Time), ended: make(map[net.Conn]bool)}
 }
 
 // track is the server's ConnState hook.
@@ -41,6 +46,13 @@
 		return
 	}
 	delete(c.since, conn)
+	if c.ended[conn] {
+		delete(c.ended, conn)
+		if s == http.StateActive {
+			// A request came first. Its connection stays.
+			_ = conn.SetReadDeadline(time.Time{}) // The connection has gone if this fails.
+		}
+	}
 }
 
 func (c *idleConns) run(ctx context.Context) {
@@ -66,7 +78,10 @@
 	for conn, since := range c.since {
 		if now.Sub(since) > limit+idleSlack {
 			delete(c.since, conn)
-			conn.Close() //nolint:errcheck // the caller has gone if this fails
+			c.ended[conn] = true
+			// The server closes a connection whose read ends. To close it here would cut off a request that the server
+			// has just read and passes on.
+			_ = conn.SetReadDeadline(longAgo) // The connection has gone if this fails.
 		}
 	}
 }
