Keep a node's record and its patience right when the time of day jumps

After a step back, a restarted node could write a lower one than the store holds; all others then take its records for old ones and send it no work. How long ago the store or a feeder answered was read from the time of day too, so that a step back of seconds made a node trust for as long again.

Now a node that learns of a later start of itself, or of the removal of its record, raises its incarnation (event 1605), and these two times count on the steady clock.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -151,7 +151,7 @@
 	peers := directory.NewPeers(&directory.Peers{State: state, Caller: find[*rpcwire.Pool](b, nameCaller), Control: b.controlAddress(),
 		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), Silence: follower.Silence}, server)
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
-	follower.Trusting, follower.OnChange, follower.OnOwnRecord = peers.Trusting, peers.PassOn, publisher.Stored
+	follower.Trusting, follower.OnChange = peers.Trusting, peers.PassOn
 	b.Provide(nameState, state)
 	b.Provide(nameFollower, follower)
 	b.Provide(namePeers, peers)
@@ -162,10 +162,13 @@
 func buildBackend(b *builder) {
 	gate := admission.NewGate(admission.New(admission.Settings{Warm: true, Exact: true}), b.now)
 	backend := upstream.NewPool(upstream.Settings{Clock: b.now, Idle: backendIdle})
-	publisher := find[*directory.Publisher](b, namePublisher)
+	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
+	if b.Err != nil {
+		return
+	}
 	b.Provide(nameGate, gate)
 	b.Provide(nameBackend, backend)
-	b.Provide(nameOwn, announce.New(announce.Settings{
+	own := announce.New(announce.Settings{
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
 			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.Link, Incarnation: uint64(b.now.Now().UnixMilli()), Sequence: 1},
 		Backend: b.vm.Backend.Addr(), Timeout: heartbeatsMissed * b.vm.Heartbeat, Clock: b.now, Log: b.log, DrainTime: b.vm.Bounds.Drain / drainPart,
@@ -176,7 +179,24 @@
 			}
 			publisher.Set(in)
 		},
-	}))
+	})
+	b.Provide(nameOwn, own)
+	peers.OnOwnRecord = func(known membership.Instance) {
+		in, _ := own.Own()
+		removed := known.State == membership.StateDeparted && known.Incarnation == in.Incarnation && known.Sequence > in.Sequence
+		if removed || known.Incarnation > in.Incarnation {
+			own.Outlive(known.Incarnation)
+		}
+	}
+	follower.OnOwnRecord = func(stored membership.Instance) {
+		publisher.Stored(stored)
+		peers.OnOwnRecord(stored)
+	}
+	follower.OnOwnRemoved = func() {
+		publisher.Removed()
+		in, _ := own.Own()
+		own.Outlive(in.Incarnation)
+	}
 }
 
 // buildEgress makes the part that hands calls to the backend server.
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -323,6 +324,52 @@
 	})
 }
 
+// Guards against a node that gets no work because its record is taken for an old one, or is gone: an earlier start had a
+// later time of day, and an operator removes the object.
+func TestOwnRecordIsDefended(t *testing.T) {
+	store, offices, desk := mesh(t)
+	incarnation := func() (n uint64) {
+		var r struct {
+			Incarnation uint64
+			State       string
+		}
+		_ = json.Unmarshal([]byte(store.Get("instances", "office-1")), &r) // An object that is gone has no incarnation.
+		return r.Incarnation
+	}
+	for _, v := range offices {
+		v.app.mu.Lock()
+		v.app.answer = func(http.ResponseWriter, *http.Request) bool { time.Sleep(50 * time.Millisecond); return false }
+		v.app.mu.Unlock()
+	}
+	// More calls at once than one office has slots.
+	works := func() bool {
+		var wg sync.WaitGroup
+		var seen atomic.Bool
+		for i := range 8 {
+			wg.Go(func() {
+				r := desk.call("GET", "/safe/1", fmt.Sprint("w", i, time.Now().UnixNano()))
+				if strings.HasPrefix(r.body, "i-office-1") {
+					seen.Store(true)
+				}
+			})
+		}
+		wg.Wait()
+		for _, v := range append(offices, desk) {
+			v.announce("ready")
+		}
+		return seen.Load()
+	}
+	ghost := incarnation() + 1_000_000
+	store.Put("instances", "office-1", fmt.Sprintf(`{"service":"office","availabilityZone":"west","peers":%q,"control":"127.0.0.1:1","slots":4,"incarnation":%d,"sequence":9,"state":"draining"}`,
+		offices[0].Peers, ghost))
+	await(t, "a record above the earlier start's", func() bool { return incarnation() > ghost })
+	await(t, "work for it", works)
+	last := incarnation()
+	store.Remove("instances", "office-1")
+	await(t, "a record after its removal", func() bool { return incarnation() > last })
+	await(t, "work for it", works)
+}
+
 // Guards against a planned stop that cuts requests, and against a restarted node that gives work to a backend server
 // whose state it does not know.
 func TestPlannedStopAndRestart(t *testing.T) {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -175,7 +175,8 @@
 	b.answer(w, r, id)
 }
 
-// judgeDrain checks that no request comes later than the bound after an acknowledged drain.
+// judgeDrain checks that no request comes later than the bound after an acknowledged drain, whatever happens to links and
+// the store meanwhile. A node that was paused may hand on late what it took before.
 func (b *boot) judgeDrain(id string) {
 	left := b.left.Load()
 	if left == 0 {
@@ -183,7 +184,7 @@
 	}
 	now := time.Now()
 	late := now.Sub(time.Unix(0, left)) - drainTime
-	if late > 0 && b.ledger.calm(&b.vm.touch, now, stability+drainTime) && !b.vm.stalls.within(now.Add(-stability), now) {
+	if late > 0 && b.ledger.calm(&b.vm.frozen, now, stability) && !b.vm.stalls.within(now.Add(-stability), now) {
 		b.ledger.violate("drain", "%s reached %s %v after the end of its drain", id, b.id, late.Round(time.Millisecond))
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -175,6 +175,9 @@
 		}
 		on = on[1:]
 	}
+	if s.action == actPause {
+		on = append(on, &v.frozen)
+	}
 	defer r.ledger.fault(string(s.action), on...)()
 	lasting := func(begin, end func()) {
 		begin()
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -58,6 +58,8 @@
 	toward *link
 	// touch is disturbed by everything that happens to the VM, planned or not.
 	touch disturbance
+	// frozen is disturbed while the node is paused.
+	frozen disturbance
 
 	work sync.Mutex // held by one change of the process at a time
 	mu   sync.Mutex
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -98,6 +98,13 @@
 	return string(s.objects[kind][name].Spec)
 }
 
+// Remove removes an object as an operator does, without faults.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -184,6 +184,21 @@
 	s.store(rec, o.addr)
 }
 
+// Outlive raises the own incarnation above one that others know, or that was removed. An incarnation is the time of day of
+// a start: after a step back it can be lower than that of an earlier start, and the record would be taken for an old one.
+func (s *Service) Outlive(incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.current.Load()
+	if incarnation < o.rec.Incarnation || o.rec.State == membership.StateDeparted {
+		return
+	}
+	event.IncarnationRaised.Write(event.IncarnationRaised.Log(&s.set.Log).Uint64("incarnation", o.rec.Incarnation).Uint64("known", incarnation))
+	rec := o.rec
+	rec.Incarnation = incarnation + 1
+	s.store(rec, o.addr)
+}
+
 // serviceName is the form of a service's name.
 var serviceName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
--- a/pkg/announce/start_test.go
+++ b/pkg/announce/start_test.go
@@ -111,3 +111,30 @@
 		t.Error("no work after the announcement")
 	}
 }
+
+// Guards against a node whose record is taken for an old one: after a step of the time of day its incarnation is lower
+// than that of an earlier start, or its record was removed from the store.
+func TestOutlive(t *testing.T) {
+	clk, changes := &manual{time.Unix(10, 0)}, []membership.Instance(nil)
+	s := newService(clk, &changes)
+	take(t, s, announcement("i-1", 1000, 1, Ready))
+	before, _ := s.Own()
+	s.Outlive(before.Incarnation - 1)
+	if own, _ := s.Own(); own != before {
+		t.Errorf("an earlier start changes the record to %+v", own)
+	}
+	for _, known := range []uint64{before.Incarnation, before.Incarnation + 40} {
+		s.Outlive(known)
+		own, _ := s.Own()
+		if own.Incarnation != known+1 || own.State != membership.StateReady || changes[len(changes)-1] != own {
+			t.Errorf("%+v after an incarnation of %d is known", own, known)
+		}
+	}
+	if err := s.Depart("i-1", 1000); err != nil {
+		t.Fatal(err)
+	}
+	departed, _ := s.Own()
+	if s.Outlive(departed.Incarnation); changes[len(changes)-1] != departed {
+		t.Error("the removal of a departed instance's record brings it back")
+	}
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -55,11 +55,13 @@
 	OnChange func([]membership.Instance)
 	// OnOwnRecord, if set, is called with the own record as the store holds it.
 	OnOwnRecord func(membership.Instance)
+	// OnOwnRemoved, if set, is called when the own record was removed from the store.
+	OnOwnRemoved func()
 
 	// apply is how long after its acceptance a configuration may take to be in force.
 	apply atomic.Int64
-	// heard is the Unix time in nanoseconds of the last answer of the store.
-	heard  atomic.Int64
+	// heard is the last answer of the store.
+	heard  clock.Last
 	listed atomic.Bool
 }
 
@@ -68,7 +70,7 @@
 
 // Silence is how long ago the store last answered.
 func (f *Follower) Silence() time.Duration {
-	return f.Clock.Now().Sub(time.Unix(0, f.heard.Load()))
+	return f.heard.Ago(f.Clock.Now())
 }
 
 // SetApply sets how long after its acceptance a configuration may take to be in force. It is called before Run, and may
@@ -81,7 +83,7 @@
 
 // Run follows the configuration and the instances until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.heard.Store(f.Clock.Now().UnixNano())
+	f.heard.Set(f.Clock.Now())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -122,7 +124,7 @@
 			if lost {
 				event.StoreRegained.Write(event.StoreRegained.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(at)))
 			}
-			f.heard.Store(f.Clock.Now().UnixNano())
+			f.heard.Set(f.Clock.Now())
 			known, lost = true, false
 			if watched {
 				pause = firstBackoff
@@ -233,8 +235,14 @@
 	for _, c := range changes {
 		id := membership.InstanceID(c.Object.Name)
 		named[id] = true
+		if c.Removed && id == f.Self {
+			if f.OnOwnRemoved != nil {
+				f.OnOwnRemoved()
+			}
+			continue
+		}
 		if c.Removed {
-			if gone, ok := f.State.Depart(id); ok && id != f.Self {
+			if gone, ok := f.State.Depart(id); ok {
 				records = append(records, gone)
 			}
 			continue
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -77,6 +78,8 @@
 	AvailabilityZone string
 	Log              zerolog.Logger
 	Metrics          *metric.Set
+	// OnOwnRecord, if set, is called with the own record as another node holds it.
+	OnOwnRecord func(membership.Instance)
 	// Silence is how long ago the store last answered.
 	Silence func() time.Duration
 
@@ -84,9 +87,9 @@
 	pass chan []membership.Instance
 	// whole makes the next question ask for the whole configuration, after a difference that did not fit.
 	whole atomic.Bool
-	// trusted is the Unix time in nanoseconds from which silence of the sentinels counts: the last answer of another node
-	// that hears from the store, or the moment at which this node had nobody to ask any more.
-	trusted atomic.Int64
+	// trusted is the moment from which silence of the feeders counts: the last answer of another node that hears from the
+	// store, or when this node had nobody to ask any more.
+	trusted clock.Last
 }
 
 // NewPeers registers the methods at the server.
@@ -119,11 +122,11 @@
 
 // fed reports whether this node, which is no sentinel, has lately heard from one that hears from the store.
 func (p *Peers) fed() bool {
-	return time.Since(time.Unix(0, p.trusted.Load())) <= silenceLimit && p.Trusting()
+	return p.trusted.Ago(time.Now()) <= silenceLimit && p.Trusting()
 }
 
 func (p *Peers) offer(args *OfferArgs, _ *OfferReply) error {
-	if n := p.State.Merge(args.Records...); n > 0 {
+	if n := p.merge(args.Records); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
 		p.PassOn(args.Records)
 	}
@@ -133,6 +136,19 @@
 	return nil
 }
 
+// merge takes records of other instances and returns how many were news. The own record is this node's to change.
+func (p *Peers) merge(records []membership.Instance) int {
+	others := make([]membership.Instance, 0, len(records))
+	for _, in := range records {
+		if in.ID != p.Self {
+			others = append(others, in)
+		} else if p.OnOwnRecord != nil {
+			p.OnOwnRecord(in)
+		}
+	}
+	return p.State.Merge(others...)
+}
+
 // Ask pulls from a node that serves a newer configuration, given by its control address or its IP address. It does not
 // block: while a question is waiting, further ones are dropped, since each message of a newer node repeats them.
 func (p *Peers) Ask(addr string) {
@@ -177,14 +193,14 @@
 // was a sentinel until now, waits for the first answer as long as for any other.
 func (p *Peers) Trusting() bool {
 	watches := p.State.roster().isSentinel(p.Self)
-	if watches || p.trusted.Load() == 0 {
-		p.trusted.Store(time.Now().UnixNano())
+	if watches || p.trusted.Never() {
+		p.trusted.Set(time.Now())
 	}
 	return !watches && p.trusts()
 }
 
 func (p *Peers) trusts() bool {
-	return time.Since(time.Unix(0, p.trusted.Load())) < pullsMissed*pullPeriod+peerTimeout
+	return p.trusted.Ago(time.Now()) < pullsMissed*pullPeriod+peerTimeout
 }
 
 // next returns the control address of the node to ask at a try: the own feeder first, then a random one, or any node while
@@ -235,9 +251,9 @@
 		return reply, false
 	}
 	if reply.Fresh {
-		p.trusted.Store(time.Now().UnixNano())
+		p.trusted.Set(time.Now())
 	}
-	if n := p.State.Merge(reply.Records...); n > 0 {
+	if n := p.merge(reply.Records); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
 		p.PassOn(reply.Records)
 	}
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Removed notes that the store no longer holds the record.
+func (p *Publisher) Removed() {
+	p.mu.Lock()
+	p.stored = membership.Instance{}
+	p.mu.Unlock()
+}
+
 // Latest returns the record.
 func (p *Publisher) Latest() membership.Instance {
 	p.mu.Lock()
--- a/pkg/event/announce.go
+++ b/pkg/event/announce.go
@@ -14,4 +14,7 @@
 		"an announcement of an earlier start, or a late one, was ignored", "")
 	BackendReplaced = define(1604, "backend_replaced", zerolog.WarnLevel,
 		"another start of the backend server answers; it gets no work until it announces itself", "")
+	IncarnationRaised = define(1605, "incarnation_raised", zerolog.WarnLevel,
+		"others know a later start of this node, or its record was removed; its record goes out with a higher incarnation",
+		"Check the VM's time of day, and that no two nodes have one name.")
 )
