--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -34,7 +34,6 @@
 	ingress   *proxy.Ingress
 	egress    *proxy.Egress
 	publisher *directory.Publisher
-	grace     time.Duration
 	log       zerolog.Logger
 }
 
@@ -47,11 +46,9 @@
 func (d *drainer) Stop(ctx context.Context) error {
 	event.NodeStopping.Write(event.NodeStopping.Log(&d.log))
 	d.ready.leaving.Store(true)
-	end := time.Now().Add(d.grace)
-	if deadline, ok := ctx.Deadline(); ok {
-		end = deadline
+	if end, ok := ctx.Deadline(); ok { // The kernel always sets one.
+		d.ingress.BeginLeave(end.Add(-answerTime))
 	}
-	d.ingress.BeginLeave(end.Add(-answerTime))
 	wait(ctx, time.After(leaveTime))
 	if in := d.publisher.Latest(); in.State != membership.StateDeparted {
 		in.State, in.Sequence = membership.StateDraining, in.Sequence+1
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -257,7 +257,7 @@
 		follower.SetApply(bounds.Apply)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReady), ingress: find[*proxy.Ingress](b, nameIngress),
-		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), grace: b.vm.Bounds.Grace, log: b.log})
+		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log})
 }
 
 // retrySettings gives each node a part of the mesh's retry budget. The ratio is halved, since calls of a repeated run
