Count a node as fresh only when the store answered it or its informant

Cause, by reading: a node that no store answers counted as fresh when another one had called it fresh. Two such nodes could keep each other from watching the store, and a node that had just started counted as fresh although it had heard nothing.

TestNodesDoNotKeepEachOtherContent; the test of many nodes now makes all nodes before the first one runs (a race of the test itself, seen once under the race detector beside load: the map of peers was written while nodes read it).

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -314,6 +314,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	var states []*State
+	var start []func() // all nodes exist before the first one runs
 	for i := range nodes {
 		addr := fmt.Sprintf("10.0.0.%d:81", i+1)
 		in := instance(fmt.Sprintf("%c%d", 'a'+i%4, i), 1, 1, membership.StateReady)
@@ -327,12 +328,17 @@
 		pub := NewPublisher(p.State, m, zerolog.Nop(), p.Offer)
 		f.OnOwnRecord = pub.Stored
 		states = append(states, p.State)
-		wg.Go(func() { f.Run(ctx) })
-		wg.Go(func() { p.Run(ctx) })
-		wg.Go(func() { p.RunPassOn(ctx) })
-		wg.Go(func() { pub.Run(ctx) })
-		// Heartbeats come within 1.5 s of the start.
-		wg.Go(func() { time.Sleep(time.Duration(i) * 1500 * time.Millisecond / time.Duration(nodes)); pub.Set(in) })
+		start = append(start, func() {
+			wg.Go(func() { f.Run(ctx) })
+			wg.Go(func() { p.Run(ctx) })
+			wg.Go(func() { p.RunPassOn(ctx) })
+			wg.Go(func() { pub.Run(ctx) })
+			// Heartbeats come within 1.5 s of the start.
+			wg.Go(func() { time.Sleep(time.Duration(i) * 1500 * time.Millisecond / time.Duration(nodes)); pub.Set(in) })
+		})
+	}
+	for _, f := range start {
+		f()
 	}
 	know := func(version config.Version) {
 		t.Helper()
@@ -611,6 +617,41 @@
 	}
 }
 
+// Guards against nodes that the store does not answer, and that keep each other from asking it: a feeder that hears from a
+// sentinel counts, one that hears from such a feeder does not.
+func TestNodesDoNotKeepEachOtherContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeCaller{peers: make(map[string]*Peers)}
+		sentinel, feeder := newPeer(c, "a1", "a:81", 0), newPeer(c, "b1", "b:81", time.Hour)
+		leaf, other := newPeer(c, "c1", "c:81", time.Hour), newPeer(c, "d1", "d:81", time.Hour)
+		fresh := func(from *Peers, addr string) bool {
+			reply, ok := from.question(t.Context(), addr, from.State.Digest())
+			if !ok {
+				t.Fatal("no answer")
+			}
+			return reply.Fresh
+		}
+		if fresh(leaf, "b:81") {
+			t.Error("a node that has heard nothing is fresh")
+		}
+		if !fresh(feeder, "a:81") || !fresh(leaf, "b:81") {
+			t.Error("a feeder that hears from a sentinel is not fresh")
+		}
+		if fresh(other, "c:81") {
+			t.Error("a node that was told by one that was told is fresh")
+		}
+		sentinel.Silence = func() time.Duration { return time.Hour }
+		for range 10 {
+			time.Sleep(silenceLimit / 2)
+			fresh(leaf, "b:81")
+			fresh(feeder, "c:81")
+		}
+		if fresh(leaf, "b:81") || fresh(feeder, "c:81") {
+			t.Error("nodes without the store stay fresh by asking each other")
+		}
+	})
+}
+
 // Guards against a difference between configurations that does not fit and is sent again for ever.
 func TestMisfittingDifferenceLeadsToTheWhole(t *testing.T) {
 	c, log := &fakeCaller{peers: make(map[string]*Peers)}, zerolog.Nop()
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -52,8 +52,10 @@
 	Records       []membership.Instance
 	// Differs states that the records differ from those of a digest without records.
 	Differs bool
-	// Fresh states that the store has answered the asked node lately.
-	Fresh bool
+	// Heard states that the store has answered the asked node lately; Fresh, that it has answered it or another one that
+	// told the asked node. A node that is told by one that was told only is not fresh, so that nodes which the store does
+	// not answer cannot keep each other content.
+	Heard, Fresh bool
 }
 
 // OfferArgs passes records on, and the version of the configuration in force at the node with the control address From.
@@ -90,6 +92,8 @@
 	// trusted is the moment from which silence of the feeders counts: the last answer of another node that hears from the
 	// store, or when this node had nobody to ask any more.
 	trusted clock.Last
+	// told is the last answer of a node that the store has answered.
+	told clock.Last
 }
 
 // NewPeers registers the methods at the server.
@@ -103,7 +107,8 @@
 
 // pull answers another node.
 func (p *Peers) pull(args *Digest, reply *PullReply) error {
-	reply.Fresh = p.Silence() <= silenceLimit || p.fed()
+	reply.Heard = p.Silence() <= silenceLimit
+	reply.Fresh = reply.Heard || p.told.Ago(time.Now()) <= silenceLimit
 	if args.Records == nil {
 		reply.Differs = args.Sum != p.State.Digest().Sum
 	} else {
@@ -120,11 +125,6 @@
 	return nil
 }
 
-// fed reports whether this node, which is no sentinel, has lately heard from one that hears from the store.
-func (p *Peers) fed() bool {
-	return p.trusted.Ago(time.Now()) <= silenceLimit && p.Trusting()
-}
-
 func (p *Peers) offer(args *OfferArgs, _ *OfferReply) error {
 	if n := p.merge(args.Records); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
@@ -250,6 +250,9 @@
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
 		return reply, false
 	}
+	if reply.Heard {
+		p.told.Set(time.Now())
+	}
 	if reply.Fresh {
 		p.trusted.Set(time.Now())
 	}
