--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -29,23 +29,16 @@
 	broken   []Violation
 	outcomes map[string]int
 	faults   map[string]int
-	// disturbed counts the unplanned faults in force; calm is when the last one ended. all is for the whole mesh.
+	// all is disturbed by each fault in the mesh that is not planned work.
 	all disturbance
 }
 
-// disturbance tells since when something has been without faults.
+// disturbance tells since when something has been without faults. The ledger's lock guards it.
 type disturbance struct {
 	active int
 	ended  time.Time
 }
 
-func (d *disturbance) calmFor(now time.Time) time.Duration {
-	if d.active > 0 {
-		return 0
-	}
-	return now.Sub(d.ended)
-}
-
 func newLedger(now time.Time) *ledger {
 	return &ledger{start: now, attempts: make(map[string]*attempt), outcomes: make(map[string]int), faults: make(map[string]int),
 		all: disturbance{ended: now}}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,7 +47,8 @@
 }
 
 const (
-	// spell is the length of a span with faults of all kinds, and of the span with planned work only after it.
+	// stormSpell is the length of a span with faults of all kinds, and calmSpell that of the span with planned work only
+	// after it: three times the stability that the bounds in time ask for.
 	stormSpell = 7 * time.Second
 	calmSpell  = 9 * time.Second
 	// shortest and longest bound a fault.
@@ -56,8 +57,9 @@
 	// stormPause and calmPause are mean pauses between steps.
 	stormPause = 500 * time.Millisecond
 	calmPause  = 1200 * time.Millisecond
-	// twin is the share of steps, out of 1000, that another one follows within 50 ms.
-	twin = 250
+	// pairShare of steps, out of 1000, are followed by another one within pairGap.
+	pairShare = 250
+	pairGap   = 50 * time.Millisecond
 )
 
 // newPlan returns the steps of a run; the same seed gives the same steps.
@@ -72,7 +74,7 @@
 		}
 		plan = append(plan, step{at: at, action: kinds[r.IntN(len(kinds))], vm: r.IntN(vms), choice: r.IntN(1000),
 			lasts: shortest + time.Duration(r.Int64N(int64(longest-shortest)))})
-		if r.IntN(1000) < twin {
+		if r.IntN(1000) < pairShare {
 			at += time.Duration(r.Int64N(int64(50 * time.Millisecond)))
 		} else {
 			at += time.Duration(r.ExpFloat64() * float64(pause))
