Use one wait, one disturbance and one order of sets

The wait that ends with its context stood seven times (syncer, relay, idempotency, directory, proxy, the sidecar's drainer, the soak); all call clock.Sleep now. In the soak a VM's own disturbance repeated the ledger's, and links to the node and to the store were kept apart only to be joined again. The hash no longer needs its own test whether a list is in order: canonical makes no copy of one that is. Peers.trusts had one caller.

No behaviour is meant to change; tests and their bounds are untouched.

--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -49,21 +50,14 @@
 	if end, ok := ctx.Deadline(); ok { // The kernel always sets one.
 		d.ingress.BeginLeave(end.Add(-answerTime))
 	}
-	wait(ctx, time.After(leaveTime))
+	clock.Sleep(ctx, leaveTime)
 	if in := d.publisher.Latest(); in.State != membership.StateDeparted {
 		in.State, in.Sequence = membership.StateDraining, in.Sequence+1
 		d.publisher.Set(in)
 	}
-	wait(ctx, time.After(newsTime))
+	clock.Sleep(ctx, newsTime)
 	d.egress.BeginDrain()
 	d.ingress.WaitQuiet(ctx, quietTime)
 	d.ingress.BeginDrain()
 	return errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
 }
-
-func wait(ctx context.Context, c <-chan time.Time) {
-	select {
-	case <-c:
-	case <-ctx.Done():
-	}
-}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 )
 
 const (
@@ -82,10 +84,7 @@
 func (b *boot) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.beat(ctx, "instances.heartbeat")
-		select {
-		case <-time.After(heartbeat - heartbeat/10 + rand.N(heartbeat/5)):
-		case <-ctx.Done():
-		}
+		clock.Sleep(ctx, heartbeat-heartbeat/10+rand.N(heartbeat/5))
 	}
 }
 
@@ -194,10 +193,7 @@
 	if rand.IntN(longShare) == 0 {
 		d = longWork
 	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, d)
 }
 
 // answer sends the answer that its caller expects, or a faulty one while the backend server fails.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 )
 
 const (
@@ -49,14 +51,7 @@
 		if status := c.call(ctx, method, path); status == http.StatusNotFound {
 			c.ledger.violate("denied", "node %s does not know the route of %s", c.vm.name, path)
 		}
-		pause(ctx, between)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		clock.Sleep(ctx, between)
 	}
 }
 
@@ -162,6 +157,6 @@
 			p.ledger.violate("config", "generation %d is not in force at node %s %v after it was accepted", ask, p.vm.name,
 				start.Sub(accepted).Round(time.Millisecond))
 		}
-		pause(ctx, 2*between)
+		clock.Sleep(ctx, 2*between)
 	}
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -104,10 +104,14 @@
 
 // fault counts a fault; it begins a disturbance of the mesh and of those given, and returns its end.
 func (l *ledger) fault(name string, on ...*disturbance) (end func()) {
-	on = append(slices.Clone(on), &l.all)
+	l.happened(name)
+	return l.disturb(append(slices.Clone(on), &l.all)...)
+}
+
+// disturb begins a disturbance of those given and returns its end.
+func (l *ledger) disturb(on ...*disturbance) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.faults[name]++
 	for _, d := range on {
 		d.active++
 	}
@@ -121,8 +125,8 @@
 	}
 }
 
-// planned counts an event that is no disturbance.
-func (l *ledger) planned(name string) {
+// happened counts an event.
+func (l *ledger) happened(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.faults[name]++
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/internal/standin/metastore"
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 )
 
 // Settings of a run.
@@ -129,7 +131,7 @@
 	var steps sync.WaitGroup
 	defer steps.Wait()
 	for _, s := range newPlan(r.Seed, r.Length, len(r.vms)) {
-		pause(ctx, time.Until(start.Add(s.at)))
+		clock.Sleep(ctx, time.Until(start.Add(s.at)))
 		if ctx.Err() != nil {
 			return
 		}
@@ -144,25 +146,22 @@
 // take carries out one step.
 func (r *run) take(ctx context.Context, s step) error {
 	v := r.vms[s.vm]
+	if !slices.Contains(plannedWork, s.action) {
+		return r.fail(ctx, s, v)
+	}
+	r.ledger.happened(string(s.action))
 	switch s.action {
 	case actStop:
-		r.ledger.planned(string(s.action))
 		v.planStop(s.lasts / 2)
-		return nil
 	case actReload:
-		r.ledger.planned(string(s.action))
 		defer v.disturb()()
 		v.signal(syscall.SIGHUP, false)
-		return nil
 	case actReplace:
-		r.ledger.planned(string(s.action))
 		return v.backend.replace(ctx)
 	case actChange:
-		r.ledger.planned(string(s.action))
 		r.changes.accept()
-		return nil
 	}
-	return r.fail(ctx, s, v)
+	return nil
 }
 
 // fail carries out a fault.
@@ -170,10 +169,7 @@
 	on := []*disturbance{&v.touch}
 	whole := s.choice%3 == 0 // a fault of the store for all VMs
 	if whole {
-		for _, other := range r.vms {
-			on = append(on, &other.touch)
-		}
-		on = on[1:]
+		on = r.touches()
 	}
 	if s.action == actPause {
 		on = append(on, &v.frozen)
@@ -181,11 +177,11 @@
 	defer r.ledger.fault(string(s.action), on...)()
 	lasting := func(begin, end func()) {
 		begin()
-		pause(ctx, s.lasts)
+		clock.Sleep(ctx, s.lasts)
 		end()
 	}
 	links := func(f linkFault) {
-		l := append(v.inward[:len(v.inward):len(v.inward)], v.toward)[s.choice%3]
+		l := v.links[s.choice%len(v.links)]
 		lasting(func() { l.set(f) }, func() { l.set(linkSound) })
 	}
 	faults := func(f metastore.Faults) {
@@ -287,7 +283,7 @@
 			<-v.signal(syscall.SIGKILL, true)
 		}
 		v.backend.boot.Load().end()
-		for _, l := range append(v.inward, v.toward) {
+		for _, l := range v.links {
 			l.close()
 		}
 	}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -52,9 +52,9 @@
 	stalls          *stallMeter
 	backend         *backendServer
 	// store is the store as this VM sees it.
-	store  *storeView
-	inward []*link
-	toward *link
+	store *storeView
+	// links lead to the node, and from it to the store.
+	links []*link
 	// touch is disturbed by everything that happens to the VM, planned or not.
 	touch disturbance
 	// frozen is disturbed while the node is paused.
@@ -96,13 +96,6 @@
 
 // open makes the links, the store's listener and the settings file.
 func (v *vm) open(store *metastore.Store) error {
-	for _, port := range []int{portPeers, portControl} {
-		l, err := newLink(v.public(port), v.address(port))
-		if err != nil {
-			return err
-		}
-		v.inward = append(v.inward, l)
-	}
 	v.store = &storeView{store: store}
 	ln, err := net.Listen("tcp", v.address(portStore))
 	if err != nil {
@@ -110,8 +103,12 @@
 	}
 	server := &http.Server{Handler: v.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(ln) }() // It ends with the process.
-	if v.toward, err = newLink(v.public(portStore), v.address(portStore)); err != nil {
-		return err
+	for _, port := range []int{portPeers, portControl, portStore} {
+		l, err := newLink(v.public(port), v.address(port))
+		if err != nil {
+			return err
+		}
+		v.links = append(v.links, l)
 	}
 	return os.WriteFile(v.settingsPath(), []byte(v.settings()), 0o600)
 }
@@ -186,17 +183,7 @@
 }
 
 // disturb notes a planned disturbance of this VM alone.
-func (v *vm) disturb() (end func()) {
-	v.ledger.mu.Lock()
-	v.touch.active++
-	v.ledger.mu.Unlock()
-	return func() {
-		v.ledger.mu.Lock()
-		v.touch.active--
-		v.touch.ended = time.Now()
-		v.ledger.mu.Unlock()
-	}
-}
+func (v *vm) disturb() (end func()) { return v.ledger.disturb(&v.touch) }
 
 // signal sends a signal to the process; last states that it ends it.
 func (v *vm) signal(s syscall.Signal, last bool) (ended <-chan struct{}) {
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -25,21 +25,11 @@
 		w.value(c.Limits)
 		w.text(",")
 	}
-	writeMap(&w, "services", c.Services, func(s Service) Service {
-		if slices.IsSorted(s.CallableFrom) {
-			return s
-		}
-		return s.canonical()
-	})
+	writeMap(&w, "services", c.Services, Service.canonical)
 	w.text(",")
 	writeMap(&w, "policies", c.Policies, func(p Policy) Policy { return p })
 	w.text(",")
-	writeMap(&w, "routes", c.Routes, func(r Route) Route {
-		if slices.IsSorted(r.Methods) {
-			return r
-		}
-		return r.canonical()
-	})
+	writeMap(&w, "routes", c.Routes, Route.canonical)
 	w.text("}")
 	if w.err != nil {
 		return "", fault.Wrap(fault.Invalid, "hash configuration", w.err, "correct the value that cannot be written as JSON")
@@ -97,15 +87,23 @@
 }
 
 func (s Service) canonical() Service {
-	s.CallableFrom = sorted(s.CallableFrom)
+	s.CallableFrom = inOrder(s.CallableFrom)
 	return s
 }
 
 func (r Route) canonical() Route {
-	r.Methods = sorted(r.Methods)
+	r.Methods = inOrder(r.Methods)
 	return r
 }
 
+// inOrder is sorted without a copy of a list that is in order already; nothing changes the lists of items in place.
+func inOrder(list []string) []string {
+	if len(list) > 0 && slices.IsSorted(list) {
+		return list
+	}
+	return sorted(list)
+}
+
 // sorted returns a sorted copy, or nil for an empty list, so that a list survives gob and JSON unchanged.
 func sorted(list []string) []string {
 	if len(list) == 0 {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -99,7 +99,7 @@
 	f.follow(ctx, platform.KindInstance, func() time.Duration { return instancesWait }, func(changes []Change, whole bool) {
 		f.applyInstances(changes, whole)
 		if len(changes) > 0 && !whole {
-			sleep(ctx, gatherPause)
+			clock.Sleep(ctx, gatherPause)
 		}
 	})
 	<-done
@@ -116,7 +116,7 @@
 	known, watched, lost, exact, pause := false, false, false, false, firstBackoff
 	for ctx.Err() == nil {
 		if known && f.Trusting() {
-			sleep(ctx, trustPeriod)
+			clock.Sleep(ctx, trustPeriod)
 			continue
 		}
 		var err error
@@ -159,7 +159,7 @@
 				f.OnLost()
 			}
 		}
-		sleep(ctx, pause/2+rand.N(pause/2))
+		clock.Sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, lastBackoff)
 	}
 }
@@ -288,12 +288,3 @@
 		f.changed(records)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -205,11 +205,7 @@
 	if watches || p.trusted.Never() {
 		p.trusted.Set(time.Now())
 	}
-	return !watches && p.trusts()
-}
-
-func (p *Peers) trusts() bool {
-	return !p.doubtful.Load() && p.trusted.Ago(time.Now()) < pullsMissed*pullPeriod+peerTimeout
+	return !watches && !p.doubtful.Load() && p.trusted.Ago(time.Now()) < pullsMissed*pullPeriod+peerTimeout
 }
 
 // next returns the control address of the node to ask at a try: the own feeder first, then a random one, or any node while
@@ -347,9 +343,10 @@
 					more = false
 				}
 			}
-			if to := p.State.roster().charges(p.Self); len(to) > 0 {
+			r := p.State.roster()
+			if to := r.charges(p.Self); len(to) > 0 {
 				p.offerTo(ctx, to, OfferArgs{Records: records, Version: p.State.Version(), From: p.Control,
-					Silent: p.Silence() > silenceLimit && p.State.roster().isSentinel(p.Self)})
+					Silent: p.Silence() > silenceLimit && r.isSentinel(p.Self)})
 			}
 		case <-ctx.Done():
 			return
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -117,7 +118,7 @@
 		}
 		event.RecordNotStored.Write(event.RecordNotStored.Log(&p.Log).Err(err).Str("state", in.State.String()).Uint64("sequence", in.Sequence))
 		p.Offer(ctx, in)
-		sleep(ctx, pause/2+rand.N(pause/2))
+		clock.Sleep(ctx, pause/2+rand.N(pause/2))
 	}
 }
 
--- a/pkg/idempotency/handover.go
+++ b/pkg/idempotency/handover.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -68,7 +69,7 @@
 func (n *Node) handOverRounds(ctx context.Context) error {
 	var err error
 	for round := range handOverRounds {
-		if round > 0 && !sleep(ctx, drainPoll) {
+		if round > 0 && !clock.Sleep(ctx, drainPoll) {
 			break
 		}
 		entries := withTable(n, n.claimUnhanded)
--- a/pkg/idempotency/node.go
+++ b/pkg/idempotency/node.go
@@ -208,7 +208,7 @@
 			return res
 		}
 		n.o.Metrics.Retried(metric.RetryKeyClaimRace)
-		if !sleep(ctx, n.o.Pause()) {
+		if !clock.Sleep(ctx, n.o.Pause()) {
 			return running()
 		}
 	}
@@ -272,17 +272,6 @@
 	maxPause = 50 * time.Millisecond
 )
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func notRun(reason metric.Refusal) Result { return Result{Outcome: OutcomeNotRun, Reason: reason} }
 
 func unknown(reason metric.Refusal) Result { return Result{Outcome: OutcomeUnknown, Reason: reason} }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
@@ -76,7 +77,8 @@
 	if rep.reason == metric.RefusedKeyConflict {
 		// The home is the only instance that can run the call, and the race has ended by now.
 		c.tried = c.tried[:len(c.tried)-1]
-		pause(ctx)
+		// A random time, so that two homes that claim one key do not meet again.
+		clock.Sleep(ctx, time.Millisecond+rand.N(4*time.Millisecond))
 	}
 	if ctx.Err() != nil {
 		in.dropGrant(c)
@@ -166,16 +168,6 @@
 	}
 }
 
-// pause waits a random time of a few milliseconds, so that two homes that claim one key do not meet again.
-func pause(ctx context.Context) {
-	t := time.NewTimer(time.Millisecond + rand.N(4*time.Millisecond))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // send forwards the call to the egress beside another backend server.
 func (in *Ingress) send(ctx context.Context, c *call, target membership.Instance, now time.Time) *reply {
 	setCommon(c.header, c.outgoing(now))
--- a/pkg/relay/duty.go
+++ b/pkg/relay/duty.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -195,7 +196,7 @@
 		case <-ctx.Done():
 			return
 		case from := <-d.behind:
-			if sleep(ctx, catchUpPause) && from.version > d.acceptor.State().Version {
+			if clock.Sleep(ctx, catchUpPause) && from.version > d.acceptor.State().Version {
 				d.catchUp(ctx, from)
 			}
 		}
@@ -240,7 +241,7 @@
 // judgeLoop records departures, and takes note of pauses of this relay.
 func (d *duty) judgeLoop(ctx context.Context) {
 	before := d.clock.Now()
-	for sleep(ctx, judgePeriod) {
+	for clock.Sleep(ctx, judgePeriod) {
 		now := d.clock.Now()
 		d.judge(now, now.Sub(before))
 		before = now
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -59,7 +60,7 @@
 		case <-timer.C:
 		}
 		d.round(ctx, &wg)
-		if !sleep(ctx, exchangePause) {
+		if !clock.Sleep(ctx, exchangePause) {
 			return
 		}
 		timer.Reset(exchangePause)
--- a/pkg/relay/head.go
+++ b/pkg/relay/head.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -27,7 +28,7 @@
 	for ctx.Err() == nil {
 		version, ok := d.readHead(ctx)
 		if !ok {
-			sleep(ctx, noHeadPause+d.settings.Jitter(watchPause))
+			clock.Sleep(ctx, noHeadPause+d.settings.Jitter(watchPause))
 			continue
 		}
 		began := d.clock.Now()
@@ -41,7 +42,7 @@
 		if ctx.Err() == nil {
 			d.limited(err, "watch")
 			logWith(&d.log, event.RelayWatchLost, func(e *zerolog.Event) { e.Err(err) })
-			sleep(ctx, d.settings.Jitter(watchPause))
+			clock.Sleep(ctx, d.settings.Jitter(watchPause))
 		}
 	}
 }
@@ -103,7 +104,7 @@
 			for _, w := range waiting {
 				w <- ok
 			}
-			sleep(ctx, confirmPause)
+			clock.Sleep(ctx, confirmPause)
 		}
 	}
 }
@@ -125,7 +126,7 @@
 func (d *duty) listLoop(ctx context.Context) {
 	for {
 		d.listLeases(ctx)
-		if !sleep(ctx, listPeriod/2+d.settings.Jitter(listPeriod)) {
+		if !clock.Sleep(ctx, listPeriod/2+d.settings.Jitter(listPeriod)) {
 			return
 		}
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -132,7 +132,7 @@
 )
 
 func (r *Relay) run(ctx context.Context) {
-	for sleep(ctx, lookPeriod) {
+	for clock.Sleep(ctx, lookPeriod) {
 		if !r.node.Asked() || r.node.ZoneRelays() >= Slots {
 			continue
 		}
@@ -140,7 +140,7 @@
 		if r.node.ZoneRelays() == 0 {
 			spread = contendSoon
 		}
-		if sleep(ctx, r.settings.Jitter(spread)) && r.node.ZoneRelays() < Slots {
+		if clock.Sleep(ctx, r.settings.Jitter(spread)) && r.node.ZoneRelays() < Slots {
 			r.contend(ctx)
 		}
 	}
@@ -181,7 +181,7 @@
 				return
 			}
 		}
-		sleep(ctx, max(0, next.Sub(r.clock.Now())))
+		clock.Sleep(ctx, max(0, next.Sub(r.clock.Now())))
 	}
 }
 
@@ -203,7 +203,7 @@
 	for ctx.Err() == nil && s.contender.Holding() {
 		step := s.contender.Next(r.clock.Now())
 		if step.Action == lease.Wait {
-			sleep(ctx, step.At.Sub(r.clock.Now()))
+			clock.Sleep(ctx, step.At.Sub(r.clock.Now()))
 			continue
 		}
 		s.perform(ctx, step)
@@ -306,15 +306,3 @@
 	fields(z)
 	e.Write(z)
 }
-
-// sleep waits for d; false means that the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/relay/status.go
+++ b/pkg/relay/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/lease"
@@ -37,7 +38,7 @@
 		case <-timer.C:
 		}
 		version = d.writeStatus(ctx, version)
-		if !sleep(ctx, statusPause) {
+		if !clock.Sleep(ctx, statusPause) {
 			return
 		}
 		timer.Reset(statusPeriod - statusPause)
--- a/pkg/relay/sync.go
+++ b/pkg/relay/sync.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
@@ -54,7 +55,7 @@
 		}
 		select {
 		case <-changed:
-			if d.acceptor.State().Version <= args.Config.Version && !sleep(ctx, batchTime) {
+			if d.acceptor.State().Version <= args.Config.Version && !clock.Sleep(ctx, batchTime) {
 				return ctx.Err()
 			}
 		case <-timer.C:
--- a/pkg/syncer/announce.go
+++ b/pkg/syncer/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -57,7 +58,7 @@
 		case <-s.urgent:
 		}
 		for n := 1; s.announce(ctx) != nil; n++ {
-			if !sleep(ctx, s.settings.Jitter(backoff(n))) {
+			if !clock.Sleep(ctx, s.settings.Jitter(backoff(n))) {
 				return
 			}
 		}
@@ -115,7 +116,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, s.settings.Jitter(backoff(n))) {
+		if !clock.Sleep(ctx, s.settings.Jitter(backoff(n))) {
 			return err
 		}
 	}
--- a/pkg/syncer/poll.go
+++ b/pkg/syncer/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -48,7 +49,7 @@
 	}
 	s.settle()
 	if !s.ready.Load() && polled {
-		sleep(ctx, backoffBase+s.settings.Jitter(backoffBase))
+		clock.Sleep(ctx, backoffBase+s.settings.Jitter(backoffBase))
 	}
 }
 
@@ -138,7 +139,7 @@
 func (s *Syncer) lost(ctx context.Context) {
 	s.link.failures++
 	s.metrics.Retried(metric.RetryControlCall)
-	sleep(ctx, s.settings.Jitter(backoff(s.link.failures)))
+	clock.Sleep(ctx, s.settings.Jitter(backoff(s.link.failures)))
 }
 
 // backoff returns the upper bound of the wait after n failures in a row.
@@ -194,7 +195,7 @@
 	if reply.RetryAfter > 0 {
 		s.metrics.Refused(metric.RefusedSynchronisations)
 		s.link.putOff = true
-		sleep(ctx, reply.RetryAfter+s.settings.Jitter(reply.RetryAfter))
+		clock.Sleep(ctx, reply.RetryAfter+s.settings.Jitter(reply.RetryAfter))
 	}
 	return nil
 }
--- a/pkg/syncer/start.go
+++ b/pkg/syncer/start.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
@@ -37,7 +38,7 @@
 
 // askPlatform reads the head directly, when no relay does it for the node.
 func (s *Syncer) askPlatform(ctx context.Context) {
-	if s.quorum.platform || !sleep(ctx, s.settings.Jitter(s.settings.StartSpread)) {
+	if s.quorum.platform || !clock.Sleep(ctx, s.settings.Jitter(s.settings.StartSpread)) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.settings.PlatformTimeout)
--- a/pkg/syncer/syncer.go
+++ b/pkg/syncer/syncer.go
@@ -190,23 +190,11 @@
 const expirePeriod = 5 * time.Second
 
 func (s *Syncer) expireLoop(ctx context.Context) {
-	for sleep(ctx, expirePeriod) {
+	for clock.Sleep(ctx, expirePeriod) {
 		s.table.Expire()
 	}
 }
 
-// sleep waits for d; false means that the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // accept offers an update to the acceptor and follows up on the result.
 func (s *Syncer) accept(u ConfigUpdate, from string) Verdict {
 	v, err := s.acceptor.Update(u)
