Log what a node believes of a leaving backend server

1600 backend_state carries the server's start, the sequence of the announcement, the previous state and how long new requests are still sent; 1603 announcement_stale also what the node held as the latest. 1314 sent_leaving and the histogram backend.sent_leaving cover each request that is sent after the announcement, with the time since then and since its admission. No decision changes.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -121,6 +121,13 @@
 	address string
 	// admitUntil is the time until which a draining or departed backend server accepts new requests.
 	admitUntil time.Time
+	// leavingSince is when the backend server announced its drain or departure; it is zero for other states.
+	leavingSince time.Time
+}
+
+// leaving reports whether the backend server has announced its drain or departure.
+func (o *ownState) leaving() bool {
+	return o.record.State == membership.StateDraining || o.record.State == membership.StateDeparted
 }
 
 // New returns a BackendTracker whose backend server is in state starting until its first announcement.
@@ -174,6 +181,16 @@
 	return false
 }
 
+// LeavingFor implements proxy.LocalInstance. It returns the time since the backend server announced its drain or
+// departure, or zero if it has announced neither.
+func (t *BackendTracker) LeavingFor(now time.Time) time.Duration {
+	since := t.current.Load().leavingSince
+	if since.IsZero() {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // Misdirected implements proxy.LocalInstance. It is called when a response shows that a different start of the backend
 // server, backendID, now runs at the address. Its state is unknown until it announces itself, so the record goes back
 // to starting.
@@ -253,7 +270,8 @@
 	defer t.mu.Unlock()
 	if a.isOutdated(t.start) {
 		event.AnnouncementStale.Write(event.AnnouncementStale.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
-			Uint64("sequence", a.Sequence).Str("state", a.State))
+			Uint64("sequence", a.Sequence).Str("state", a.State).Int64("latest_born", t.start.startedMillis).
+			Uint64("latest_sequence", t.start.sequence).Str("current", t.stateMachine.Current()))
 		return nil
 	}
 	t.resetOnNewStart(a)
@@ -317,29 +335,44 @@
 	old := t.current.Load()
 	if record == old.record {
 		if addr != old.address {
-			t.current.Store(&ownState{record: record, address: addr, admitUntil: old.admitUntil})
+			moved := *old
+			moved.address = addr
+			t.current.Store(&moved)
 		}
 		return
 	}
 	record.Sequence = old.record.Sequence + 1
-	t.current.Store(&ownState{record: record, address: addr, admitUntil: t.admitsUntil(old, record)})
-	event.BackendState.Write(event.BackendState.Log(&t.settings.Log).Str("service", record.Service).Int("slots", record.Slots).
-		Str("state", t.stateMachine.Current()))
+	now := t.settings.Clock.Now()
+	next := &ownState{record: record, address: addr, admitUntil: t.admitsUntil(old, record, now)}
+	if next.leaving() {
+		next.leavingSince = now
+		if old.leaving() && old.record.BackendID == record.BackendID {
+			next.leavingSince = old.leavingSince
+		}
+	}
+	t.current.Store(next)
+	line := event.BackendState.Log(&t.settings.Log).Str("service", record.Service).Int("slots", record.Slots).
+		Str("state", t.stateMachine.Current()).Str("previous", old.record.State.String()).Str("backend", record.BackendID).
+		Int64("born", t.start.startedMillis).Uint64("sequence", t.start.sequence)
+	if next.leaving() {
+		line = line.Dur("admits_ms", next.admitUntil.Sub(now))
+	}
+	event.BackendState.Write(line)
 	t.settings.OnChange(record)
 }
 
 // admitsUntil returns the time until which a draining or departed backend server accepts new requests. A departure
 // after a drain does not extend it.
-func (t *BackendTracker) admitsUntil(old *ownState, record membership.Instance) time.Time {
+func (t *BackendTracker) admitsUntil(old *ownState, record membership.Instance, now time.Time) time.Time {
 	switch record.State {
 	case membership.StateDraining, membership.StateDeparted:
 		if !old.admitUntil.IsZero() && old.record.BackendID == record.BackendID {
 			return old.admitUntil
 		}
 		if old.record.State == membership.StateReady && old.record.BackendID == record.BackendID {
-			return t.settings.Clock.Now().Add(time.Duration(t.drainTime.Load()))
+			return now.Add(time.Duration(t.drainTime.Load()))
 		}
-		return t.settings.Clock.Now()
+		return now
 	}
 	return time.Time{}
 }
--- a/pkg/event/datapath.go
+++ b/pkg/event/datapath.go
@@ -24,5 +24,8 @@
 	CallFailed = define(1313, "call_failed", zerolog.InfoLevel,
 		"a backend server responded to a call with a server error",
 		"Look for the request in the backend server's log, and check the calls that the backend server made for it.")
+	SentLeaving = define(1314, "sent_leaving", zerolog.InfoLevel,
+		"a call was sent to a backend server that has announced that it leaves",
+		"If leaving_ms exceeds the drain time, compare it with the announcements in 1600 and with since_admission_ms.")
 	DrainEnded = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no calls in flight", "")
 )
--- a/pkg/metric/text.go
+++ b/pkg/metric/text.go
@@ -18,6 +18,8 @@
 	BackendTime = "backend.time"
 	// QueueTime is the time that a call waits for a slot of the local backend server.
 	QueueTime = "backend.queue_time"
+	// SentLeaving is the time from the backend server's announcement that it leaves to a call that is sent to it after that.
+	SentLeaving = "backend.sent_leaving"
 )
 
 // sampleSize and sampleAlpha are the values that the metrics library uses for its timers. They weight the sample
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -233,6 +233,7 @@
 	e.Dialect.SetOutgoingHeaders(h, out)
 	ex := &upstream.Exchange{Request: c.request(h), RequestID: c.id, Idempotent: c.idempotent, Deadline: c.deadline}
 	e.Dialect.ConfigureExchange(ex)
+	ex.BeforeSend = func() { e.reportLeaving(c, now) }
 	if c.idempotent {
 		e.watchProgress(c, active, ex, now)
 	}
@@ -247,6 +248,19 @@
 	return rep
 }
 
+// reportLeaving counts and logs a call that is about to be sent to a backend server that has announced that it leaves.
+// The call has been admitted at the given time.
+func (e *Egress) reportLeaving(c *call, admitted time.Time) {
+	now := e.Clock.Now()
+	leaving := e.Local.LeavingFor(now)
+	if leaving == 0 {
+		return
+	}
+	e.Metrics.Observe(metric.SentLeaving, leaving)
+	event.SentLeaving.Write(event.SentLeaving.Log(&e.Log).Str("request", c.id).Str("service", c.service).Dur("leaving_ms", leaving).
+		Dur("queued_ms", admitted.Sub(c.arrived)).Dur("since_admission_ms", now.Sub(admitted)))
+}
+
 // firstProgressCheck is the delay before a call from another node is first checked for nested calls. Most calls have
 // ended by then and need no check.
 const firstProgressCheck = 10 * time.Millisecond
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -72,6 +72,8 @@
 	Instance() (membership.Instance, string)
 	// Admits reports whether the backend server may be sent a request now.
 	Admits(now time.Time) bool
+	// LeavingFor returns the time since the backend server announced that it leaves, or zero if it has not.
+	LeavingFor(now time.Time) time.Duration
 	// Misdirected is called when a backend server with another ID than the known one responds at the address.
 	Misdirected(backendID string)
 }
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -115,6 +115,9 @@
 	return n.own.State == membership.StateReady
 }
 
+// LeavingFor implements LocalInstance.
+func (n *node) LeavingFor(time.Time) time.Duration { return 0 }
+
 // Misdirected implements LocalInstance.
 func (n *node) Misdirected(string) {}
 
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -47,6 +47,8 @@
 	// alive, the exchange waits until its deadline.
 	OnNoResponse    func() time.Time
 	ResponseCheckAt time.Time
+	// BeforeSend, if set, is called once a connection is ready, before the first byte of the request is sent.
+	BeforeSend func()
 }
 
 // Do sends the request to addr and reads the response. Cancelling ctx closes the connection.
@@ -62,6 +64,9 @@
 	if c == nil {
 		return res
 	}
+	if ex.BeforeSend != nil {
+		ex.BeforeSend()
+	}
 	c.attachBuffers()
 	stopCancel := context.AfterFunc(ctx, func() { c.SetDeadline(pastDeadline) })
 	res = c.roundTrip(ctx, ex)
