--- /dev/null
+++ b/pkg/announce/leaving_test.go
@@ -0,0 +1,60 @@
+package announce
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// Guards against new requests to a backend server that has said that it leaves: an announcement that it sent before, or
+// any other of the same start, arrives after the departure or after a silence and makes it ready again.
+func TestLeavingStartIsNotReadyAgain(t *testing.T) {
+	for name, leave := range map[string]func(t *testing.T, tracker *BackendTracker, clk *manualClock){
+		"departure without a drain": func(t *testing.T, tracker *BackendTracker, _ *manualClock) {
+			mustDepart(t, tracker, "i-1", 1000)
+		},
+		"departure that does not name its start": func(t *testing.T, tracker *BackendTracker, _ *manualClock) {
+			mustDepart(t, tracker, "i-1", 0)
+		},
+		"departure after a drain": func(t *testing.T, tracker *BackendTracker, _ *manualClock) {
+			mustAnnounce(t, tracker, announcement("i-1", 1000, 6, Draining))
+			mustDepart(t, tracker, "i-1", 1000)
+		},
+		"silence after a drain": func(t *testing.T, tracker *BackendTracker, clk *manualClock) {
+			mustAnnounce(t, tracker, announcement("i-1", 1000, 6, Draining))
+			clk.now = clk.now.Add(2 * DefaultTimeout)
+			tracker.Expire(clk.now)
+		},
+		"misdirected request during a drain": func(t *testing.T, tracker *BackendTracker, _ *manualClock) {
+			mustAnnounce(t, tracker, announcement("i-1", 1000, 6, Draining))
+			tracker.Misdirected("")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk, changes := &manualClock{time.Unix(10, 0)}, []membership.Instance(nil)
+			tracker := newTracker(clk, &changes)
+			tracker.SetDrainTime(time.Second)
+			mustAnnounce(t, tracker, announcement("i-1", 1000, 5, Ready))
+			leave(t, tracker, clk)
+			clk.now = clk.now.Add(time.Second)
+			for sequence := uint64(7); sequence < 9; sequence++ {
+				_ = tracker.Announce(announcement("i-1", 1000, sequence, Ready)) // It may be refused or ignored.
+				if own, _ := tracker.Instance(); own.State == membership.StateReady || tracker.Admits(clk.now) {
+					t.Errorf("announcement %d of a leaving start: record %+v, admits requests: %v", sequence, own, tracker.Admits(clk.now))
+				}
+			}
+			mustAnnounce(t, tracker, announcement("i-1", 9000, 1, Ready))
+			if own, _ := tracker.Instance(); own.State != membership.StateReady || !tracker.Admits(clk.now) {
+				t.Errorf("the next start is not ready: %+v", own)
+			}
+		})
+	}
+}
+
+func mustDepart(t *testing.T, tracker *BackendTracker, id string, born int64) {
+	t.Helper()
+	if err := tracker.Depart(id, born); err != nil {
+		t.Fatalf("departure of %s: %v", id, err)
+	}
+}
