Keep a leaving backend server out until its next start

Cause: the state machine of the announcements allowed a departed server to announce ready, and a draining one after a silence or a misdirected request. A departure carries no sequence. A node that wakes from a freeze processes all calls that arrived meanwhile in any order; an announcement of before the departure, processed 0.1 ms after it, made the server ready for as long as six heartbeats.

Now draining and departed are final for one start of the server; only another start (another id or birth, or for servers that name none an announced start) begins anew. A silent draining server stays draining.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -56,8 +56,13 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
+// identified reports whether the announcement names the start that it comes from.
+func (a Announcement) identified() bool { return a.ID != "" || a.Born != 0 }
+
+// isOfStart reports whether the announcement comes from the given start. A start that is known only by a departure may
+// lack its time.
 func (a Announcement) isOfStart(s backendStart) bool {
-	return a.Born == s.startedMillis && a.ID == s.id
+	return a.ID == s.id && (a.Born == s.startedMillis || s.startedMillis == 0 && s.id != "")
 }
 
 // Values of Announcement.State.
@@ -146,17 +151,15 @@
 	return tracker
 }
 
-// newStateMachine returns the state machine of the backend server. Each event is named after the announced state that
-// triggers it. A backend server may restart while the node keeps running, but a draining one cannot become ready
-// directly, without starting or departed in between.
+// newStateMachine returns the state machine of one start of the backend server. Each event is named after the announced
+// state that triggers it. A start never returns from draining or departed: the next start begins with a new machine.
 func newStateMachine() *fsm.FSM {
-	allStates := []string{stateStarting, stateReady, stateDraining, stateDeparted}
 	return fsm.NewFSM(stateStarting, fsm.Events{
-		{Name: stateStarting, Src: allStates, Dst: stateStarting},
-		{Name: stateReady, Src: []string{stateStarting, stateReady, stateDeparted}, Dst: stateReady},
+		{Name: stateStarting, Src: []string{stateStarting, stateReady}, Dst: stateStarting},
+		{Name: stateReady, Src: []string{stateStarting, stateReady}, Dst: stateReady},
 		{Name: stateDraining, Src: []string{stateStarting, stateReady, stateDraining}, Dst: stateDraining},
-		{Name: stateDeparted, Src: allStates, Dst: stateDeparted},
-		{Name: eventAnnouncementsMissed, Src: []string{stateReady, stateDraining}, Dst: stateStarting},
+		{Name: stateDeparted, Src: []string{stateStarting, stateReady, stateDraining, stateDeparted}, Dst: stateDeparted},
+		{Name: eventAnnouncementsMissed, Src: []string{stateReady}, Dst: stateStarting},
 	}, fsm.Callbacks{})
 }
 
@@ -202,6 +205,12 @@
 		return
 	}
 	event.BackendReplaced.Write(event.BackendReplaced.Log(&t.settings.Log).Str("known", current.record.BackendID).Str("answered", backendID))
+	if current.leaving() {
+		stopped := *current
+		stopped.admitUntil = t.settings.Clock.Now()
+		t.current.Store(&stopped)
+		return
+	}
 	record := current.record
 	record.State = membership.StateStarting
 	t.stateMachine.SetState(stateStarting)
@@ -268,7 +277,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if a.isOutdated(t.start) {
+	if a.isOutdated(t.start) || t.contradictsLeaving(a) {
 		event.AnnouncementStale.Write(event.AnnouncementStale.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
 			Uint64("sequence", a.Sequence).Str("state", a.State).Int64("latest_born", t.start.startedMillis).
 			Uint64("latest_sequence", t.start.sequence).Str("current", t.stateMachine.Current()))
@@ -281,7 +290,7 @@
 			"stop the other backend server first, or run a separate node for each")
 	}
 	if err := t.trigger(a.State); err != nil {
-		return fault.Wrap(fault.Conflict, "announce", err, "a draining backend server must announce starting or departed before ready")
+		return fault.Wrap(fault.Conflict, "announce", err, "a backend server that has announced that it leaves must announce starting after its restart, or name its start")
 	}
 	t.lastAnnounced = t.settings.Clock.Now()
 	t.start = backendStart{id: a.ID, startedMillis: a.Born, sequence: a.Sequence}
@@ -295,12 +304,30 @@
 	return nil
 }
 
-// resetOnNewStart resets the state machine if the announcement comes from another start.
+// contradictsLeaving reports whether a start that has announced its drain or departure announces an earlier state. Such
+// an announcement was sent before and arrived late. A departure carries no sequence, and a node that was paused
+// processes all requests that arrived meanwhile in no particular order, so the sequence alone does not show it.
+func (t *BackendTracker) contradictsLeaving(a Announcement) bool {
+	if !a.identified() || !a.isOfStart(t.start) {
+		return false
+	}
+	switch t.stateMachine.Current() {
+	case stateDraining:
+		return a.State == stateStarting || a.State == stateReady
+	case stateDeparted:
+		return a.State != stateDeparted
+	}
+	return false
+}
+
+// resetOnNewStart resets the state machine if the announcement comes from another start. A backend server that does not
+// identify its starts begins a new one by announcing starting, or ready after its departure.
 func (t *BackendTracker) resetOnNewStart(a Announcement) {
-	if a.isOfStart(t.start) {
-		return
+	anonymousStart := !a.identified() &&
+		(a.State == stateStarting || a.State == stateReady && t.stateMachine.Current() == stateDeparted)
+	if !a.isOfStart(t.start) || anonymousStart {
+		t.stateMachine.SetState(stateStarting)
 	}
-	t.stateMachine.SetState(stateStarting)
 }
 
 // Depart processes the departure of a backend server, with or without a preceding drain.
