Remember the departure of a backend server that has not announced itself

A node that has just restarted knows no start of its backend server. It answered the departure with 404 and kept nothing of it; the late announcement that arrived 2.6 s later made the server ready.

Now a departure of a start that is not known, or that is newer than the known one, makes that start the known one, departed, and is acknowledged.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -330,21 +330,32 @@
 	}
 }
 
-// Depart processes the departure of a backend server, with or without a preceding drain.
+// Depart processes the departure of a backend server, with or without a preceding drain. The departure of a start that
+// has not announced itself is remembered too: the node may have restarted, and late announcements of that start may
+// still arrive. A born of zero means that the departure does not name its start.
 func (t *BackendTracker) Depart(id string, born int64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.current.Load()
-	if id != current.record.BackendID || (born != 0 && born != t.start.startedMillis) {
+	departing := Announcement{ID: id, Born: born}
+	sameStart := departing.isOfStart(t.start) || born == 0 && id == t.start.id
+	if !sameStart && t.start != (backendStart{}) && born <= t.start.startedMillis {
 		return fault.New(fault.NotFound, "depart", fmt.Sprintf("backend server %q is not the one that announced itself to this node", id),
-			"announce it first, or ignore the error: a backend server that has not announced itself is sent no requests")
+			"ignore the error: an earlier start of the backend server is sent no requests")
+	}
+	record := t.current.Load().record
+	if !sameStart {
+		t.stateMachine.SetState(stateStarting)
+		t.start = backendStart{id: id, startedMillis: born}
+		if record.State == membership.StateDeparted {
+			// A departure supersedes all records of its incarnation, so another one needs a higher one.
+			record.Incarnation++
+		}
 	}
 	if err := t.trigger(stateDeparted); err != nil {
 		return fault.Wrap(fault.Conflict, "depart", err, "")
 	}
-	record := current.record
-	record.State = membership.StateDeparted
-	t.update(record, current.address)
+	record.BackendID, record.State = id, membership.StateDeparted
+	t.update(record, t.current.Load().address)
 	return nil
 }
 
--- a/pkg/announce/leaving_test.go
+++ b/pkg/announce/leaving_test.go
@@ -58,3 +58,40 @@
 		t.Fatalf("departure of %s: %v", id, err)
 	}
 }
+
+// Guards against new requests to a backend server whose departure was acknowledged before any of its announcements, by a
+// node that has just restarted: an announcement that the server sent before arrives afterwards and makes it ready.
+func TestDepartureBeforeTheFirstAnnouncement(t *testing.T) {
+	for name, c := range map[string]struct {
+		known []Announcement
+		born  int64
+		next  Announcement
+	}{
+		"restarted node":                        {born: 2000, next: announcement("i-2", 9000, 1, Ready)},
+		"restarted node, start not named":       {born: 0, next: announcement("i-3", 9000, 1, Ready)},
+		"start that follows the announced one":  {known: []Announcement{announcement("i-1", 1000, 5, Ready)}, born: 2000, next: announcement("i-2", 9000, 1, Ready)},
+		"start that follows a departed one":     {known: []Announcement{announcement("i-1", 1000, 5, Ready), announcement("i-1", 1000, 6, Departed)}, born: 2000, next: announcement("i-2", 9000, 1, Ready)},
+		"restart of the announced one, same ID": {known: []Announcement{announcement("i-2", 1000, 5, Ready)}, born: 2000, next: announcement("i-2", 9000, 1, Ready)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk, changes := &manualClock{time.Unix(10, 0)}, []membership.Instance(nil)
+			tracker := newTracker(clk, &changes)
+			tracker.SetDrainTime(time.Second)
+			for _, a := range c.known {
+				mustAnnounce(t, tracker, a)
+			}
+			mustDepart(t, tracker, "i-2", c.born)
+			clk.now = clk.now.Add(time.Second)
+			for sequence := uint64(7); sequence < 9; sequence++ {
+				_ = tracker.Announce(announcement("i-2", 2000, sequence, Ready)) // It may be refused or ignored.
+				if own, _ := tracker.Instance(); own.State == membership.StateReady || tracker.Admits(clk.now) {
+					t.Errorf("announcement %d of a departed start: record %+v, admits requests: %v", sequence, own, tracker.Admits(clk.now))
+				}
+			}
+			mustAnnounce(t, tracker, c.next)
+			if own, _ := tracker.Instance(); own.State != membership.StateReady || !tracker.Admits(clk.now) {
+				t.Errorf("the next start is not ready: %+v", own)
+			}
+		})
+	}
+}
