Ask a backend server whether it accepts calls before believing the first announcement

A node that restarts after it has acknowledged a drain or a departure knows nothing of it. The first announcement that it receives may be one that the server sent before, and made the server ready: the third way by which an older state replaced a newer one. The acknowledgement cannot be made durable first, since a node may lose power milliseconds after it and drains must be acknowledged while the store is away.

Now the first announcement since the node's start, if it says ready, is checked with one health check of the server, which answers for itself. If the server does not confirm it, the next announcement decides: that one is newer than the start of the node. A drain or departure needs no check. The configuration carries the health path of a service.

TestRestartedNodeSendsNothingToLeavingBackendServer failed without the check (a request reached the server), and TestFirstAnnouncementIsChecked covers the decisions.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -170,6 +170,7 @@
 	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true}), b.clock)
 	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
+	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool, clock: b.clock}
 	if b.Err != nil {
 		return
 	}
@@ -179,6 +180,7 @@
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
 			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.LinkMbps, Incarnation: uint64(b.clock.Now().UnixMilli()), Sequence: 1},
 		Backend: b.vm.Backend.Addr(), Timeout: maxMissedHeartbeats * b.vm.Heartbeat, Clock: b.clock, Log: b.log, DrainTime: b.vm.Bounds.Drain / drainTimeDivisor,
+		AcceptsWork: health.acceptsWork,
 		OnChange: func(instance membership.Instance) {
 			if instance.State == membership.StateReady {
 				gate.SetSlots(instance.Slots)
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -40,6 +40,8 @@
 	headers []http.Header
 	handler func(w http.ResponseWriter, r *http.Request) bool
 	server  *httptest.Server
+	// leaving makes the health check fail.
+	leaving atomic.Bool
 }
 
 func newTestBackendServer(t *testing.T, id string) *testBackendServer {
@@ -50,6 +52,13 @@
 }
 
 func (s *testBackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("X-Instance-Id", s.id)
+		if s.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	attempt := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
 	if target := r.Header.Get("X-Target-Instance"); target != s.id {
@@ -140,8 +149,13 @@
 // sendHeartbeat sends a heartbeat of the backend server and reports whether the node acknowledged it.
 func (v *vm) sendHeartbeat(state string) bool {
 	v.sequence++
-	body := fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:1","zone":"west","slots":4,"state":%q,"sequence":%d,"born":1000}`, v.Service, state, v.sequence)
-	resp, err := http.Post("http://"+v.Announcements.String()+"/rpc?call=instances.heartbeat&of="+v.backendServer.id, "application/json", strings.NewReader(body))
+	return v.announce("instances.heartbeat", fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:1","zone":"west","slots":4,"state":%q,"sequence":%d,"born":1000}`,
+		v.Service, state, v.sequence))
+}
+
+// announce sends a call of the backend server and reports whether the node acknowledged it.
+func (v *vm) announce(call, body string) bool {
+	resp, err := http.Post("http://"+v.Announcements.String()+"/rpc?call="+call+"&of="+v.backendServer.id, "application/json", strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -203,7 +217,8 @@
 }
 
 func configurationJSON(version int, routes ...string) string {
-	entries := []string{`{"type":"services","metadata":{"name":"desk"},"spec":{}}`, `{"type":"services","metadata":{"name":"office"},"spec":{}}`}
+	entries := []string{`{"type":"services","metadata":{"name":"desk"},"spec":{"healthPath":"/healthz"}}`,
+		`{"type":"services","metadata":{"name":"office"},"spec":{"healthPath":"/healthz"}}`}
 	for i, r := range routes {
 		path, service, _ := strings.Cut(r, ">")
 		kind := "unsafe"
@@ -420,6 +435,36 @@
 	})
 }
 
+// Guards against requests to a backend server whose departure was acknowledged by an earlier run of its node: after the
+// restart of the node an announcement arrives that the server sent before its departure.
+func TestRestartedNodeSendsNothingToLeavingBackendServer(t *testing.T) {
+	_, officeVMs, deskVM := startMesh(t)
+	leaving := officeVMs[0]
+	leaving.backendServer.leaving.Store(true)
+	if !leaving.announce("instances.deregister", `{"born":1000}`) {
+		t.Fatal("the departure was not acknowledged")
+	}
+	leaving.cancel()
+	<-leaving.done
+	leaving.start(t)
+	waitFor(t, "the restarted node to be ready", func() bool { return leaving.readyStatus() == http.StatusOK })
+	before := len(leaving.backendServer.headers)
+	if !leaving.sendHeartbeat("ready") {
+		t.Fatal("the late heartbeat was not acknowledged")
+	}
+	for i := range 60 {
+		for _, v := range []*vm{leaving, deskVM} {
+			if r := v.call("GET", "/safe/1", fmt.Sprint("r", i)); r.status != 200 || !strings.HasPrefix(r.body, "i-office-2") {
+				t.Errorf("request after the restart: %+v", r)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if after := len(leaving.backendServer.headers); after != before {
+		t.Errorf("%d requests reached a backend server that leaves", after-before)
+	}
+}
+
 // Guards against a metrics listener that cannot start, and against a log line of a refusal that lacks the inputs of the
 // decision.
 func TestRefusalIsLoggedWithItsInputs(t *testing.T) {
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -108,6 +108,10 @@
 	DrainTime time.Duration
 	// OnChange, if set, is called with each new record, in order. It must not block.
 	OnChange func(membership.Instance)
+	// AcceptsWork, if set, asks the backend server whether it accepts new requests; false also means that it did not
+	// answer. It is called by Run when the first announcement since the node's start says ready. The server may have
+	// announced its departure to an earlier run of the node, and this announcement may be older than that.
+	AcceptsWork func(ctx context.Context, a Announcement) bool
 }
 
 // BackendTracker tracks the state of the node's own backend server and maintains the record of its instance.
@@ -119,6 +123,9 @@
 	lastAnnounced time.Time
 	start         backendStart
 	current       atomic.Pointer[ownState]
+	// unconfirmed holds the first announcement since the node's start until Run has asked the backend server. Only one
+	// value is ever sent, so that sending does not block.
+	unconfirmed chan Announcement
 }
 
 type ownState struct {
@@ -143,7 +150,7 @@
 	if s.OnChange == nil {
 		s.OnChange = func(membership.Instance) {}
 	}
-	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine()}
+	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine(), unconfirmed: make(chan Announcement, 1)}
 	tracker.SetDrainTime(s.DrainTime)
 	record := s.Instance
 	record.State = membership.StateStarting
@@ -289,12 +296,28 @@
 		return fault.New(fault.Conflict, "announce", "this node already serves a backend server of service "+old.record.Service,
 			"stop the other backend server first, or run a separate node for each")
 	}
-	if err := t.trigger(a.State); err != nil {
-		return fault.Wrap(fault.Conflict, "announce", err, "a backend server that has announced that it leaves must announce starting after its restart, or name its start")
+	first := t.start == backendStart{}
+	if first && a.identified() && a.State == stateReady && t.settings.AcceptsWork != nil {
+		t.noteAnnounced(a)
+		t.unconfirmed <- a
+		return nil
 	}
+	return t.apply(a)
+}
+
+// noteAnnounced remembers an announcement as the latest.
+func (t *BackendTracker) noteAnnounced(a Announcement) {
 	t.lastAnnounced = t.settings.Clock.Now()
 	t.start = backendStart{id: a.ID, startedMillis: a.Born, sequence: a.Sequence}
-	record := old.record
+}
+
+// apply puts the announced state into effect.
+func (t *BackendTracker) apply(a Announcement) error {
+	if err := t.trigger(a.State); err != nil {
+		return fault.Wrap(fault.Conflict, "announce", err, "a backend server that has announced that it leaves must announce starting after its restart, or name its start")
+	}
+	t.noteAnnounced(a)
+	record := t.current.Load().record
 	if record.State == membership.StateDeparted && a.State != stateDeparted {
 		// A departure supersedes all records of its incarnation, so the new state needs a higher one.
 		record.Incarnation++
@@ -430,7 +453,26 @@
 	t.update(record, current.address)
 }
 
-// Run checks for missed announcements until ctx ends.
+// confirm asks the backend server whether it accepts new requests, as its first announcement says. If it does not say
+// so, the next announcement decides, since only that one is certain to be newer than the start of this node.
+func (t *BackendTracker) confirm(ctx context.Context, a Announcement) {
+	accepts := t.settings.AcceptsWork(ctx, a)
+	event.AnnouncementChecked.Write(event.AnnouncementChecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
+		Uint64("sequence", a.Sequence).Bool("accepts_work", accepts))
+	if !accepts {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !a.isOfStart(t.start) || a.Sequence != t.start.sequence || t.stateMachine.Current() != stateStarting {
+		return // A newer announcement has arrived meanwhile.
+	}
+	if err := t.apply(a); err != nil {
+		event.AnnouncementRefused.Write(event.AnnouncementRefused.Log(&t.settings.Log).Err(err))
+	}
+}
+
+// Run checks the first announcement and looks for missed ones until ctx ends.
 func (t *BackendTracker) Run(ctx context.Context) {
 	tick := time.NewTicker(t.settings.Timeout / 6)
 	defer tick.Stop()
@@ -438,6 +480,8 @@
 		select {
 		case <-tick.C:
 			t.Expire(t.settings.Clock.Now())
+		case a := <-t.unconfirmed:
+			t.confirm(ctx, a)
 		case <-ctx.Done():
 			return
 		}
--- a/pkg/announce/leaving_test.go
+++ b/pkg/announce/leaving_test.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -95,3 +96,47 @@
 		})
 	}
 }
+
+// Guards against new requests to a backend server whose departure was acknowledged before the node restarted: the first
+// announcement after the restart may be older than the departure.
+func TestFirstAnnouncementIsChecked(t *testing.T) {
+	first, second := announcement("i-1", 1000, 5, Ready), announcement("i-1", 1000, 6, Ready)
+	for name, c := range map[string]struct {
+		accepts bool
+		then    *Announcement
+		want    membership.State
+	}{
+		"confirmed":                              {accepts: true, want: membership.StateReady},
+		"not confirmed":                          {accepts: false, want: membership.StateStarting},
+		"not confirmed, then a newer one":        {accepts: false, then: &second, want: membership.StateReady},
+		"not confirmed, then the same one":       {accepts: false, then: &first, want: membership.StateStarting},
+		"confirmed while a drain is announced":   {accepts: true, then: ptr(announcement("i-1", 1000, 6, Draining)), want: membership.StateDraining},
+		"confirmed while it departs":             {accepts: true, then: ptr(announcement("i-1", 1000, 6, Departed)), want: membership.StateDeparted},
+		"confirmed while another start is ready": {accepts: true, then: ptr(announcement("i-2", 3000, 1, Ready)), want: membership.StateReady},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk, changes := &manualClock{time.Unix(10, 0)}, []membership.Instance(nil)
+			tracker := newTracker(clk, &changes)
+			tracker.settings.AcceptsWork = func(context.Context, Announcement) bool {
+				if c.then != nil {
+					mustAnnounce(t, tracker, *c.then)
+				}
+				return c.accepts
+			}
+			mustAnnounce(t, tracker, first)
+			if tracker.Admits(clk.now) {
+				t.Error("new requests are accepted before the backend server has been asked")
+			}
+			tracker.confirm(context.Background(), <-tracker.unconfirmed)
+			own, _ := tracker.Instance()
+			if own.State != c.want || tracker.Admits(clk.now) != (c.want == membership.StateReady) {
+				t.Errorf("record %+v, admits requests: %v", own, tracker.Admits(clk.now))
+			}
+			if c.then != nil && c.then.ID == "i-2" && own.BackendID != "i-2" {
+				t.Errorf("the record names %s", own.BackendID)
+			}
+		})
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -127,7 +127,7 @@
 
 // Equal reports whether s and other have the same content, regardless of the order of CallableFrom.
 func (s Service) Equal(other Service) bool {
-	return s.Name == other.Name && s.MaxConnections == other.MaxConnections && equalSets(s.CallableFrom, other.CallableFrom)
+	return s.Name == other.Name && s.MaxConnections == other.MaxConnections && s.HealthPath == other.HealthPath && equalSets(s.CallableFrom, other.CallableFrom)
 }
 
 // Equal reports whether r and other have the same content, regardless of the order of Methods.
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -26,6 +26,9 @@
 	// MaxConnections is the operators' limit on the connections to one backend server. Nodes distribute it but do not
 	// apply it.
 	MaxConnections int `json:"maxConnections,omitempty" yaml:"maxConnections,omitempty"`
+	// HealthPath is the path at which a backend server reports whether it is healthy and accepts new requests; empty if it
+	// reports neither.
+	HealthPath string `json:"healthPath,omitempty" yaml:"healthPath,omitempty"`
 }
 
 // Policy sets the priority, deadline and retry limits of the requests of a route.
