Do not send an admitted call after the backend server's drain

Now the egress checks once more when the connection is ready, before the first byte; a call that comes too late is refused as not run with the reason draining. TestAdmittedCallIsNotSentAfterTheDrain failed before: the call ran.

--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -233,7 +234,7 @@
 	e.Dialect.SetOutgoingHeaders(h, out)
 	ex := &upstream.Exchange{Request: c.request(h), RequestID: c.id, Idempotent: c.idempotent, Deadline: c.deadline}
 	e.Dialect.ConfigureExchange(ex)
-	ex.BeforeSend = func() { e.reportLeaving(c, now) }
+	ex.BeforeSend = func() error { return e.checkLeaving(c, now) }
 	if c.idempotent {
 		e.watchProgress(c, active, ex, now)
 	}
@@ -248,17 +249,24 @@
 	return rep
 }
 
-// reportLeaving counts and logs a call that is about to be sent to a backend server that has announced that it leaves.
-// The call has been admitted at the given time.
-func (e *Egress) reportLeaving(c *call, admitted time.Time) {
+// errLeft ends a call that was admitted, but is about to be sent when the backend server accepts no requests any more.
+var errLeft = errors.New("the backend server accepts no more requests")
+
+// checkLeaving returns an error if the backend server has stopped accepting requests since the call was admitted. It
+// counts and logs a call that is sent to a backend server that has announced that it leaves.
+func (e *Egress) checkLeaving(c *call, admitted time.Time) error {
 	now := e.Clock.Now()
+	if !e.Local.Admits(now) {
+		return errLeft
+	}
 	leaving := e.Local.LeavingFor(now)
 	if leaving == 0 {
-		return
+		return nil
 	}
 	e.Metrics.Observe(metric.SentLeaving, leaving)
 	event.SentLeaving.Write(event.SentLeaving.Log(&e.Log).Str("request", c.id).Str("service", c.service).Dur("leaving_ms", leaving).
 		Dur("queued_ms", admitted.Sub(c.arrived)).Dur("since_admission_ms", now.Sub(admitted)))
+	return nil
 }
 
 // firstProgressCheck is the delay before a call from another node is first checked for nested calls. Most calls have
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -14,6 +14,7 @@
 	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
 )
 
 // Guards against responses that are changed on the way, over one hop and over two, and against headers of the mesh that
@@ -207,6 +208,22 @@
 	}
 }
 
+// Guards against a call that reaches a backend server after its drain: the call is admitted in time, and the drain ends
+// while a connection to the server is being opened, which takes seconds if a packet is lost.
+func TestAdmittedCallIsNotSentAfterTheDrain(t *testing.T) {
+	m := newMesh(t, "office")
+	n := m.nodes[0]
+	n.eg.Backend = upstream.NewPool(upstream.Settings{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		n.setState(membership.StateDraining)
+		return conn, err
+	}})
+	defer n.eg.Backend.CloseIdle()
+	if a := n.post("/deposits"); !a.refusedWith(503, "not-run", metric.RefusedDraining) || m.runs() != 0 {
+		t.Errorf("call whose connection was opened too late: %+v with %d runs, want a refusal without a run", a, m.runs())
+	}
+}
+
 // firstCall returns the ID of one of the calls in flight.
 func firstCall(c *Calls) string {
 	c.mu.Lock()
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -74,6 +74,8 @@
 		return metric.RefusedCallerGone
 	case upstream.FailRequest:
 		return metric.RefusedMalformed
+	case upstream.FailWithheld:
+		return metric.RefusedDraining
 	}
 	return metric.RefusedConnectFailed
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -47,8 +47,9 @@
 	// alive, the exchange waits until its deadline.
 	OnNoResponse    func() time.Time
 	ResponseCheckAt time.Time
-	// BeforeSend, if set, is called once a connection is ready, before the first byte of the request is sent.
-	BeforeSend func()
+	// BeforeSend, if set, is called once a connection is ready, before the first byte of the request is sent. If it returns
+	// an error, the request is not sent. Opening a connection may have taken seconds.
+	BeforeSend func() error
 }
 
 // Do sends the request to addr and reads the response. Cancelling ctx closes the connection.
@@ -65,7 +66,10 @@
 		return res
 	}
 	if ex.BeforeSend != nil {
-		ex.BeforeSend()
+		if err := ex.BeforeSend(); err != nil {
+			c.host.discard(c)
+			return failedResult(FailWithheld, 0, err)
+		}
 	}
 	c.attachBuffers()
 	stopCancel := context.AfterFunc(ctx, func() { c.SetDeadline(pastDeadline) })
--- a/pkg/upstream/result.go
+++ b/pkg/upstream/result.go
@@ -38,10 +38,12 @@
 	FailMalformed
 	// FailSilent: the connection timed out because the remote host acknowledged no data (ETIMEDOUT).
 	FailSilent
+	// FailWithheld: Exchange.BeforeSend returned an error.
+	FailWithheld
 )
 
 var failureNames = [...]string{"none", "connect", "connections", "request", "write", "deadline", "cancelled", "cut",
-	"mismatch", "malformed", "silent"}
+	"mismatch", "malformed", "silent", "withheld"}
 
 func (f Failure) String() string { return failureNames[f] }
 
