Log what the responses of a backend server say about the work that it takes

The adapter reads the limit on requests per second and the notice that a server leaves; 1315 backend_advice logs each change with the calls sent so far, backend.rate_limit holds the limit, backend.sent counts the calls. They show whether a limit is seen, by which node, and how many calls follow it. Nothing acts on it yet.

--- a/pkg/event/datapath.go
+++ b/pkg/event/datapath.go
@@ -27,5 +27,8 @@
 	SentLeaving = define(1314, "sent_leaving", zerolog.InfoLevel,
 		"a call was sent to a backend server that has announced that it leaves",
 		"If leaving_ms exceeds the drain time, compare it with the announcements in 1600 and with since_admission_ms.")
+	BackendAdvice = define(1315, "backend_advice", zerolog.InfoLevel,
+		"the responses of the backend server name another limit on its requests per second, or say that it leaves or no longer leaves",
+		"Find out why the backend server takes less; limit 0 means that it names none.")
 	DrainEnded = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no calls in flight", "")
 )
--- a/pkg/metric/text.go
+++ b/pkg/metric/text.go
@@ -10,6 +10,14 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// Names of the metrics of the work that the local backend server gets.
+const (
+	// BackendSent counts the calls sent to the local backend server.
+	BackendSent = "backend.sent"
+	// BackendLimit is the number of requests per second that the local backend server says it takes; 0 means no limit.
+	BackendLimit = "backend.rate_limit"
+)
+
 // Names of the latency histograms.
 const (
 	// CallTime is the time from the arrival of a caller's request to the end of the response.
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -82,6 +82,11 @@
 type Verdict struct {
 	Kind      VerdictKind
 	BackendID string
+	// RateLimit is the number of requests per second that the backend server takes from all nodes together; zero means
+	// that the response names no limit.
+	RateLimit float64
+	// Leaving is set if the response says that the backend server leaves.
+	Leaving bool
 }
 
 // RefusalInfo describes a refusal by a node to its caller.
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
@@ -50,6 +51,9 @@
 type Egress struct {
 	EgressSettings
 	tracker callTracker
+	advice  advice
+	// sent counts the calls sent to the backend server.
+	sent metrics.Counter
 }
 
 // NewEgress returns an egress that accepts calls immediately.
@@ -57,7 +61,7 @@
 	if s.Dialect == nil {
 		s.Dialect = Native{}
 	}
-	return &Egress{EgressSettings: s}
+	return &Egress{EgressSettings: s, sent: s.Metrics.Counter(metric.BackendSent)}
 }
 
 // BeginDrain refuses all new calls from now on.
@@ -259,6 +263,7 @@
 	if !e.Local.Admits(now) {
 		return errLeft
 	}
+	e.sent.Inc(1)
 	leaving := e.Local.LeavingFor(now)
 	if leaving == 0 {
 		return nil
@@ -308,6 +313,9 @@
 	}
 	a := res.Response
 	v := e.Dialect.Classify(a.Status, a.Header)
+	if v.Kind != VerdictMisdirected {
+		e.takeAdvice(c, v)
+	}
 	if v.Kind == VerdictRan {
 		return replyFromResponse(a)
 	}
@@ -324,6 +332,18 @@
 	return &reply{outcome: idempotency.OutcomeUnknown, reason: metric.RefusedAnswerBroken}
 }
 
+// takeAdvice applies what a response of the local backend server says about the work that it takes.
+func (e *Egress) takeAdvice(c *call, v Verdict) {
+	limit, limitChanged, leavingChanged := e.advice.observe(e.Clock.Now(), v)
+	if !limitChanged && !leavingChanged {
+		return
+	}
+	l, log := e.Gate.Load(), e.Log.Sample(nil) // A change of state is not subject to the limit on lines about calls.
+	e.Metrics.Gauge(metric.BackendLimit).Update(int64(limit))
+	event.BackendAdvice.Write(event.BackendAdvice.Log(&log).Str("request", c.id).Str("service", c.service).Float64("limit", limit).
+		Bool("leaving", v.Leaving).Int64("sent", e.sent.Count()).Int("in_use", l.InUse).Int("queued", l.Queued))
+}
+
 func (e *Egress) load() *balance.Load {
 	l := balance.Load(e.Gate.Load())
 	return &l
