--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -465,6 +465,52 @@
 	}
 }
 
+// Guards against a backend server that gets more requests than the limit that it names in its responses, summed over the
+// nodes that send to it.
+func TestLimitOfBackendServerIsKept(t *testing.T) {
+	const limit, window, senders = 5, 4 * time.Second, 4
+	_, officeVMs, deskVM := startMesh(t)
+	arrivals := make([][]time.Time, len(officeVMs))
+	for i, v := range officeVMs {
+		v.backendServer.mu.Lock()
+		v.backendServer.handler = func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Server-Limit", fmt.Sprint(limit))
+			v.backendServer.mu.Lock()
+			defer v.backendServer.mu.Unlock()
+			arrivals[i] = append(arrivals[i], time.Now())
+			return false
+		}
+		v.backendServer.mu.Unlock()
+	}
+	settled, end := time.Now().Add(time.Second), time.Now().Add(time.Second+window)
+	var wg sync.WaitGroup
+	for n := range senders {
+		wg.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				deskVM.call("GET", "/safe/1", fmt.Sprint("l", n, "-", i)) // It may be refused.
+				if n < len(officeVMs) {
+					officeVMs[n].sendHeartbeat("ready")
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	for i, v := range officeVMs {
+		v.backendServer.mu.Lock()
+		count := 0
+		for _, at := range arrivals[i] {
+			if at.After(settled) && at.Before(end) {
+				count++
+			}
+		}
+		v.backendServer.mu.Unlock()
+		if allowed := int(1.5*limit*window.Seconds()) + 5; count > allowed || count < limit {
+			t.Errorf("%s got %d requests in %v with a limit of %d per second, want %d to %d", v.Node, count, window, limit, limit, allowed)
+		}
+	}
+}
+
 // Guards against a metrics listener that cannot start, and against a log line of a refusal that lacks the inputs of the
 // decision.
 func TestRefusalIsLoggedWithItsInputs(t *testing.T) {
