Keep the limit on requests per second that a backend server names

The operators' rule counts the sum over all nodes.

Cause: no node read the limit. The log shows it named at 6.0 s, and the calls a second before and after are the same (70 and 68 against a limit of 34.9). Ruled out: a limit for each node alone, and a limit that a restart forgets; the breach begins before the restart.

All requests to a backend server pass the node beside it, which also sees all its responses. So the admission there keeps the limit, with a token bucket of a quarter of a second, and no node needs to agree with another. Slots go by rank as before; what cannot start in time is refused at once with the time until it could, or with the new reason rate_limited, and goes to another instance. The reported load follows the limit, so that callers' nodes choose other instances first.

--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -28,11 +28,13 @@
 	a.deviation += averageWeight * (max(diff, -diff) - a.deviation)
 }
 
-// estimates holds an average for each policy, and one for each rank, which is used for policies without samples.
+// estimates holds an average for each policy, one for each rank, which is used for policies without samples, and one for
+// all requests.
 type estimates struct {
 	deviations float64
 	policies   map[string]*average
 	ranks      [Ranks]average
+	all        average
 }
 
 func (e *estimates) add(req Request, serviceTime time.Duration) {
@@ -40,6 +42,7 @@
 		return
 	}
 	e.ranks[req.Rank].add(serviceTime)
+	e.all.add(serviceTime)
 	a := e.policies[req.Policy]
 	if a == nil {
 		if len(e.policies) >= config.MaxPolicies {
--- a/pkg/admission/fifo.go
+++ b/pkg/admission/fifo.go
@@ -122,3 +122,12 @@
 func deadlinePassed(now time.Time, req Request) bool {
 	return !req.Deadline.IsZero() && !now.Before(req.Deadline)
 }
+
+// SetRate does nothing: the baseline applies no rate limit.
+func (f *FIFO) SetRate(time.Time, float64) []Notice { return nil }
+
+// NextWake reports that no request waits for a rate limit.
+func (f *FIFO) NextWake(time.Time) (time.Duration, bool) { return 0, false }
+
+// Wake does nothing.
+func (f *FIFO) Wake(time.Time) []Notice { return nil }
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -18,6 +18,8 @@
 	mu         sync.Mutex
 	discipline Discipline
 	waiters    map[Ticket]*waiter
+	// wakeTimer calls wake while a request waits for the rate limit.
+	wakeTimer *time.Timer
 }
 
 // waiter is one blocked Acquire. ready has room for one Notice and gets at most one, so a send never blocks.
@@ -59,10 +61,31 @@
 		g.displace(d.Displaced)
 	}
 	latest := g.discipline.LatestStart(req)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	return g.wait(ctx, req, d.Ticket, wt, latest)
 }
 
+// scheduleWake sets the timer for the next request that waits for the rate limit, if any.
+func (g *Gate) scheduleWake(now time.Time) {
+	after, ok := g.discipline.NextWake(now)
+	switch {
+	case !ok:
+	case g.wakeTimer == nil:
+		g.wakeTimer = time.AfterFunc(after, g.wake)
+	default:
+		g.wakeTimer.Reset(after)
+	}
+}
+
+func (g *Gate) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.notifyAll(g.discipline.Wake(now))
+	g.scheduleWake(now)
+}
+
 // displace refuses a request that has lost its place in the queue to another one.
 func (g *Gate) displace(t Ticket) {
 	if wt := g.waiters[t]; wt != nil {
@@ -129,7 +152,9 @@
 	if !n.Granted() {
 		return &n.Refusal
 	}
-	g.notifyAll(g.discipline.Done(g.clock.Now(), req, Result{}))
+	now := g.clock.Now()
+	g.notifyAll(g.discipline.Done(now, req, Result{}))
+	g.scheduleWake(now)
 	return contextRefusal(err)
 }
 
@@ -144,6 +169,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.notifyAll(g.discipline.Done(now, req, Result{served, shed, took}))
+		g.scheduleWake(now)
 	}
 }
 
@@ -171,7 +197,18 @@
 func (g *Gate) SetSlots(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.notifyAll(g.discipline.SetSlots(g.clock.Now(), n))
+	now := g.clock.Now()
+	g.notifyAll(g.discipline.SetSlots(now, n))
+	g.scheduleWake(now)
+}
+
+// SetRate limits the requests that start per second; zero means no limit.
+func (g *Gate) SetRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.notifyAll(g.discipline.SetRate(now, perSecond))
+	g.scheduleWake(now)
 }
 
 // SetShares sets the guaranteed share of slot time by rank.
--- a/pkg/admission/lend.go
+++ b/pkg/admission/lend.go
@@ -7,7 +7,7 @@
 
 // mayStart reports whether a request of the rank may take a slot.
 func (q *Queue) mayStart(now time.Time, rank int) bool {
-	if q.inUse >= q.limit.slots() {
+	if q.inUse >= q.limit.slots() || !q.rate.available(now) {
 		return false
 	}
 	if rank >= q.settings.HeadroomRanks && q.headroomReached(now) {
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// capacity is the maximum number of waiting requests.
+// capacity is the maximum number of waiting requests. Under a rate limit it is smaller, so that a request that would wait
+// for long is refused and can go to another instance.
 func (q *Queue) capacity() int {
-	return int(math.Ceil(q.settings.QueueFactor * float64(q.limit.announced)))
+	slots := float64(q.limit.announced)
+	if q.rate.perSecond > 0 {
+		slots = q.usableSlots()
+	}
+	return int(math.Ceil(q.settings.QueueFactor * slots))
 }
 
 // sharePlaces is the number of places in the queue that the share of a rank guarantees.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -18,6 +18,7 @@
 type Queue struct {
 	settings        Settings
 	limit           slotLimit
+	rate            rateLimit
 	estimates       estimates
 	accounts        [Ranks]account
 	queues          [Ranks][]queuedRequest
@@ -48,20 +49,23 @@
 	}
 	switch {
 	case q.limit.announced == 0:
-		return q.refuse(metric.RefusedNotReady, req)
+		return q.refuse(now, metric.RefusedNotReady, req)
 	case q.estimates.cannotFinish(now, req):
-		return q.refuse(metric.RefusedDeadline, req)
+		return q.refuse(now, metric.RefusedDeadline, req)
 	case len(q.queues[req.Rank]) == 0 && q.mayStart(now, req.Rank):
 		// Requests waiting in other ranks cannot use this slot: each call that frees a slot assigns it at once. The
 		// exception is a slot that became available when the headroom expired.
 		q.start(now, req.Rank)
 		return Decision{Verdict: Run}
 	case q.cannotFinishAfterWait(now, req):
-		return q.refuse(metric.RefusedDeadline, req)
+		return q.refuse(now, metric.RefusedDeadline, req)
 	}
 	displaced, ok := q.findPlace(now, req)
+	if !ok && !q.rate.available(now) {
+		return q.refuse(now, metric.RefusedRateLimited, req)
+	}
 	if !ok {
-		return q.refuse(metric.RefusedQueueFull, req)
+		return q.refuse(now, metric.RefusedQueueFull, req)
 	}
 	q.lastTicket++
 	q.queues[req.Rank] = append(q.queues[req.Rank], queuedRequest{q.lastTicket, req})
@@ -107,7 +111,7 @@
 		for i := 0; i < len(q.queues[r]); {
 			if e := q.queues[r][i]; q.expired(now, e.request) {
 				q.remove(r, i)
-				q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline, e.request)})
+				q.notices = append(q.notices, Notice{e.ticket, q.refusal(now, metric.RefusedDeadline, e.request)})
 				continue
 			}
 			i++
@@ -147,7 +151,41 @@
 }
 
 // Load returns the current use of the slots.
-func (q *Queue) Load() Load { return Load{q.inUse, q.limit.slots(), q.queued} }
+func (q *Queue) Load() Load { return Load{q.inUse, int(math.Ceil(q.usableSlots())), q.queued} }
+
+// SetRate limits the requests that start per second; zero means no limit.
+func (q *Queue) SetRate(now time.Time, perSecond float64) []Notice {
+	q.notices = q.notices[:0]
+	q.rate.set(now, perSecond)
+	q.dispatch(now)
+	return q.notices
+}
+
+// Wake starts the waiting requests that the rate limit allows by now.
+func (q *Queue) Wake(now time.Time) []Notice {
+	q.notices = q.notices[:0]
+	q.dispatch(now)
+	return q.notices
+}
+
+// NextWake returns how long after now the rate limit lets a waiting request start. It returns false if none waits for
+// that.
+func (q *Queue) NextWake(now time.Time) (time.Duration, bool) {
+	if q.queued == 0 || q.rate.available(now) {
+		return 0, false
+	}
+	return q.rate.wait(now, 1), true
+}
+
+// usableSlots is the number of slots that requests can use at the same time. Under a rate limit, that is the number that
+// start during the mean service time.
+func (q *Queue) usableSlots() float64 {
+	slots, mean := float64(q.limit.slots()), q.estimates.all.mean
+	if q.rate.perSecond == 0 || mean == 0 || slots == 0 {
+		return slots
+	}
+	return min(max(q.rate.perSecond*mean, 1), slots)
+}
 
 // account returns the account of a rank, updated to now.
 func (q *Queue) account(now time.Time, rank int) *account {
@@ -159,6 +197,7 @@
 func (q *Queue) start(now time.Time, rank int) {
 	q.account(now, rank).inUse++
 	q.inUse++
+	q.rate.take(now)
 }
 
 // dispatch assigns free slots to waiting requests.
@@ -170,7 +209,7 @@
 		}
 		e := q.remove(rank, q.selectWaiting(now, rank))
 		if q.expired(now, e.request) {
-			q.notices = append(q.notices, Notice{e.ticket, q.refusal(metric.RefusedDeadline, e.request)})
+			q.notices = append(q.notices, Notice{e.ticket, q.refusal(now, metric.RefusedDeadline, e.request)})
 			continue
 		}
 		q.start(now, rank)
@@ -250,46 +289,48 @@
 // cannotFinishAfterWait reports whether req cannot finish in time after it has waited for the requests that are queued
 // before it.
 func (q *Queue) cannotFinishAfterWait(now time.Time, req Request) bool {
-	return !req.Deadline.IsZero() && !now.Add(q.expectedWait(req)).Before(q.LatestStart(req))
+	return !req.Deadline.IsZero() && !now.Add(q.expectedWait(now, req)).Before(q.LatestStart(req))
 }
 
 // expectedWait estimates how long a new request waits. In a backlog, a request with a target overtakes the others of
 // its rank, so that only more urgent ranks are ahead of it.
-func (q *Queue) expectedWait(req Request) time.Duration {
+func (q *Queue) expectedWait(now time.Time, req Request) time.Duration {
 	if req.Target.IsZero() {
-		return q.rankWait(req.Rank)
+		return q.rankWait(now, req.Rank)
 	}
-	if req.Rank == 0 {
-		return 0
-	}
-	return q.rankWait(req.Rank - 1)
+	return q.rankWait(now, req.Rank-1)
 }
 
 // rankWait estimates how long a new request of the rank waits: for all queued requests of this rank and more urgent
-// ones to run on all slots, or for those of its own rank to run on its share, whichever is shorter. The estimate is too
-// low if more urgent requests arrive later; Expire then refuses the request before it takes a slot.
-func (q *Queue) rankWait(rank int) time.Duration {
+// ones to run on all slots, or for those of its own rank to run on its share, whichever is shorter, and for the rate
+// limit to let them and the new one start. The estimate is too low if more urgent requests arrive later; Expire then
+// refuses the request before it takes a slot. Rank -1 stands for a request that no other one is ahead of.
+func (q *Queue) rankWait(now time.Time, rank int) time.Duration {
 	limit := max(q.limit.limit, 1)
 	var ahead float64
+	requests := 1
 	for r := 0; r <= rank; r++ {
 		ahead += float64(len(q.queues[r])) * q.estimates.ranks[r].mean
+		requests += len(q.queues[r])
 	}
 	wait := ahead / limit
-	if share := q.accounts[rank].share * limit; share > 0 {
-		own := float64(len(q.queues[rank])) * q.estimates.ranks[rank].mean / share
-		wait = min(wait, own)
+	if rank >= 0 {
+		if share := q.accounts[rank].share * limit; share > 0 {
+			own := float64(len(q.queues[rank])) * q.estimates.ranks[rank].mean / share
+			wait = min(wait, own)
+		}
 	}
-	return seconds(wait)
+	return max(seconds(wait), q.rate.wait(now, requests))
 }
 
-func (q *Queue) refuse(reason metric.Refusal, req Request) Decision {
-	return Decision{Verdict: Refuse, Refusal: q.refusal(reason, req)}
+func (q *Queue) refuse(now time.Time, reason metric.Refusal, req Request) Decision {
+	return Decision{Verdict: Refuse, Refusal: q.refusal(now, reason, req)}
 }
 
 // refusal sets RetryAfter to the time until the current backlog has been worked off, but not below targetRetryDelay. A
 // caller that retries at once meets the same backlog and uses up its attempts.
-func (q *Queue) refusal(reason metric.Refusal, req Request) Refusal {
-	return Refusal{reason, clampRetryAfter(max(q.rankWait(Ranks-1), targetRetryDelay(req)))}
+func (q *Queue) refusal(now time.Time, reason metric.Refusal, req Request) Refusal {
+	return Refusal{reason, clampRetryAfter(max(q.rankWait(now, Ranks-1), targetRetryDelay(req)))}
 }
 
 // targetRetryDelay is the minimum time before a retry of a refused request that has a target.
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -89,6 +89,12 @@
 	LatestStart(req Request) time.Time
 	SetSlots(now time.Time, n int) []Notice
 	SetShares(now time.Time, shares map[int]float64)
+	// SetRate limits the requests that start per second; zero means no limit.
+	SetRate(now time.Time, perSecond float64) []Notice
+	// NextWake returns how long after now Wake must be called for a request that waits for the rate limit. It returns
+	// false if there is none.
+	NextWake(now time.Time) (time.Duration, bool)
+	Wake(now time.Time) []Notice
 	Load() Load
 }
 
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -22,7 +22,8 @@
 	RefusedTooLarge            Refusal = "too_large"
 	RefusedForbidden           Refusal = "forbidden"
 	RefusedQueueFull           Refusal = "queue_full"
-	RefusedBodyMemory          Refusal = "body_memory" // the memory for bodies is used up
+	RefusedRateLimited         Refusal = "rate_limited" // beyond the limit that the backend server names
+	RefusedBodyMemory          Refusal = "body_memory"  // the memory for bodies is used up
 	RefusedDeadline            Refusal = "deadline"
 	RefusedDisplaced           Refusal = "displaced" // lost its place in the queue to another request
 	RefusedDraining            Refusal = "draining"
@@ -47,7 +48,7 @@
 // Refusals lists all reasons for refusals.
 var Refusals = []Refusal{
 	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
-	RefusedQueueFull, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedWrongService,
+	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedWrongService,
 	RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -159,6 +159,8 @@
 func (benchGate) Acquire(context.Context, AdmissionRequest) (func(bool, bool, time.Duration), *AdmissionRefusal) {
 	return func(bool, bool, time.Duration) {}, nil
 }
+func (benchGate) SetRate(float64) {}
+
 func (benchGate) Load() Load { return Load{InUse: 1, Limit: 64} }
 
 // process is the test binary running in a role.
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -338,6 +338,9 @@
 	if !limitChanged && !leavingChanged {
 		return
 	}
+	if limitChanged {
+		e.Gate.SetRate(limit)
+	}
 	l, log := e.Gate.Load(), e.Log.Sample(nil) // A change of state is not subject to the limit on lines about calls.
 	e.Metrics.Gauge(metric.BackendLimit).Update(int64(limit))
 	event.BackendAdvice.Write(event.BackendAdvice.Log(&log).Str("request", c.id).Str("service", c.service).Float64("limit", limit).
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -64,6 +64,8 @@
 type Gate interface {
 	Acquire(ctx context.Context, req AdmissionRequest) (release func(served bool, shed bool, took time.Duration), refusal *AdmissionRefusal)
 	Load() Load
+	// SetRate limits the calls that get a slot per second; zero means no limit.
+	SetRate(perSecond float64)
 }
 
 // LocalInstance describes the instance that this node runs beside. It is called for each request and must not block.
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -52,6 +52,8 @@
 	}
 }
 
+func (g *fifoGate) SetRate(float64) {}
+
 func (g *fifoGate) Load() Load { return Load{InUse: len(g.slots), Limit: cap(g.slots)} }
 
 // sharedGuard is an idempotency guard that all nodes of a test share in memory.
