--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -511,6 +511,37 @@
 	}
 }
 
+// Guards against requests to a backend server that says in its responses that it leaves, while its announcements do not
+// say so or do not arrive.
+func TestNoWorkAfterResponsesSayLeaving(t *testing.T) {
+	_, officeVMs, deskVM := startMesh(t)
+	leaving := officeVMs[0]
+	var requests atomic.Int64
+	leaving.backendServer.mu.Lock()
+	leaving.backendServer.handler = func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Server-Leaving", "1")
+		requests.Add(1)
+		return false
+	}
+	leaving.backendServer.mu.Unlock()
+	waitFor(t, "a response that says that the backend server leaves", func() bool {
+		return strings.HasPrefix(leaving.call("GET", "/safe/1", "first").body, "i-office-1") || requests.Load() > 0
+	})
+	time.Sleep(leaving.Bounds.Drain)
+	before := requests.Load()
+	for i := range 30 {
+		leaving.sendHeartbeat("ready")
+		for _, v := range []*vm{leaving, deskVM} {
+			if r := v.call("GET", "/safe/1", fmt.Sprint("s", i)); r.status != 200 || !strings.HasPrefix(r.body, "i-office-2") {
+				t.Errorf("request after the drain time: %+v", r)
+			}
+		}
+	}
+	if after := requests.Load(); after != before {
+		t.Errorf("%d requests reached a backend server after the drain time", after-before)
+	}
+}
+
 // Guards against a metrics listener that cannot start, and against a log line of a refusal that lacks the inputs of the
 // decision.
 func TestRefusalIsLoggedWithItsInputs(t *testing.T) {
