Treat a response that says that the backend server leaves like an announced drain

A backend server that leaves says so in all its responses, also when its announcement is late or does not reach the node. No node read that header, so requests went on to the server until an announcement was processed.

Now the node beside the server takes such a response as the announcement of a drain: it is final for that start, begins the drain time once, and goes to the other nodes as any change of state does. TestNoWorkAfterResponsesSayLeaving failed before: requests reached the server after the drain time.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -224,6 +224,20 @@
 	t.update(record, current.address)
 }
 
+// ResponseSaysLeaving implements proxy.LocalInstance. It is called when a response of the backend server says that the
+// server leaves, and has the effect of an announced drain: the announcement may be late or not reach the node.
+func (t *BackendTracker) ResponseSaysLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.current.Load()
+	if current.leaving() || t.trigger(stateDraining) != nil {
+		return
+	}
+	record := current.record
+	record.State = membership.StateDraining
+	t.update(record, current.address)
+}
+
 // RaiseIncarnationAbove raises the own incarnation above one that other nodes know or whose record was removed from
 // the store. The incarnation is the wall-clock time of the start: if the clock was set back, it can be lower than
 // that of an earlier start, and other nodes would discard the record as outdated.
--- a/pkg/announce/leaving_test.go
+++ b/pkg/announce/leaving_test.go
@@ -27,6 +27,12 @@
 			clk.now = clk.now.Add(2 * DefaultTimeout)
 			tracker.Expire(clk.now)
 		},
+		"response that says so": func(_ *testing.T, tracker *BackendTracker, clk *manualClock) {
+			tracker.ResponseSaysLeaving()
+			clk.now = clk.now.Add(time.Second / 2)
+			tracker.ResponseSaysLeaving() // Later responses do not extend the drain time.
+			clk.now = clk.now.Add(-time.Second / 2)
+		},
 		"misdirected request during a drain": func(t *testing.T, tracker *BackendTracker, _ *manualClock) {
 			mustAnnounce(t, tracker, announcement("i-1", 1000, 6, Draining))
 			tracker.Misdirected("")
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -334,6 +334,9 @@
 
 // takeAdvice applies what a response of the local backend server says about the work that it takes.
 func (e *Egress) takeAdvice(c *call, v Verdict) {
+	if v.Leaving {
+		e.Local.ResponseSaysLeaving()
+	}
 	limit, limitChanged, leavingChanged := e.advice.observe(e.Clock.Now(), v)
 	if !limitChanged && !leavingChanged {
 		return
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -76,6 +76,8 @@
 	Admits(now time.Time) bool
 	// LeavingFor returns the time since the backend server announced that it leaves, or zero if it has not.
 	LeavingFor(now time.Time) time.Duration
+	// ResponseSaysLeaving is called when a response of the backend server says that the server leaves.
+	ResponseSaysLeaving()
 	// Misdirected is called when a backend server with another ID than the known one responds at the address.
 	Misdirected(backendID string)
 }
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -120,6 +120,9 @@
 // LeavingFor implements LocalInstance.
 func (n *node) LeavingFor(time.Time) time.Duration { return 0 }
 
+// ResponseSaysLeaving implements LocalInstance.
+func (n *node) ResponseSaysLeaving() { n.setState(membership.StateDraining) }
+
 // Misdirected implements LocalInstance.
 func (n *node) Misdirected(string) {}
 
