End the drain time by the time of day too

The end of the drain time was compared by the steady clock alone, which does not count the time for which a VM is suspended. A node that wakes up would have gone on sending new requests to a leaving backend server for the rest of the drain time, seconds too late. The earlier of both clocks decides now: a time of day that is set back does not extend the drain time either.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -186,11 +186,17 @@
 	case membership.StateReady:
 		return true
 	case membership.StateDraining, membership.StateDeparted:
-		return now.Before(o.admitUntil)
+		return beforeOnBothClocks(now, now.Round(0), o.admitUntil)
 	}
 	return false
 }
 
+// beforeOnBothClocks reports whether a time lies before a limit by the steady clock and by the time of day, of which wall is
+// the reading. The steady clock does not count the time for which a VM is suspended, and the time of day may be set back.
+func beforeOnBothClocks(steady, wall, limit time.Time) bool {
+	return steady.Before(limit) && wall.Before(limit.Round(0))
+}
+
 // LeavingFor implements proxy.LocalInstance. It returns the time since the backend server announced its drain or
 // departure, or zero if it has announced neither.
 func (t *BackendTracker) LeavingFor(now time.Time) time.Duration {
--- a/pkg/announce/leaving_test.go
+++ b/pkg/announce/leaving_test.go
@@ -146,3 +146,24 @@
 }
 
 func ptr[T any](v T) *T { return &v }
+
+// Guards against new requests after the drain time on a VM that was suspended, for which the steady clock stands still, and
+// on one whose time of day is set back.
+func TestDrainTimeEndsOnEitherClock(t *testing.T) {
+	limit := time.Now().Add(time.Second)
+	before, after := limit.Add(-time.Millisecond), limit.Add(time.Millisecond)
+	for _, c := range []struct {
+		name         string
+		steady, wall time.Time
+		want         bool
+	}{
+		{"within", before, before.Round(0), true},
+		{"after suspension", before, after.Round(0), false},
+		{"time of day set back", after, before.Round(0), false},
+		{"after", after, after.Round(0), false},
+	} {
+		if got := beforeOnBothClocks(c.steady, c.wall, limit); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
