Take over the limit of a backend server after a restart of its node

A node that restarts knew nothing of the limit that its backend server names, and filled all slots before the first response named it again; with a low limit that alone is more than the server may get, and the restart of this node excuses no other node that sends to it.

The check of the first announcement after a start now also takes the limit, and the notice that the server leaves, from the response.

--- a/cmd/monsoonlatch-sidecar/health.go
+++ b/cmd/monsoonlatch-sidecar/health.go
@@ -9,6 +9,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
 	"github.com/monsoonlatch/monsoonlatch/platform"
 )
@@ -21,6 +22,8 @@
 	source  config.Source
 	backend *upstream.Pool
 	clock   clock.Clock
+	// onResponse is called with the classification of each response.
+	onResponse func(proxy.Verdict)
 }
 
 // acceptsWork reports whether the announced start of the backend server says that it accepts new requests.
@@ -44,5 +47,7 @@
 	if res.Response.Remainder != nil {
 		_ = res.Response.Remainder.Close() // Only the head is of interest.
 	}
-	return platform.Dialect{}.AcceptsWork(res.Response.Status, res.Response.Header, a.ID)
+	status, header := res.Response.Status, res.Response.Header
+	h.onResponse(platform.Dialect{}.Classify(status, header))
+	return platform.Dialect{}.AcceptsWork(status, header, a.ID)
 }
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -71,6 +71,7 @@
 	nameAnnounce       = "own"
 	nameCalls          = "calls"
 	nameBodyBudget     = "bodies"
+	nameHealth         = "health"
 	nameEgress         = "egress"
 	nameIngress        = "ingress"
 	nameReadiness      = "readiness"
@@ -176,6 +177,7 @@
 	}
 	b.Provide(nameGate, gate)
 	b.Provide(nameBackendPool, backendPool)
+	b.Provide(nameHealth, health)
 	announcer := announce.New(announce.Settings{
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
 			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.LinkMbps, Incarnation: uint64(b.clock.Now().UnixMilli()), Sequence: 1},
@@ -213,10 +215,12 @@
 	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(b.vm.MemoryBytes/bodyMemoryDivisor)
 	b.Provide(nameCalls, calls)
 	b.Provide(nameBodyBudget, bodies)
-	b.Provide(nameEgress, proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
+	egress := proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
 		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), PassTargets: true}, Backend: find[*upstream.Pool](b, nameBackendPool), Calls: calls,
 		Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameDirectoryState),
-		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies}))
+		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies})
+	find[*healthChecker](b, nameHealth).onResponse = egress.TakeAdvice
+	b.Provide(nameEgress, egress)
 }
 
 // buildIngress creates the ingress, which accepts callers' requests.
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -42,6 +42,8 @@
 	server  *httptest.Server
 	// leaving makes the health check fail.
 	leaving atomic.Bool
+	// limit is the limit that the health check names, or nil.
+	limit atomic.Value
 }
 
 func newTestBackendServer(t *testing.T, id string) *testBackendServer {
@@ -54,6 +56,9 @@
 func (s *testBackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", s.id)
+		if limit := s.limit.Load(); limit != nil {
+			w.Header().Set("Server-Limit", limit.(string))
+		}
 		if s.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -511,6 +516,43 @@
 	}
 }
 
+// Guards against a node that restarts, knows nothing of the limit that its backend server has named, and fills all slots
+// before the first response names it again.
+func TestLimitIsKnownBeforeTheFirstRequest(t *testing.T) {
+	_, officeVMs, deskVM := startMesh(t)
+	limited := officeVMs[0]
+	waitFor(t, "an acknowledged drain of the other office", func() bool { return officeVMs[1].sendHeartbeat("draining") })
+	limited.backendServer.limit.Store("0.3")
+	limited.cancel()
+	<-limited.done
+	limited.start(t)
+	waitFor(t, "the restarted node to be ready", func() bool { return limited.readyStatus() == http.StatusOK })
+	limited.backendServer.mu.Lock()
+	before := len(limited.backendServer.headers)
+	limited.backendServer.handler = func(http.ResponseWriter, *http.Request) bool { time.Sleep(200 * time.Millisecond); return false }
+	limited.backendServer.mu.Unlock()
+	waitFor(t, "a request to reach the limited backend server", func() bool {
+		limited.sendHeartbeat("ready")
+		limited.call("GET", "/safe/1", "first")
+		limited.backendServer.mu.Lock()
+		defer limited.backendServer.mu.Unlock()
+		return len(limited.backendServer.headers) > before
+	})
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			[]*vm{limited, deskVM}[i%2].call("GET", "/safe/1", fmt.Sprint("b", i)) // It may be refused.
+		})
+	}
+	wg.Wait()
+	limited.backendServer.mu.Lock()
+	defer limited.backendServer.mu.Unlock()
+	if sent := len(limited.backendServer.headers) - before; sent > 2 {
+		t.Errorf("%d requests reached a backend server within a second that takes one in three seconds", sent)
+	}
+}
+
 // Guards against requests to a backend server that says in its responses that it leaves, while its announcements do not
 // say so or do not arrive.
 func TestNoWorkAfterResponsesSayLeaving(t *testing.T) {
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -313,9 +313,7 @@
 	}
 	a := res.Response
 	v := e.Dialect.Classify(a.Status, a.Header)
-	if v.Kind != VerdictMisdirected {
-		e.takeAdvice(c, v)
-	}
+	e.TakeAdvice(v)
 	if v.Kind == VerdictRan {
 		return replyFromResponse(a)
 	}
@@ -332,8 +330,12 @@
 	return &reply{outcome: idempotency.OutcomeUnknown, reason: metric.RefusedAnswerBroken}
 }
 
-// takeAdvice applies what a response of the local backend server says about the work that it takes.
-func (e *Egress) takeAdvice(c *call, v Verdict) {
+// TakeAdvice applies what a response of the local backend server says about the work that it takes. It is also called for
+// responses to health checks.
+func (e *Egress) TakeAdvice(v Verdict) {
+	if v.Kind == VerdictMisdirected {
+		return // The response comes from another backend server.
+	}
 	if v.Leaving {
 		e.Local.ResponseSaysLeaving()
 	}
@@ -346,8 +348,8 @@
 	}
 	l, log := e.Gate.Load(), e.Log.Sample(nil) // A change of state is not subject to the limit on lines about calls.
 	e.Metrics.Gauge(metric.BackendLimit).Update(int64(limit))
-	event.BackendAdvice.Write(event.BackendAdvice.Log(&log).Str("request", c.id).Str("service", c.service).Float64("limit", limit).
-		Bool("leaving", v.Leaving).Int64("sent", e.sent.Count()).Int("in_use", l.InUse).Int("queued", l.Queued))
+	event.BackendAdvice.Write(event.BackendAdvice.Log(&log).Float64("limit", limit).Bool("leaving", v.Leaving).
+		Int64("sent", e.sent.Count()).Int("in_use", l.InUse).Int("queued", l.Queued))
 }
 
 func (e *Egress) load() *balance.Load {
