End an exchange whose response head never ends

A faulty backend server may send bytes without end that are no response. A head without end was read into memory until the deadline of the request, which may be half a minute; the body of a late response to another request was read as long.

The head, with the interim responses before it, is limited to 256 KiB and a discarded body to 1 MiB; beyond that the exchange fails and its connection is closed. A body without end already ended at the deadline and reached the caller as broken; TestEndlessBodyEndsAtTheDeadline shows it.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -41,6 +41,9 @@
 	earlyReadDeadline bool
 	responseBegan     bool
 	writeDeadlineSet  bool
+	// readBudget is the number of bytes that may still be read while limitReads is set.
+	readBudget int64
+	limitReads bool
 
 	br *bufio.Reader
 	bw *bufio.Writer
@@ -77,9 +80,22 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	if !c.limitReads {
+		return c.Conn.Read(p)
+	}
+	if c.readBudget <= 0 {
+		return 0, errReadBudget
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), c.readBudget)])
+	c.readBudget -= int64(n)
+	return n, err
 }
 
+// limitBytes limits the bytes that are read until unlimitBytes is called.
+func (c *conn) limitBytes(n int64) { c.limitReads, c.readBudget = true, n }
+
+func (c *conn) unlimitBytes() { c.limitReads = false }
+
 // startExchange prepares the connection for an exchange and sets its first read deadline.
 func (c *conn) startExchange(ctx context.Context, ex *Exchange) error {
 	c.ctx, c.deadline, c.responseBegan = ctx, ex.Deadline, false
@@ -118,6 +134,7 @@
 // detachBuffers ends the exchange and returns the buffers to the pools.
 func (c *conn) detachBuffers() {
 	c.ctx = nil
+	c.unlimitBytes()
 	c.clearWriteDeadline()
 	if c.br == nil {
 		return
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -173,6 +173,14 @@
 	return Result{}
 }
 
+const (
+	// maxHeadBytes limits the head of a response together with the interim ones before it. A faulty server may send a head
+	// that never ends.
+	maxHeadBytes = 256 << 10
+	// maxDiscardedBytes limits the body of a response to another request that is read to get to the next response.
+	maxDiscardedBytes = 1 << 20
+)
+
 // maxResponses is the maximum number of responses read while looking for the one to this request.
 const maxResponses = 4
 
@@ -193,7 +201,10 @@
 		case !ex.SkipLateResponses || resp.Close || resp.Header.Get(ex.echoHeader()) == "":
 			return failedResult(FailMismatch, c.bytesSent.Load(), err)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.limitBytes(maxDiscardedBytes)
+		if _, err := io.Copy(io.Discard, resp.Body); errors.Is(err, errReadBudget) {
+			return failedResult(FailMismatch, c.bytesSent.Load(), err)
+		} else if err != nil {
 			return failedResult(c.classifyError(ctx, err, FailCut), c.bytesSent.Load(), err)
 		}
 	}
@@ -223,6 +234,8 @@
 			return nil, err
 		}
 	}
+	c.limitBytes(maxHeadBytes)
+	defer c.unlimitBytes()
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, ex.Request)
 		if err != nil || resp.StatusCode >= 200 {
