Let the soak's backend servers depart without a drain and announce late

Now half of the replaced servers announce their departure first, an announcement of before arrives within the drain time, and all responses and the health check of a leaving server say so.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -35,6 +35,8 @@
 	longServiceTimeEvery = 20
 	// maxBodyBytes is the upper limit of a response body in bytes: about a dozen chunks of a link.
 	maxBodyBytes = 120 << 10
+	// healthPath is the path of the health check.
+	healthPath = "/healthz"
 )
 
 // backendServer is a simulated backend server beside a node: it announces itself, runs requests and reports them to the
@@ -58,6 +60,9 @@
 	state         atomic.Value // string
 	// drainAcknowledged is the Unix time in nanoseconds at which the node acknowledged the drain, or 0.
 	drainAcknowledged atomic.Int64
+	// leaving is set from the first announcement of the drain or departure; departed once a departure came first, after
+	// which the boot sends no heartbeats.
+	leaving, departed atomic.Bool
 	slotsInUse        chan struct{}
 	failing           atomic.Bool
 	server            *http.Server
@@ -86,7 +91,7 @@
 
 // sendHeartbeats sends heartbeats until the boot ends.
 func (b *boot) sendHeartbeats(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !b.departed.Load() {
 		b.sendAnnouncement(ctx, "instances.heartbeat")
 		clock.Sleep(ctx, heartbeatInterval-heartbeatInterval/10+rand.N(heartbeatInterval/5))
 	}
@@ -94,16 +99,23 @@
 
 // sendAnnouncement sends one announcement call to the node and reports whether the node acknowledged it.
 func (b *boot) sendAnnouncement(ctx context.Context, call string) bool {
+	return b.post(ctx, call, b.announcement())
+}
+
+// announcement returns the body of the next announcement.
+func (b *boot) announcement() string {
+	body, _ := json.Marshal(map[string]any{"service": b.vm.service, "address": b.vm.backendAddress(),
+		"zone": b.vm.zone, "version": "v1", "slots": slots, "state": b.state.Load(), "coldLeftMs": 0,
+		"sequence": b.sequence.Add(1), "born": b.startedMillis}) // Encoding a map of strings and numbers cannot fail.
+	return string(body)
+}
+
+// post sends an announcement call to the node and reports whether the node acknowledged it.
+func (b *boot) post(ctx context.Context, call, body string) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	body, err := json.Marshal(map[string]any{"service": b.vm.service, "address": b.vm.backendAddress(),
-		"zone": b.vm.zone, "version": "v1", "slots": slots, "state": b.state.Load(), "coldLeftMs": 0,
-		"sequence": b.sequence.Add(1), "born": b.startedMillis})
-	if err != nil {
-		return false
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		"http://"+b.vm.address(portAnnouncements)+"/rpc?call="+call+"&of="+b.id, strings.NewReader(string(body)))
+		"http://"+b.vm.address(portAnnouncements)+"/rpc?call="+call+"&of="+b.id, strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -116,20 +128,30 @@
 	return resp.StatusCode/100 == 2
 }
 
-// replace performs a planned replacement: it drains and stops the boot and starts the next one.
+// replace performs a planned replacement: it drains and stops the boot and starts the next one. Half of the boots announce
+// their departure without a drain. An announcement that was made before arrives late.
 func (s *backendServer) replace(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.boot.Load()
+	late, call := b.announcement(), "instances.heartbeat"
+	if rand.IntN(2) == 0 {
+		call = "instances.deregister"
+		b.departed.Store(true)
+	}
 	b.state.Store("draining")
+	b.leaving.Store(true)
 	for range maxDrainAnnouncements {
-		if b.sendAnnouncement(ctx, "instances.heartbeat") {
+		if b.sendAnnouncement(ctx, call) {
 			b.drainAcknowledged.Store(time.Now().UnixNano())
 			break
 		}
 		time.Sleep(heartbeatInterval)
 	}
-	time.Sleep(drainLimit + time.Second)
+	delay := rand.N(drainLimit)
+	time.Sleep(delay)
+	b.post(ctx, "instances.heartbeat", late)
+	time.Sleep(drainLimit - delay + time.Second)
 	b.sendAnnouncement(ctx, "instances.deregister")
 	stop, cancel := context.WithTimeout(context.Background(), 2*longServiceTime)
 	defer cancel()
@@ -156,6 +178,15 @@
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Instance-Id", b.id)
+	if b.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if r.URL.Path == healthPath {
+		if b.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	if r.Header.Get("X-Target-Instance") != b.id {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/soak/publisher.go
+++ b/internal/soak/publisher.go
@@ -37,8 +37,10 @@
 }
 
 func configDocument(generation int) string {
-	resources := []string{`{"type":"services","metadata":{"name":"desk"},"spec":{}}`,
-		`{"type":"services","metadata":{"name":"office"},"spec":{}}`}
+	var resources []string
+	for _, service := range []string{"desk", "office"} {
+		resources = append(resources, fmt.Sprintf(`{"type":"services","metadata":{"name":%q},"spec":{"healthPath":%q}}`, service, healthPath))
+	}
 	route := func(name, path, kind, service string) {
 		resources = append(resources, fmt.Sprintf(
 			`{"type":"routes","metadata":{"name":%q},"spec":{"host":%q,"pathPrefix":%q,"kind":%q,`+
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -474,7 +474,7 @@
 }
 
 // confirm asks the backend server whether it accepts new requests, as its first announcement says. If it does not say
-// so, the next announcement decides, since only that one is certain to be newer than the start of this node.
+// so, the next announcement decides: it is newer than the first one, and a health check that fails may be wrong.
 func (t *BackendTracker) confirm(ctx context.Context, a Announcement) {
 	accepts := t.settings.AcceptsWork(ctx, a)
 	event.AnnouncementChecked.Write(event.AnnouncementChecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
