--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -171,7 +171,7 @@
 	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true}), b.clock)
 	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
-	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool, clock: b.clock}
+	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool}
 	if b.Err != nil {
 		return
 	}
