Keep a request in its zone while its target can be met there

With six slots, the limit of 0.8 of the slots sent every request away from which on four were in flight, although nothing waited. Change: the ingress keeps the service time by instance and rank. A request stays while load times service time fits into half of the time left to its target; it then leaves for a zone that meets the target, or else only if the difference of the load is a whole service time.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -46,6 +46,8 @@
 	// zonePreference is the amount, as a fraction of its slots, by which the load of an instance in another zone must
 	// be lower for a call to leave the zone, since traffic between zones is expensive.
 	zonePreference = 0.3
+	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
+	lateZonePreference = 1.0
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
@@ -229,7 +231,7 @@
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
-		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
 		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
 }
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -16,10 +16,13 @@
 	DefaultSlowStart = 10 * time.Second
 	// minSlowStartFactor is the factor on the capacity of a cold instance at the beginning of the slow start.
 	minSlowStartFactor = 0.1
-	// DefaultSpilloverLoad is the load from which other availability zones are considered. It applies to the less loaded
-	// of two random instances of the own zone. Below it a request stays in the zone, which avoids the latency between
-	// zones.
+	// DefaultSpilloverLoad is the load from which other availability zones are considered for a request without a latency
+	// target. It applies to the less loaded of two random instances of the own zone. Below it a request stays in the zone,
+	// which avoids the latency between zones.
 	DefaultSpilloverLoad = 0.8
+	// targetMargin is the part of the time left until the latency target that the expected response time may take; the
+	// rest is for the variation of service times.
+	targetMargin = 0.5
 	// DefaultFailureThreshold is the number of consecutive failures that eject an instance. An instance that cannot be
 	// reached is avoided after one failed connection, for the same time.
 	DefaultFailureThreshold = 5
@@ -41,14 +44,29 @@
 	SpilloverLoad    float64
 	// ZonePreference is the amount, as a fraction of the capacity, by which the load of an instance in another zone must
 	// be lower for a request to leave its zone. When all zones are full, leaving the zone only adds latency.
-	ZonePreference   float64
-	FailureThreshold int
-	BaseEjection     time.Duration
+	ZonePreference float64
+	// LateZonePreference replaces ZonePreference for a request that is expected to miss its latency target in the other
+	// zone as well: leaving the zone gains its caller little.
+	LateZonePreference float64
+	FailureThreshold   int
+	BaseEjection       time.Duration
 	// Random chooses a random ready instance, whatever its load, zone or failures, as a baseline for comparison.
 	Random       bool
 	RandomSource rand.Source
 }
 
+// Request describes the request that an instance is chosen for.
+type Request struct {
+	Service string
+	// Rank is the priority rank. Requests of one rank have similar service times.
+	Rank int
+	// TargetLeft is the time left until the latency target, negative if it has been missed; zero means that the request
+	// has no target.
+	TargetLeft time.Duration
+	// Exclude lists the instances that were tried before.
+	Exclude []membership.InstanceID
+}
+
 // Event is what an attempt showed about the instance.
 type Event uint8
 
@@ -81,7 +99,9 @@
 
 // Observation is the result of an attempt.
 type Observation struct {
-	Event   Event
+	Event Event
+	// Rank is the rank of the request.
+	Rank    int
 	Latency time.Duration
 	// Load is nil if the response reported none.
 	Load *Load
@@ -166,13 +186,13 @@
 // call Observe afterwards. Ejected and unreachable instances are chosen only on a first attempt and only if there is no
 // other one, so that false failure detection cannot leave a service without instances. A retry is not sent to an
 // ejected or unreachable instance, because it would only wait for a failure that is expected.
-func (p *Picker) Pick(now time.Time, service string, exclude []membership.InstanceID) (membership.Instance, error) {
+func (p *Picker) Pick(now time.Time, r Request) (membership.Instance, error) {
 	var in *instance
-	list := p.services[service]
+	list := p.services[r.Service]
 	if p.settings.Random {
-		in = p.pickRandom(list, func(i *instance) bool { return i.ready(exclude) })
+		in = p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) })
 	} else {
-		in = p.choose(now, list, exclude)
+		in = p.choose(now, list, &r)
 	}
 	if in == nil {
 		return membership.Instance{}, ErrNoInstance
@@ -188,29 +208,48 @@
 	}
 }
 
-func (p *Picker) choose(now time.Time, list []*instance, exclude []membership.InstanceID) *instance {
+// choose prefers the own zone as long as an instance there is expected to answer in time. Beyond that, a request leaves
+// the zone only if that shortens its wait noticeably.
+func (p *Picker) choose(now time.Time, list []*instance, r *Request) *instance {
 	own := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, exclude) && i.record.AvailabilityZone == p.settings.AvailabilityZone
+		return i.usable(now, r.Exclude) && i.record.AvailabilityZone == p.settings.AvailabilityZone
 	})
-	if own != nil && own.score(now, p.settings.SlowStart) < p.settings.SpilloverLoad {
+	if own != nil && p.answersInTime(now, own, r) {
 		return own
 	}
 	other := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone
+		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone
 	})
-	if own != nil && other != nil &&
-		own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.settings.ZonePreference {
+	if own != nil && other != nil && own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.zonePreference(now, other, r) {
 		return own
 	}
 	if best := p.lessLoaded(now, own, other); best != nil {
 		return best
 	}
-	if len(exclude) > 0 {
+	if len(r.Exclude) > 0 {
 		return nil
 	}
 	return p.pickRandom(list, func(i *instance) bool { return i.ready(nil) })
 }
 
+// answersInTime reports whether the instance is expected to answer the request within targetMargin of the time left
+// until its target. Without a target, or before the first answer to a request of the rank, the load decides.
+func (p *Picker) answersInTime(now time.Time, in *instance, r *Request) bool {
+	score := in.score(now, p.settings.SlowStart)
+	service := in.serviceTime(r.Rank)
+	if r.TargetLeft == 0 || service == 0 {
+		return score < p.settings.SpilloverLoad
+	}
+	return max(score, 1)*float64(service) <= targetMargin*float64(r.TargetLeft)
+}
+
+func (p *Picker) zonePreference(now time.Time, other *instance, r *Request) float64 {
+	if r.TargetLeft == 0 || p.answersInTime(now, other, r) {
+		return p.settings.ZonePreference
+	}
+	return max(p.settings.ZonePreference, p.settings.LateZonePreference)
+}
+
 // pickRandom returns a random instance that passes the filter, or nil.
 func (p *Picker) pickRandom(list []*instance, pass func(*instance) bool) *instance {
 	var chosen *instance
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -36,7 +36,7 @@
 func spread(p *Picker, now time.Time, n int, hold bool) map[membership.InstanceID]int {
 	count := make(map[membership.InstanceID]int)
 	for range n {
-		in, err := p.Pick(now, "desk", nil)
+		in, err := p.Pick(now, Request{Service: "desk"})
 		if err != nil {
 			continue
 		}
@@ -64,7 +64,7 @@
 		p, now := newPicker(false, recs), t0
 		for _, e := range rapid.SliceOfN(rapid.IntRange(0, int(EventErrored)), 1, 200).Draw(t, "events") {
 			now = now.Add(20 * time.Millisecond)
-			in, err := p.Pick(now, "desk", nil)
+			in, err := p.Pick(now, Request{Service: "desk"})
 			if (err == nil) != (ready > 0) || in.State != membership.StateReady && err == nil {
 				t.Fatalf("picked %+v with error %v while %d instances were ready", in, err, ready)
 			}
@@ -133,7 +133,7 @@
 		p.Observe(t0, "i0", Observation{Event: EventAnswered, Load: &Load{InUse: 20, Limit: 20, Queued: 5}})
 		n := 0
 		for range 1000 {
-			in, _ := p.Pick(t0.Add(c.age), "desk", nil)
+			in, _ := p.Pick(t0.Add(c.age), Request{Service: "desk"})
 			if in.ID == "i0" {
 				n++
 			}
@@ -218,12 +218,69 @@
 	p := newPicker(false, instances(2, "a"))
 	p.Reserve("i1")
 	p.Observe(t0, "i1", Observation{Event: EventUnreachable})
-	if in, err := p.Pick(t0, "desk", []membership.InstanceID{"i0"}); err == nil {
+	if in, err := p.Pick(t0, Request{Service: "desk", Exclude: []membership.InstanceID{"i0"}}); err == nil {
 		t.Errorf("a refused request is sent to %s, which cannot be reached", in.ID)
 	}
 	p.Reserve("i0")
 	p.Observe(t0, "i0", Observation{Event: EventUnreachable})
-	if _, err := p.Pick(t0, "desk", nil); err != nil {
+	if _, err := p.Pick(t0, Request{Service: "desk"}); err != nil {
 		t.Error("no instance is chosen on a first attempt when all have been unreachable")
 	}
 }
+
+// zonesPicker returns a picker in zone a with one instance in each of two zones, which need the given times for a request
+// without a queue.
+func zonesPicker(own, other time.Duration) *Picker {
+	p := New(Settings{AvailabilityZone: "a", ZonePreference: 0.3, LateZonePreference: 1, RandomSource: rand.NewPCG(1, 2)})
+	p.Update(t0, "desk", []membership.Instance{
+		{ID: "own", Service: "desk", Slots: 6, AvailabilityZone: "a", Incarnation: 1, State: membership.StateReady},
+		{ID: "other", Service: "desk", Slots: 6, AvailabilityZone: "b", Incarnation: 1, State: membership.StateReady}})
+	for id, latency := range map[membership.InstanceID]time.Duration{"own": own, "other": other} {
+		p.Reserve(id)
+		p.Observe(t0, id, Observation{Event: EventAnswered, Rank: 3, Latency: latency})
+	}
+	return p
+}
+
+// Guards against requests that leave their zone although an instance there would answer them in time, which happened at
+// 80% of six slots and made two thirds of the traffic between zones; and against requests that stay there to miss a
+// target that another zone would meet.
+func TestRequestLeavesItsZoneOnlyToMeetItsTarget(t *testing.T) {
+	const target = 400 * time.Millisecond
+	for _, c := range []struct {
+		name       string
+		own, other time.Duration
+		ownLoad    int
+		inZone     bool
+		targetLeft time.Duration
+	}{
+		{"busy, but in time", 120 * time.Millisecond, 120 * time.Millisecond, 5, true, target},
+		{"a queue that leaves time", 120 * time.Millisecond, 120 * time.Millisecond, 8, true, target},
+		{"a queue that would make it late", 120 * time.Millisecond, 120 * time.Millisecond, 11, false, target},
+		{"slow instance", 250 * time.Millisecond, 120 * time.Millisecond, 5, false, target},
+		{"late in both zones, queue of less than one service time", 250 * time.Millisecond, 250 * time.Millisecond, 5, true, target},
+		{"late in both zones, long queue", 250 * time.Millisecond, 250 * time.Millisecond, 12, false, target},
+		{"target missed already", 120 * time.Millisecond, 120 * time.Millisecond, 5, true, -time.Millisecond},
+		{"no target, loaded zone", 120 * time.Millisecond, 120 * time.Millisecond, 5, false, 0},
+	} {
+		p := zonesPicker(c.own, c.other)
+		p.byID["own"].inFlight = c.ownLoad
+		in, err := p.Pick(t0, Request{Service: "desk", Rank: 3, TargetLeft: c.targetLeft})
+		if err != nil || (in.ID == "own") != c.inZone {
+			t.Errorf("%s: sent to %s (error %v), want it in the own zone: %v", c.name, in.ID, err, c.inZone)
+		}
+	}
+}
+
+// Guards against a queue that is taken for a slow instance: requests would avoid it after the queue is gone, while it
+// gets none that could correct the average.
+func TestQueueTimeIsNoServiceTime(t *testing.T) {
+	p := zonesPicker(100*time.Millisecond, 100*time.Millisecond)
+	for range 50 {
+		p.Reserve("own")
+		p.Observe(t0, "own", Observation{Event: EventAnswered, Rank: 3, Latency: 300 * time.Millisecond, Load: &Load{InUse: 6, Limit: 6, Queued: 12}})
+	}
+	if got := p.byID["own"].serviceTime(3); got < 90*time.Millisecond || got > 110*time.Millisecond {
+		t.Errorf("service time %s after answers that took 300 ms behind a queue of two rounds, want about 100 ms", got)
+	}
+}
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -19,6 +20,8 @@
 	inFlightAtReport int
 	// latency is the moving average of the latency of successful attempts.
 	latency time.Duration
+	// serviceTimes holds for each rank the moving average of the response time that the instance needs without a queue.
+	serviceTimes [config.MaxRank + 1]time.Duration
 	// errorRate is the moving average of the fraction of EventErrored among the attempts that ended with EventErrored or
 	// EventAnswered.
 	errorRate float64
@@ -36,6 +39,7 @@
 		in.failures, in.ejections, in.errorRate = 0, 0, 0
 		in.ejectedUntil, in.unreachableUntil = time.Time{}, time.Time{}
 		in.reportedAt = time.Time{}
+		in.serviceTimes = [config.MaxRank + 1]time.Duration{}
 	}
 	if rec.State == membership.StateReady && (in.record.State != membership.StateReady || restarted) {
 		in.readySince = time.Time{}
@@ -118,8 +122,31 @@
 		in.latency = o.Latency
 	}
 	in.latency += (o.Latency - in.latency) / 8
+	in.addServiceTime(o)
 }
 
+// serviceTimeDivisor is the inverse of the weight of one answer in the average of the service time.
+const serviceTimeDivisor = 16
+
+// addServiceTime adds an answer to the average of its rank. The response time of a loaded instance is divided by its
+// load, as reported with the answer, since the time in the queue is part of it.
+func (in *instance) addServiceTime(o Observation) {
+	sample := o.Latency
+	if o.Load != nil && o.Load.Limit > 0 {
+		sample = time.Duration(float64(sample) / max(1, float64(o.Load.InUse+o.Load.Queued)/float64(o.Load.Limit)))
+	}
+	average := &in.serviceTimes[clampRank(o.Rank)]
+	if *average == 0 {
+		*average = sample
+	}
+	*average += (sample - *average) / serviceTimeDivisor
+}
+
+// serviceTime returns the time that the instance needs for a request of the rank without a queue, or zero if unknown.
+func (in *instance) serviceTime(rank int) time.Duration { return in.serviceTimes[clampRank(rank)] }
+
+func clampRank(rank int) int { return min(max(rank, 0), config.MaxRank) }
+
 // countFailure counts consecutive failures and reports whether there are enough for an ejection.
 func (in *instance) countFailure(e Event, limit int) bool {
 	if e != EventFailed {
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -25,18 +25,18 @@
 	view         membership.View
 }
 
-// pick chooses an instance outside exclude. On the first call for a service it loads the service's instances. An empty
-// exclude marks the first attempt of a request, which is counted in the retry budget.
-func (s *selector) pick(now time.Time, service string, exclude []membership.InstanceID) (membership.Instance, error) {
+// pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
+// first attempt of a request, which is counted in the retry budget.
+func (s *selector) pick(now time.Time, r balance.Request) (membership.Instance, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(exclude) == 0 {
-		s.retryBudgets.Request(service)
+	if len(r.Exclude) == 0 {
+		s.retryBudgets.Request(r.Service)
 	}
-	if !s.picker.HasService(service) {
-		s.loadInstances(now, service)
+	if !s.picker.HasService(r.Service) {
+		s.loadInstances(now, r.Service)
 	}
-	return s.picker.Pick(now, service, exclude)
+	return s.picker.Pick(now, r)
 }
 
 // reserve counts an attempt in flight at an instance that was not chosen by pick.
@@ -101,13 +101,13 @@
 }
 
 // observe reports the end of an attempt at an instance to the load balancer, and a success to the retry budget.
-func (s *selector) observe(now time.Time, service string, id membership.InstanceID, rep *reply, took time.Duration) {
-	o := balance.Observation{Event: classify(rep), Latency: took, Load: rep.load}
+func (s *selector) observe(now time.Time, c *call, id membership.InstanceID, rep *reply, took time.Duration) {
+	o := balance.Observation{Event: classify(rep), Rank: c.rank, Latency: took, Load: rep.load}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Observe(now, id, o)
 	if o.Event == balance.EventAnswered {
-		s.retryBudgets.Success(service)
+		s.retryBudgets.Success(c.service)
 	}
 }
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
@@ -134,7 +135,8 @@
 // the home instance of its idempotency key.
 func (in *Ingress) pickInstance(c *call) (membership.Instance, bool) {
 	if !c.keyed() {
-		target, err := in.selector.pick(in.Clock.Now(), c.service, c.tried)
+		now := in.Clock.Now()
+		target, err := in.selector.pick(now, balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now), Exclude: c.tried})
 		return target, err == nil
 	}
 	home, ok := in.Guard.Home(c.service, c.key)
@@ -156,7 +158,7 @@
 		rep = in.send(ctx, c, target, start)
 	}
 	now := in.Clock.Now()
-	in.selector.observe(now, c.service, target.ID, rep, now.Sub(start))
+	in.selector.observe(now, c, target.ID, rep, now.Sub(start))
 	return rep
 }
 
