Share the burst of the retry budget among the nodes of the mesh

While all servers of deposit-office shed half of their requests, 430 retries were paid at it and 284 runs of its callers were repeated, whose calls count as repeats too. Each node saved up five retries a service, 125 on 25 nodes, 1,480 on 296, where the bounds allow 630 beside the ratio. Change: Settings.MeshBurst (retryBudgetSlack) is divided by the number of known nodes. A node keeps one retry at least; a share below four leaves no retry without requests, so that processes that restart together add none. Ruled out: a backend server that sheds everything; here all of them shed half at random. A share below one retry a node still counts as one: a slack smaller than the number of nodes is exceeded.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -232,7 +232,7 @@
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
-		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
+		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
 }
 
@@ -275,13 +275,16 @@
 		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log})
 }
 
-// retrySettings derives the retry budget of this node from the platform's limit, which applies to all nodes together.
-// The ratio is halved, since the nested calls of a retried request count as retries too. The burst cannot be divided by
-// the number of nodes, which is unknown; the bursts of a dozen nodes stay within the slack that the platform allows.
+// retrySettings derives the retry budget from the platform's limit, which applies to all nodes together. The ratio is
+// halved, since the nested calls of a retried request count as retries too.
 func retrySettings(b platform.Bounds) retry.Settings {
-	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: 4, Floor: 0.1, FloorBurst: 1, FreeReroutes: maxReroutes, BudgetPerRequest: true, MinRemaining: minRemaining}
+	return retry.Settings{Ratio: b.RetryRatio / 2, Burst: maxRetryBurst, Floor: 0.1, FloorBurst: 1, MeshBurst: b.RetrySlack, FreeReroutes: maxReroutes,
+		BudgetPerRequest: true, MinRemaining: minRemaining}
 }
 
+// maxRetryBurst is the maximum number of retries that a node saves up for one service, however few nodes there are.
+const maxRetryBurst = 4
+
 // minRemaining is the time to the deadline below which another attempt is unlikely to finish: the round trip to another
 // zone plus the shortest service time.
 const minRemaining = 20 * time.Millisecond
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -119,6 +119,9 @@
 	return out
 }
 
+// NodeCount returns the number of nodes that have not departed.
+func (s *State) NodeCount() int { return len(s.topology().nodes) }
+
 // topology returns the current distribution tree.
 func (s *State) topology() *topology {
 	if t := s.cachedTopology.Load(); t != nil {
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -23,6 +23,8 @@
 	picker       *balance.Picker
 	retryBudgets *retry.Budgets
 	view         membership.View
+	// nodeCount returns the number of nodes in the mesh; nil means that the retry budget does not depend on it.
+	nodeCount func() int
 }
 
 // pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
@@ -46,10 +48,15 @@
 	s.picker.Reserve(id)
 }
 
-// refresh reloads the instances of all services in use.
+// refresh reloads the instances of all services in use and the number of nodes.
 func (s *selector) refresh(now time.Time) {
+	nodes := 0
+	if s.nodeCount != nil {
+		nodes = s.nodeCount()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.retryBudgets.SetNodes(nodes)
 	for _, service := range s.picker.Services() {
 		s.loadInstances(now, service)
 	}
--- a/pkg/retry/budgets.go
+++ b/pkg/retry/budgets.go
@@ -5,19 +5,33 @@
 // Budgets keeps one Decider for each service, so that the retries of one service cannot use up the budget of another.
 // Like a Decider, it is not safe for concurrent use.
 type Budgets struct {
-	settings  Settings
-	byService map[string]*Decider
+	// settings are those of the mesh, own those of this node.
+	settings, own Settings
+	nodes         int
+	byService     map[string]*Decider
 }
 
 // NewBudgets returns Budgets that use the same settings for all services.
 func NewBudgets(s Settings) *Budgets {
-	return &Budgets{settings: s, byService: make(map[string]*Decider)}
+	s = s.withDefaults()
+	return &Budgets{settings: s, own: s.forNodes(0), byService: make(map[string]*Decider)}
+}
+
+// SetNodes sets the number of nodes that share Settings.MeshBurst.
+func (b *Budgets) SetNodes(n int) {
+	if n == b.nodes {
+		return
+	}
+	b.nodes, b.own = n, b.settings.forNodes(n)
+	for _, d := range b.byService {
+		d.update(b.own)
+	}
 }
 
 func (b *Budgets) of(service string) *Decider {
 	d := b.byService[service]
 	if d == nil {
-		d = New(b.settings)
+		d = newDecider(b.own)
 		b.byService[service] = d
 	}
 	return d
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -41,6 +41,9 @@
 	// FreeReroutes is the number of times that a call that has not reached a backend server may be sent to another node
 	// without taking from the budget; 0 means that such a call is treated like any other.
 	FreeReroutes int
+	// MeshBurst is the maximum number of retries that all nodes of the mesh together save up for one service, if not zero.
+	// Each node then saves up its share only; see Budgets.SetNodes.
+	MeshBurst float64
 	// Unlimited turns the budget off, as a baseline for comparison. The rules for safe retries and the deadline still
 	// apply.
 	Unlimited bool
@@ -61,6 +64,28 @@
 	return s
 }
 
+// floorShare is the share in Settings.MeshBurst from which a node may save up a retry without requests. Smaller shares
+// are needed for the retries that requests save up.
+const floorShare = 4
+
+// forNodes returns the settings of one out of n nodes; n is zero while it is unknown. A restarted process starts with the
+// retries of its floor, so that in a large mesh, which has none, processes that restart together add no burst. A node
+// saves up one retry at least: with less it could not retry at all.
+func (s Settings) forNodes(n int) Settings {
+	if s.MeshBurst == 0 {
+		return s
+	}
+	share := 0.0
+	if n > 0 {
+		share = s.MeshBurst / float64(n)
+	}
+	if share < floorShare {
+		s.Floor, s.FloorBurst = 0, 0
+	}
+	s.Burst = min(s.Burst, max(1, share-s.FloorBurst))
+	return s
+}
+
 // Attempt describes a failed attempt.
 type Attempt struct {
 	// Cause is the reason that is counted if the attempt is retried.
@@ -96,11 +121,19 @@
 }
 
 // New returns a Decider that at first allows FloorBurst retries; successes have not saved up any yet.
-func New(s Settings) *Decider {
-	s = s.withDefaults()
+func New(s Settings) *Decider { return newDecider(s.withDefaults()) }
+
+// newDecider returns a Decider with settings in which zero stands for itself.
+func newDecider(s Settings) *Decider {
 	return &Decider{settings: s, floorTokens: s.FloorBurst}
 }
 
+// update replaces the settings. Retries saved up beyond the new limits are lost.
+func (d *Decider) update(s Settings) {
+	d.settings = s
+	d.tokens, d.floorTokens = min(d.tokens, s.Burst), min(d.floorTokens, s.FloorBurst)
+}
+
 // Success counts a request that was answered.
 func (d *Decider) Success() {
 	if !d.settings.BudgetPerRequest {
