Refuse records and announcements whose numbers or addresses are out of range

Cause: a record of another writer with a sound form but odd numbers was taken over: a port of 0, an address of a host name to dial, a bandwidth that makes it the first choice as a watcher, negative slots, and an incarnation of 2^64-1, above which its owner cannot raise its own. An announcement with a start in the far future or the largest sequence made all later announcements of the backend server outdated, so that its node would have lost it. Not covered: a node whose own object was overwritten by an odd one does not write it again until its record changes; the other nodes keep the record that they know.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -24,7 +24,12 @@
 	// DefaultTimeout corresponds to three missed announcements at the announcement interval of one second.
 	DefaultTimeout = 3 * time.Second
 	// MaxSlots is the largest accepted number of slots; a larger one is considered a configuration error.
-	MaxSlots = 10_000
+	MaxSlots = membership.MaxSlots
+	// maxClockAhead is how far the time of a start may lie ahead of the node's clock, which may be set back. A start in the
+	// far future would make all later announcements outdated.
+	maxClockAhead = 24 * time.Hour
+	// maxSequence limits the sequence of an announcement for the same reason.
+	maxSequence = 1 << 53
 )
 
 // Announced states of the backend server. They also name the states and events of the state machine.
@@ -276,6 +281,8 @@
 		return invalid("address "+a.Address+" is not on this VM", "announce a loopback address or the configured backend server address")
 	case a.Slots < 1 || a.Slots > MaxSlots:
 		return invalid(fmt.Sprintf("invalid number of slots %d", a.Slots), fmt.Sprintf("give a number from 1 to %d", MaxSlots))
+	case a.Born < 0 || a.Born > t.settings.Clock.Now().Add(maxClockAhead).UnixMilli() || a.Sequence > maxSequence:
+		return invalid(fmt.Sprintf("start time %d or sequence %d is out of range", a.Born, a.Sequence), "give the Unix milliseconds of the start, and a sequence that counts from it")
 	case !knownState:
 		return invalid(fmt.Sprintf("unknown state %q", a.State), "use starting, ready, draining or departed")
 	}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -146,11 +147,15 @@
 	return nil
 }
 
-// mergeOthers stores newer records of other instances and returns their number. Only this node itself changes its own
+// mergeOthers stores newer valid records of other instances and returns their number. Only this node itself changes its own
 // record, so that a received one is passed to OnOwnRecord.
 func (p *Peers) mergeOthers(records []membership.Instance) int {
 	others := make([]membership.Instance, 0, len(records))
 	for _, in := range records {
+		if err := in.Validate(); err != nil {
+			event.RecordRefused.Write(event.RecordRefused.Log(&p.Log).Err(err).Str("instance", fmt.Sprintf("%.64s", in.ID)))
+			continue
+		}
 		if in.ID != p.Self {
 			others = append(others, in)
 		} else if p.OnOwnRecord != nil {
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/netip"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -40,7 +39,7 @@
 // corrupted, since such a record does not describe a usable instance.
 func decodeRecord(obj platform.Object) (membership.Instance, error) {
 	invalid := func(detail string) (membership.Instance, error) {
-		return membership.Instance{}, fault.New(fault.Invalid, "instance "+obj.Name, detail, "delete the object; the node that owns it writes it again")
+		return membership.Instance{}, fault.New(fault.Invalid, fmt.Sprintf("instance %.64s", obj.Name), detail, "delete the object; the node that owns it writes it again")
 	}
 	var r record
 	if err := json.Unmarshal(obj.Spec, &r); err != nil {
@@ -48,15 +47,13 @@
 	}
 	state, ok := stateByName[r.State]
 	if !ok {
-		return invalid(fmt.Sprintf("unknown state %q", r.State))
+		return invalid(fmt.Sprintf("unknown state %.64q", r.State))
 	}
-	if _, err := netip.ParseAddrPort(r.Peers); err != nil {
-		return invalid(fmt.Sprintf("invalid peers address %q", r.Peers))
-	}
-	if r.Service == "" || r.Incarnation == 0 {
-		return invalid("service or incarnation is missing")
-	}
-	return membership.Instance{ID: membership.InstanceID(obj.Name), Service: r.Service, AvailabilityZone: r.Zone,
+	in := membership.Instance{ID: membership.InstanceID(obj.Name), Service: r.Service, AvailabilityZone: r.Zone,
 		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, Slots: r.Slots, Link: r.Link,
-		Incarnation: r.Incarnation, Sequence: r.Sequence, State: state}, nil
+		Incarnation: r.Incarnation, Sequence: r.Sequence, State: state}
+	if err := in.Validate(); err != nil {
+		return invalid(err.Error())
+	}
+	return in, nil
 }
