--- a/cmd/monsoonlatch-sidecar/health.go
+++ b/cmd/monsoonlatch-sidecar/health.go
@@ -63,7 +63,7 @@
 func (h *healthChecker) check(ctx context.Context, a announce.Announcement, path string) (accepts, answered bool) {
 	deadline, _ := ctx.Deadline() // acceptsWork has set it.
 	request := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: a.Address, Header: http.Header{}}
-	res := h.backend.Do(ctx, a.Address, &upstream.Exchange{Request: request, Idempotent: true, AllowUnframed: true, Deadline: deadline})
+	res := h.backend.Do(ctx, a.Address, &upstream.Exchange{Request: request, Idempotent: true, AllowUnframed: true, Dedicated: true, Deadline: deadline})
 	if res.Response == nil {
 		return false, false
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -40,6 +40,9 @@
 	// Idempotent requests may use any pooled connection, others only one with a response within
 	// Settings.MaxNonIdempotentIdle.
 	Idempotent bool
+	// Dedicated makes the exchange use a new connection, which is closed afterwards. It is for requests without an ID: on a
+	// connection that others use, a second copy of a response without an ID could be taken for the response to any of them.
+	Dedicated bool
 	// Deadline is when the exchange fails; zero means that only the context bounds it.
 	Deadline time.Time
 	// OnNoResponse, if set, is called in the exchange's goroutine if no response has begun by ResponseCheckAt. It returns
@@ -75,10 +78,12 @@
 	stopCancel := context.AfterFunc(ctx, func() { c.SetDeadline(pastDeadline) })
 	res = c.roundTrip(ctx, ex)
 	if res.Response != nil && res.Response.Remainder != nil {
-		res.Response.Remainder.(*bodyStream).stopCancel = stopCancel
+		stream := res.Response.Remainder.(*bodyStream)
+		stream.stopCancel = stopCancel
+		stream.closeConn = stream.closeConn || ex.Dedicated
 		return res
 	}
-	if cancelled := !stopCancel(); cancelled || res.Response == nil || wantsClose(res.Response.Header) {
+	if cancelled := !stopCancel(); cancelled || res.Response == nil || ex.Dedicated || wantsClose(res.Response.Header) {
 		c.host.discard(c)
 		return res
 	}
@@ -90,8 +95,10 @@
 // returns nil and the result of the exchange.
 func (p *Pool) acquire(ctx context.Context, addr string, ex *Exchange, now time.Time) (*conn, Result) {
 	h, max := p.host(addr)
-	if c := h.takeIdle(ctx, ex, now); c != nil {
-		return c, Result{}
+	if !ex.Dedicated {
+		if c := h.takeIdle(ctx, ex, now); c != nil {
+			return c, Result{}
+		}
 	}
 	c, err := h.dial(ctx, max)
 	if err != nil {
