Set the rate of the gate while the advice of a response is held

Cause: TakeAdvice released the lock of the advice before it set the rate of the gate, so that of two responses that changed the limit at the same moment the older one could set it last; it stayed in force until the next change. Change: the rate is set under the lock. The test kept a rate of 10 after [20 10] before, and 20 now.

--- a/pkg/proxy/advice.go
+++ b/pkg/proxy/advice.go
@@ -19,9 +19,11 @@
 	leaving bool
 }
 
-// observe takes the advice of one response. It returns the limit in force, and whether the limit or the announcement that
-// the backend server leaves has changed with this response.
-func (a *advice) observe(now time.Time, v Verdict) (limit float64, limitChanged, leavingChanged bool) {
+// observe takes the advice of one response. It calls setRate with a changed limit before the advice of another response is
+// taken, since the calls of two responses could otherwise overtake each other and leave the older limit in force. It returns
+// the limit in force, and whether the limit or the announcement that the backend server leaves has changed with this
+// response.
+func (a *advice) observe(now time.Time, v Verdict, setRate func(perSecond float64)) (limit float64, limitChanged, leavingChanged bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	before := a.limit
@@ -33,5 +35,8 @@
 	}
 	leavingChanged = v.Leaving != a.leaving
 	a.leaving = v.Leaving
+	if a.limit != before {
+		setRate(a.limit)
+	}
 	return a.limit, a.limit != before, leavingChanged
 }
--- a/pkg/proxy/advice_test.go
+++ b/pkg/proxy/advice_test.go
@@ -1,8 +1,14 @@
 package proxy
 
 import (
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
 
 // Guards against a limit that is lifted by one response that was sent before the backend server named it, and against a
@@ -27,8 +33,54 @@
 		{time.Millisecond, 12, 12, true},
 	} {
 		now = now.Add(c.after)
-		if limit, changed, _ := a.observe(now, Verdict{RateLimit: c.named}); limit != c.want || changed != c.changed {
+		if limit, changed, _ := a.observe(now, Verdict{RateLimit: c.named}, func(float64) {}); limit != c.want || changed != c.changed {
 			t.Errorf("step %d: limit %v, changed %v; want %v, %v", i, limit, changed, c.want, c.changed)
 		}
 	}
 }
+
+// slowGate blocks the first call of SetRate until unblock is closed.
+type slowGate struct {
+	Gate
+	mu               sync.Mutex
+	rates            []float64
+	entered, unblock chan struct{}
+}
+
+func (g *slowGate) SetRate(perSecond float64) {
+	g.mu.Lock()
+	first := g.entered
+	g.entered = nil
+	g.mu.Unlock()
+	if first != nil {
+		close(first)
+		<-g.unblock
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rates = append(g.rates, perSecond)
+}
+
+func (g *slowGate) Load() Load { return Load{} }
+
+// Guards against an older limit that stays in force when two responses change it at the same moment: the first one is
+// delayed between taking its advice and setting the rate of the gate.
+func TestNewerLimitStaysInForce(t *testing.T) {
+	entered := make(chan struct{})
+	g := &slowGate{entered: entered, unblock: make(chan struct{})}
+	e := NewEgress(EgressSettings{Gate: g, Metrics: metric.NewSet(), Clock: clock.System{}, Log: zerolog.Nop()})
+	var wg sync.WaitGroup
+	wg.Go(func() { e.TakeAdvice(Verdict{RateLimit: 10}) })
+	<-entered
+	second := make(chan struct{})
+	wg.Go(func() { e.TakeAdvice(Verdict{RateLimit: 20}); close(second) })
+	select {
+	case <-second:
+	case <-time.After(50 * time.Millisecond): // The second response waits for the first one, as it should.
+	}
+	close(g.unblock)
+	wg.Wait()
+	if last := g.rates[len(g.rates)-1]; last != 20 {
+		t.Errorf("the gate keeps %v a second after %v, want the limit of the newer response, 20", last, g.rates)
+	}
+}
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -339,13 +339,10 @@
 	if v.Leaving {
 		e.Local.ResponseSaysLeaving()
 	}
-	limit, limitChanged, leavingChanged := e.advice.observe(e.Clock.Now(), v)
+	limit, limitChanged, leavingChanged := e.advice.observe(e.Clock.Now(), v, e.Gate.SetRate)
 	if !limitChanged && !leavingChanged {
 		return
 	}
-	if limitChanged {
-		e.Gate.SetRate(limit)
-	}
 	l, log := e.Gate.Load(), e.Log.Sample(nil) // A change of state is not subject to the limit on lines about calls.
 	e.Metrics.Gauge(metric.BackendLimit).Update(int64(limit))
 	event.BackendAdvice.Write(event.BackendAdvice.Log(&log).Float64("limit", limit).Bool("leaving", v.Leaving).
