Leave a cut-off availability zone as a whole and come back to it as a whole

Change: if the hosts of two instances of another zone fall silent and nothing else was heard from the zone meanwhile, the zone gets one request a second until one is answered; all its instances are available then. Refused connections and refusals of nodes are signs of life; the own zone never counts as cut off.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -100,6 +100,8 @@
 // Observation is the result of an attempt.
 type Observation struct {
 	Event Event
+	// Silent is set if the host of the instance gave no sign of life during the attempt.
+	Silent bool
 	// Rank is the rank of the request.
 	Rank    int
 	Latency time.Duration
@@ -113,6 +115,7 @@
 	rng      *rand.Rand
 	services map[string][]*instance
 	byID     map[membership.InstanceID]*instance
+	zones    map[string]*zoneState
 }
 
 // New returns a Picker without instances.
@@ -136,6 +139,7 @@
 		settings: s, rng: rand.New(s.RandomSource),
 		services: make(map[string][]*instance),
 		byID:     make(map[membership.InstanceID]*instance),
+		zones:    make(map[string]*zoneState),
 	}
 }
 
@@ -198,6 +202,7 @@
 		return membership.Instance{}, ErrNoInstance
 	}
 	in.inFlight++
+	p.notePicked(now, in)
 	return in.record, nil
 }
 
@@ -218,7 +223,7 @@
 		return own
 	}
 	other := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone
+		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone && p.mayTry(now, i)
 	})
 	if own != nil && other != nil && own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.zonePreference(now, other, r) {
 		return own
@@ -299,6 +304,7 @@
 		return
 	}
 	in.observe(now, o)
+	p.observeZone(now, in, o)
 	if o.Event == EventUnreachable {
 		in.setUnreachable(now, p.settings.BaseEjection)
 		return
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -109,7 +111,7 @@
 
 // observe reports the end of an attempt at an instance to the load balancer, and a success to the retry budget.
 func (s *selector) observe(now time.Time, c *call, id membership.InstanceID, rep *reply, took time.Duration) {
-	o := balance.Observation{Event: classify(rep), Rank: c.rank, Latency: took, Load: rep.load}
+	o := balance.Observation{Event: classify(rep), Silent: silent(rep), Rank: c.rank, Latency: took, Load: rep.load}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Observe(now, id, o)
@@ -159,6 +161,14 @@
 	return balance.EventRefused
 }
 
+// silent reports whether an attempt has failed without any sign of life from the host of the instance. A host without a
+// listener would have refused the connection.
+func silent(rep *reply) bool {
+	var netErr net.Error
+	return rep.failure == upstream.FailSilent ||
+		rep.failure == upstream.FailConnect && errors.As(rep.err, &netErr) && netErr.Timeout()
+}
+
 // retryCause returns the reason under which a retry of the attempt is counted.
 func retryCause(rep *reply) metric.Retry {
 	switch {
