--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -38,6 +38,9 @@
 	egress    *proxy.Egress
 	publisher *directory.Publisher
 	log       zerolog.Logger
+	// endCalls ends all calls that are still in flight: those in the node's own queue are refused as not run, and those that
+	// were sent to another node are answered with an unknown outcome.
+	endCalls func()
 }
 
 func (d *drainer) Name() string { return "drainer" }
@@ -50,7 +53,10 @@
 	event.NodeStopping.Write(event.NodeStopping.Log(&d.log))
 	d.ready.shuttingDown.Store(true)
 	if end, ok := ctx.Deadline(); ok { // The kernel always sets a deadline.
-		d.ingress.BeginShutdown(end.Add(-responseMargin))
+		end = end.Add(-responseMargin)
+		d.ingress.BeginShutdown(end)
+		// A call may wait in another node's queue for longer than this node's grace period.
+		defer time.AfterFunc(time.Until(end), d.endCalls).Stop()
 	}
 	clock.Sleep(ctx, deregistrationTime)
 	if instance := d.publisher.Latest(); instance.State != membership.StateDeparted {
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -440,6 +440,52 @@
 	})
 }
 
+// Guards against a caller that is cut off without an answer at the end of its node's grace period, because its request still
+// waits in the queue of another node then.
+func TestRequestInARemoteQueueIsAnsweredBeforeTheNodeEnds(t *testing.T) {
+	_, officeVMs, deskVM := startMesh(t)
+	deskVM.cancel()
+	<-deskVM.done
+	deskVM.Bounds.Grace = 800 * time.Millisecond // ends before the deadline of the request
+	deskVM.start(t)
+	deskVM.sendHeartbeat("ready")
+	waitFor(t, "the restarted node to be ready", func() bool { return deskVM.readyStatus() == http.StatusOK })
+	release := make(chan struct{})
+	var occupied sync.WaitGroup
+	var running atomic.Int32
+	for _, office := range officeVMs {
+		office.backendServer.mu.Lock()
+		office.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
+			running.Add(1)
+			<-release
+			return false
+		}
+		office.backendServer.mu.Unlock()
+		for i := range 4 { // all slots
+			occupied.Go(func() { office.call("POST", "/lodge/1", fmt.Sprint(office.Node, i)) })
+		}
+	}
+	defer occupied.Wait()
+	defer close(release)
+	waitFor(t, "all slots to be taken", func() bool { return running.Load() == 8 })
+	results := make(chan result, 1)
+	go func() { results <- deskVM.call("POST", "/lodge/1", "waiting") }()
+	time.Sleep(100 * time.Millisecond) // The request reaches the queue; if it does not, the node refuses it, which is an answer too.
+	deskVM.cancel()
+	<-deskVM.done
+	select {
+	case r := <-results:
+		if r.err != nil || r.status < 500 {
+			t.Errorf("a request that waited in another node's queue when its node ended: %+v, want an answer of the node", r)
+		}
+	case <-time.After(50 * time.Millisecond): // for the last bytes of the response
+		t.Error("the node has ended without an answer to a request that waited in another node's queue")
+	}
+	if n := officeVMs[0].backendServer.runCount("waiting") + officeVMs[1].backendServer.runCount("waiting"); n != 0 {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
 // Guards against requests to a backend server whose departure was acknowledged by an earlier run of its node: after the
 // restart of the node an announcement arrives that the server sent before its departure.
 func TestRestartedNodeSendsNothingToLeavingBackendServer(t *testing.T) {
