Do not pass a refused request on to instances whose queues are full

Change: an instance that refused a request of the same or a more urgent rank because its queue was full (queue_full, displaced, rate_limited) is not chosen for a retry for 250 ms; nor does a request leave its zone for it. If no instance is left, the caller gets the refusal at once.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -100,6 +100,8 @@
 // Observation is the result of an attempt.
 type Observation struct {
 	Event Event
+	// Full is set if the node beside the instance refused the request because too many others wait.
+	Full bool
 	// Silent is set if the host of the instance gave no sign of life during the attempt.
 	Silent bool
 	// Rank is the rank of the request.
@@ -214,16 +216,19 @@
 }
 
 // choose prefers the own zone as long as an instance there is expected to answer in time. Beyond that, a request leaves
-// the zone only if that shortens its wait noticeably.
+// the zone only if that shortens its wait noticeably. A request that was refused is not sent on to an instance whose queue
+// was full a moment ago: when all queues are full, that would only cost time and traffic, since no slot is idle.
 func (p *Picker) choose(now time.Time, list []*instance, r *Request) *instance {
+	retry := len(r.Exclude) > 0
 	own := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, r.Exclude) && i.record.AvailabilityZone == p.settings.AvailabilityZone
+		return i.usable(now, r.Exclude) && i.record.AvailabilityZone == p.settings.AvailabilityZone && !(retry && i.full(now, r.Rank))
 	})
 	if own != nil && p.answersInTime(now, own, r) {
 		return own
 	}
 	other := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone && p.mayTry(now, i)
+		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone && p.mayTry(now, i) &&
+			!((retry || own != nil) && i.full(now, r.Rank))
 	})
 	if own != nil && other != nil && own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.zonePreference(now, other, r) {
 		return own
@@ -231,7 +236,7 @@
 	if best := p.lessLoaded(now, own, other); best != nil {
 		return best
 	}
-	if len(r.Exclude) > 0 {
+	if retry {
 		return nil
 	}
 	return p.pickRandom(list, func(i *instance) bool { return i.ready(nil) })
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -22,6 +22,8 @@
 	latency time.Duration
 	// serviceTimes holds for each rank the moving average of the response time that the instance needs without a queue.
 	serviceTimes [config.MaxRank + 1]time.Duration
+	// fullAt holds for each rank the time at which a request of the rank was last refused because the queue was full.
+	fullAt [config.MaxRank + 1]time.Time
 	// errorRate is the moving average of the fraction of EventErrored among the attempts that ended with EventErrored or
 	// EventAnswered.
 	errorRate float64
@@ -111,6 +113,9 @@
 		in.reported, in.reportedAt, in.inFlightAtReport = *o.Load, now, in.inFlight
 	}
 	in.updateErrorRate(o)
+	if o.Full {
+		in.fullAt[clampRank(o.Rank)] = now
+	}
 	if o.Event == EventErrored || o.Event == EventRefused {
 		in.ejections = 0 // the instance can be reached
 	}
@@ -125,6 +130,20 @@
 	in.addServiceTime(o)
 }
 
+// fullTime is how long an instance counts as full after a refusal. A full queue frees several places in that time.
+const fullTime = 250 * time.Millisecond
+
+// full reports whether the instance has recently refused a request of the rank, or of a more urgent one, because its queue
+// was full.
+func (in *instance) full(now time.Time, rank int) bool {
+	for _, at := range in.fullAt[:clampRank(rank)+1] {
+		if !at.IsZero() && now.Sub(at) < fullTime {
+			return true
+		}
+	}
+	return false
+}
+
 // serviceTimeDivisor is the inverse of the weight of one answer in the average of the service time.
 const serviceTimeDivisor = 16
 
--- a/pkg/balance/zone_test.go
+++ b/pkg/balance/zone_test.go
@@ -97,3 +97,40 @@
 		t.Errorf("%d of 50 requests to a zone of which two machines are silent and others answer, want about half", n)
 	}
 }
+
+// Guards against a request that is refused by one full instance after the other while all instances of an overloaded service
+// are full: each try costs time and traffic, and the request is refused in the end.
+func TestRefusedRequestIsNotSentToFullInstances(t *testing.T) {
+	p := New(Settings{AvailabilityZone: "a", RandomSource: rand.NewPCG(1, 2)})
+	p.Update(t0, "desk", instances(4, "a", "b"))
+	refuse := func(now time.Time, rank int, ids ...membership.InstanceID) {
+		for _, id := range ids {
+			p.Reserve(id)
+			p.Observe(now, id, Observation{Event: EventRefused, Full: true, Rank: rank})
+		}
+	}
+	retry := func(now time.Time, rank int) (membership.InstanceID, error) {
+		in, err := p.Pick(now, Request{Service: "desk", Rank: rank, TargetLeft: time.Second, Exclude: []membership.InstanceID{"i0"}})
+		if err == nil {
+			p.Observe(now, in.ID, Observation{Event: EventAbandoned})
+		}
+		return in.ID, err
+	}
+	refuse(t0, 3, "i0", "i1", "i2")
+	if id, err := retry(t0, 3); err != nil || id != "i3" {
+		t.Errorf("retry at %s (error %v), want the only instance that is not known to be full", id, err)
+	}
+	refuse(t0, 3, "i3")
+	if id, err := retry(t0, 4); err == nil {
+		t.Errorf("retry of a less urgent request at %s although all instances are full", id)
+	}
+	if _, err := retry(t0, 2); err != nil {
+		t.Error("no retry of a more urgent request, which may displace others")
+	}
+	if _, err := retry(t0.Add(fullTime), 4); err != nil {
+		t.Error("no retry after the queues had time to become shorter")
+	}
+	if _, err := p.Pick(t0, Request{Service: "desk", Rank: 4, TargetLeft: time.Second}); err != nil {
+		t.Error("no instance for a first attempt")
+	}
+}
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -111,7 +111,7 @@
 
 // observe reports the end of an attempt at an instance to the load balancer, and a success to the retry budget.
 func (s *selector) observe(now time.Time, c *call, id membership.InstanceID, rep *reply, took time.Duration) {
-	o := balance.Observation{Event: classify(rep), Silent: silent(rep), Rank: c.rank, Latency: took, Load: rep.load}
+	o := balance.Observation{Event: classify(rep), Silent: silent(rep), Full: queueFull(rep), Rank: c.rank, Latency: took, Load: rep.load}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Observe(now, id, o)
@@ -161,6 +161,15 @@
 	return balance.EventRefused
 }
 
+// queueFull reports whether the node beside the instance refused the call because too many others wait there.
+func queueFull(rep *reply) bool {
+	switch rep.reason {
+	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedRateLimited:
+		return true
+	}
+	return false
+}
+
 // silent reports whether an attempt has failed without any sign of life from the host of the instance. A host without a
 // listener would have refused the connection.
 func silent(rep *reply) bool {
