--- a/pkg/proxy/advice_test.go
+++ b/pkg/proxy/advice_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -84,3 +86,18 @@
 		t.Errorf("the gate keeps %v a second after %v, want the limit of the newer response, 20", last, g.rates)
 	}
 }
+
+// Guards against bytes between nodes that nobody reads: net/http adds a date to each response of a server.
+func TestResponsesBetweenNodesCarryNoDate(t *testing.T) {
+	e := NewEgress(EgressSettings{Gate: &slowGate{}, Metrics: metric.NewSet(), Clock: clock.System{}, Log: zerolog.Nop()})
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	resp, err := http.Get(srv.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.Header.Get(HeaderReason) == "" || resp.Header.Get("Date") != "" {
+		t.Errorf("headers %v, want a refusal without a date", resp.Header)
+	}
+}
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -92,6 +92,8 @@
 			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
 	set(w.Header(), HeaderLoad, l.String())
+	// Without the entry, net/http adds a date to each response; the caller's node adds its own.
+	w.Header()["Date"] = nil
 	e.compareVersions(w, r, c.version)
 	if err := rep.write(w, r, Native{}, c.id, c.deadline); err != nil {
 		event.AnswerCut.Write(event.AnswerCut.Log(&e.Log).Err(err).Str("service", c.service).Str("request", c.id))
