--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -60,7 +60,8 @@
 	OnChange func([]membership.Instance)
 	// OnOwnRecord, if set, is called with this node's own record as read from the store.
 	OnOwnRecord func(membership.Instance)
-	// OnOwnRecordRemoved, if set, is called when this node's own record was removed from the store.
+	// OnOwnRecordRemoved, if set, is called when this node's own record was removed from the store, or overwritten by one
+	// that describes no instance.
 	OnOwnRecordRemoved func()
 	// OnStoreLost, if set, is called when the store stops answering.
 	OnStoreLost func()
@@ -267,6 +268,9 @@
 		in, err := decodeRecord(c.Object)
 		if err != nil {
 			event.RecordRefused.Write(event.RecordRefused.Log(&f.Log).Err(err))
+			if id == f.Self && f.OnOwnRecordRemoved != nil {
+				f.OnOwnRecordRemoved() // Another writer has overwritten it.
+			}
 			continue
 		}
 		if id == f.Self {
