Let the queue of a stopping node move on before it stops taking work

Change: when the egress begins to drain, the calls in its queue are refused as not run and move on to other nodes. The test failed before (two requests ran at the stopped node's backend server after its end).

--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
@@ -38,9 +39,10 @@
 	egress    *proxy.Egress
 	publisher *directory.Publisher
 	log       zerolog.Logger
-	// endCalls ends all calls that are still in flight: those in the node's own queue are refused as not run, and those that
-	// were sent to another node are answered with an unknown outcome.
-	endCalls func()
+	gate      *admission.Gate
+	// endCalls ends the calls of callers that are still in flight: those that were sent to another node are answered with an
+	// unknown outcome.
+	endCalls context.CancelFunc
 }
 
 func (d *drainer) Name() string { return "drainer" }
@@ -65,6 +67,8 @@
 	}
 	clock.Sleep(ctx, drainAnnouncementTime)
 	d.egress.BeginDrain()
+	// A call that starts from the queue now could outlast this node. Refused as not run, it moves on to another one.
+	d.gate.SetSlots(0)
 	d.ingress.WaitQuiet(ctx, quietPeriod)
 	d.ingress.BeginDrain()
 	return errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -255,13 +255,9 @@
 	idleCloser := newIdleConnCloser(state)
 	callers := proxy.NewServer(ingress)
 	callers.ConnState = idleCloser.track
-	callContext, cancelCalls := context.WithCancel(context.Background())
+	callContext, endCalls := context.WithCancel(context.Background())
 	callers.BaseContext = func(net.Listener) context.Context { return callContext }
-	gate := find[*admission.Gate](b, nameGate)
-	b.Provide(nameEndCalls, func() {
-		gate.SetSlots(0) // refuses the calls in the node's own queue, so that other nodes can send them elsewhere
-		cancelCalls()
-	})
+	b.Provide(nameEndCalls, endCalls)
 	listen := func(name, address string, s *http.Server, tasks ...func(context.Context)) {
 		b.Register(parts.NewListener(name, b.listenAddress(address), nil, s, b.log, tasks...))
 	}
@@ -280,7 +276,7 @@
 		follower.SetApplyBound(bounds.Apply)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReadiness), ingress: find[*proxy.Ingress](b, nameIngress),
-		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log, endCalls: find[func()](b, nameEndCalls)})
+		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log, gate: find[*admission.Gate](b, nameGate), endCalls: find[context.CancelFunc](b, nameEndCalls)})
 }
 
 // retrySettings derives the retry budget from the platform's limit, which applies to all nodes together. The ratio is
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -486,6 +486,61 @@
 	}
 }
 
+// Guards against requests that start from the queue of a stopping node so late that they are cut off at its end: they must
+// move on to another node.
+func TestQueueOfAStoppingNodeMovesOn(t *testing.T) {
+	store, officeVMs, deskVM := startMesh(t)
+	store.Put("config", "main", strings.ReplaceAll(configurationJSON(4, "/lodge/>office", "/safe/>office", "/desk/>desk"), `"timeoutMs":1500`, `"timeoutMs":20000`))
+	stopping := officeVMs[0]
+	stopping.cancel()
+	<-stopping.done
+	stopping.Bounds.Grace = 3500 * time.Millisecond // ends a second after the node has stopped taking work
+	stopping.start(t)
+	waitFor(t, "the restarted node to be ready", func() bool { return stopping.sendHeartbeat("ready") && stopping.readyStatus() == http.StatusOK })
+	waitFor(t, "responses of both offices", func() bool {
+		return deskVM.call("GET", "/safe/x", "w1").status == 200 && strings.HasPrefix(stopping.call("GET", "/safe/x", "w2").body, stopping.backendServer.id)
+	})
+	release := make(chan struct{})
+	var running atomic.Int32
+	for _, office := range officeVMs {
+		office.backendServer.mu.Lock()
+		office.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
+			running.Add(1)
+			<-release
+			return false
+		}
+		office.backendServer.mu.Unlock()
+	}
+	var occupied sync.WaitGroup
+	for i := range 8 { // all slots of both
+		occupied.Go(func() { officeVMs[i%2].call("POST", "/lodge/1", fmt.Sprint("busy", i), "X-Deadline-Ms", "20000") })
+	}
+	defer occupied.Wait()
+	waitFor(t, "all slots to be taken", func() bool { return running.Load() == 8 })
+	// More than the eight places in the queue of one node, so that some wait at each.
+	results := make(chan result, 10)
+	for i := range cap(results) {
+		go func() { results <- deskVM.call("POST", "/lodge/1", fmt.Sprint("waiting", i), "X-Deadline-Ms", "20000") }()
+	}
+	time.Sleep(100 * time.Millisecond) // The requests reach the queues.
+	stopping.cancel()
+	<-stopping.done
+	close(release)
+	served := 0
+	for range cap(results) {
+		switch r := <-results; {
+		case r.err == nil && r.status == 200 && strings.HasPrefix(r.body, officeVMs[1].backendServer.id):
+			served++
+		case r.err == nil && r.status == http.StatusServiceUnavailable: // The other queue has no more places.
+		default:
+			t.Errorf("a request that waited while a node stopped: %+v, want the answer of the other backend server, or 'not run'", r)
+		}
+	}
+	if served < 8 {
+		t.Errorf("%d requests were served, want all for which the queue of the other node has places", served)
+	}
+}
+
 // Guards against requests to a backend server whose departure was acknowledged by an earlier run of its node: after the
 // restart of the node an announcement arrives that the server sent before its departure.
 func TestRestartedNodeSendsNothingToLeavingBackendServer(t *testing.T) {
