--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -276,7 +276,8 @@
 		follower.SetApplyBound(bounds.Apply)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReadiness), ingress: find[*proxy.Ingress](b, nameIngress),
-		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log, gate: find[*admission.Gate](b, nameGate), endCalls: find[context.CancelFunc](b, nameEndCalls)})
+		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log,
+		gate: find[*admission.Gate](b, nameGate), endCalls: find[context.CancelFunc](b, nameEndCalls)})
 }
 
 // retrySettings derives the retry budget from the platform's limit, which applies to all nodes together. The ratio is
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -440,6 +440,27 @@
 	})
 }
 
+// occupySlots takes all slots of both office backend servers with requests that end when release is closed. It returns when
+// they run; wait waits for their ends.
+func occupySlots(t *testing.T, officeVMs []*vm, release <-chan struct{}) (wait func()) {
+	var running atomic.Int32
+	for _, office := range officeVMs {
+		office.backendServer.mu.Lock()
+		office.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
+			running.Add(1)
+			<-release
+			return false
+		}
+		office.backendServer.mu.Unlock()
+	}
+	var occupied sync.WaitGroup
+	for i := range 8 {
+		occupied.Go(func() { officeVMs[i%2].call("POST", "/lodge/1", fmt.Sprint("busy", i), "X-Deadline-Ms", "20000") })
+	}
+	waitFor(t, "all slots to be taken", func() bool { return running.Load() == 8 })
+	return occupied.Wait
+}
+
 // Guards against a caller that is cut off without an answer at the end of its node's grace period, because its request still
 // waits in the queue of another node then.
 func TestRequestInARemoteQueueIsAnsweredBeforeTheNodeEnds(t *testing.T) {
@@ -451,23 +472,9 @@
 	deskVM.sendHeartbeat("ready")
 	waitFor(t, "the restarted node to be ready", func() bool { return deskVM.readyStatus() == http.StatusOK })
 	release := make(chan struct{})
-	var occupied sync.WaitGroup
-	var running atomic.Int32
-	for _, office := range officeVMs {
-		office.backendServer.mu.Lock()
-		office.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
-			running.Add(1)
-			<-release
-			return false
-		}
-		office.backendServer.mu.Unlock()
-		for i := range 4 { // all slots
-			occupied.Go(func() { office.call("POST", "/lodge/1", fmt.Sprint(office.Node, i)) })
-		}
-	}
-	defer occupied.Wait()
+	wait := occupySlots(t, officeVMs, release)
+	defer wait()
 	defer close(release)
-	waitFor(t, "all slots to be taken", func() bool { return running.Load() == 8 })
 	results := make(chan result, 1)
 	go func() { results <- deskVM.call("POST", "/lodge/1", "waiting") }()
 	time.Sleep(100 * time.Millisecond) // The request reaches the queue; if it does not, the node refuses it, which is an answer too.
@@ -501,22 +508,8 @@
 		return deskVM.call("GET", "/safe/x", "w1").status == 200 && strings.HasPrefix(stopping.call("GET", "/safe/x", "w2").body, stopping.backendServer.id)
 	})
 	release := make(chan struct{})
-	var running atomic.Int32
-	for _, office := range officeVMs {
-		office.backendServer.mu.Lock()
-		office.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
-			running.Add(1)
-			<-release
-			return false
-		}
-		office.backendServer.mu.Unlock()
-	}
-	var occupied sync.WaitGroup
-	for i := range 8 { // all slots of both
-		occupied.Go(func() { officeVMs[i%2].call("POST", "/lodge/1", fmt.Sprint("busy", i), "X-Deadline-Ms", "20000") })
-	}
-	defer occupied.Wait()
-	waitFor(t, "all slots to be taken", func() bool { return running.Load() == 8 })
+	wait := occupySlots(t, officeVMs, release)
+	defer wait()
 	// More than the eight places in the queue of one node, so that some wait at each.
 	results := make(chan result, 10)
 	for i := range cap(results) {
