--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var errBroken = errors.New("rule broken")
 
 var cases = map[string]func(*world) error{
+	"extra-bytes":             extraBytes,
 	"body-after-early-answer": bodyAfterEarlyAnswer,
 	"many-policies":           manyPolicies,
 	"idempotency-key":         idempotencyKey,
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -48,11 +49,12 @@
 
 	start  time.Time
 	mu     sync.Mutex
-	record *os.File
+	file   *os.File
+	record *bufio.Writer
 }
 
 func newWorld(recordPath string, trouble bool) (*world, error) {
-	record, err := os.Create(recordPath)
+	file, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{trouble: trouble, store: newStore(), dir: dir, start: time.Now(), record: record,
+	w := &world{trouble: trouble, store: newStore(), dir: dir, start: time.Now(), file: file, record: bufio.NewWriter(file),
 		firstPort: 20000 + rand.IntN(10000), network: [2]byte{byte(20 + rand.IntN(200)), byte(rand.IntN(250))}}
 	ln, err := net.Listen("tcp", w.ip(250)+":0")
 	if err != nil {
@@ -87,7 +89,10 @@
 	for _, n := range w.nodes {
 		n.kill()
 	}
-	_ = w.record.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.record.Flush() // The exit code tells the result.
+	_ = w.file.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.dir)
 	}
