--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -35,6 +35,8 @@
 	mu       sync.Mutex
 	state    string
 	stopped  chan struct{}
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
 // serverConn is a connection that the instance has accepted.
@@ -44,7 +46,7 @@
 }
 
 func (w *world) addInstance(n *node, id string, slots int, work func(*http.Request, []byte) (int, string)) *instance {
-	in := &instance{w: w, node: n, id: id, slots: slots, work: work, state: "ready", stopped: make(chan struct{})}
+	in := &instance{w: w, node: n, id: id, slots: slots, work: work, state: "ready", stopped: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	w.instances = append(w.instances, in)
 	return in
 }
@@ -55,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	in.listener = ln
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -75,7 +78,15 @@
 
 func (in *instance) serve(nc net.Conn) {
 	c := &serverConn{Conn: nc, br: bufio.NewReader(nc)}
-	defer nc.Close()
+	in.mu.Lock()
+	in.conns[nc] = true
+	in.mu.Unlock()
+	defer func() {
+		_ = nc.Close()
+		in.mu.Lock()
+		delete(in.conns, nc)
+		in.mu.Unlock()
+	}()
 	for {
 		r, err := http.ReadRequest(c.br)
 		if err != nil {
@@ -187,6 +198,17 @@
 	return in.call("instances.deregister", string(body))
 }
 
+// exit ends the instance: it accepts no connections, and those that it has are closed.
+func (in *instance) exit() {
+	_ = in.listener.Close() // Fails only if it is closed.
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for c := range in.conns {
+		_ = c.Close()
+	}
+	in.w.logf(in.id, "exits")
+}
+
 // deadlineOf returns how long the instance may work on a request.
 func deadlineOf(r *http.Request) time.Duration {
 	ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
