--- a/review/standin/case_stop.go
+++ b/review/standin/case_stop.go
@@ -71,7 +71,7 @@
 	return nil
 }
 
-// stop sends SIGTERM to a node, and SIGKILL when its grace period is over, as the platform does.
+// stop sends SIGTERM to a node, SIGKILL when its grace period is over, and starts it again, as the platform does.
 func (w *world) stop(n *node) {
 	w.logf("platform", "sends SIGTERM to %s", n.name)
 	ended := n.signal(syscall.SIGTERM)
@@ -83,5 +83,8 @@
 			n.kill()
 			w.logf("platform", "%s was killed", n.name)
 		}
+		if err := n.run(); err != nil {
+			w.logf("platform", "%s did not start again: %v", n.name, err)
+		}
 	}()
 }
