Decide whether a long request was sent only when its writer has ended

Callers saw an unsafe request run at two backend servers, or answered 503 "not run" though it had run.

Cause: a request above 4 KiB is written while its response is read. If bytes that belong to no response arrive before the first byte is written, the read fails, and the outcome was taken from the bytes sent so far. The writer then sent the request.

TestLongRequestIsNotRunOnlyIfNoByteFollows failed before: 20,480 and 65,672 bytes were sent of requests reported as not run.

Fix: the reader stops the writer if no response can be read, waits for its end and takes the outcome then. A long request that cannot be encoded fails at once; it held its caller until the deadline before.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -143,25 +143,46 @@
 		return failedResult(FailWrite, 0, err)
 	}
 	written := make(chan Result, 1)
-	go func() { written <- c.send(ctx, ex) }()
+	go func() {
+		sent := c.send(ctx, ex)
+		written <- sent
+		if sent.Failure == FailRequest {
+			c.Close() // Ends the read: the server waits for the rest of the request and sends no response.
+		}
+	}()
 	res := c.receive(ctx, ex)
+	if res.Response == nil {
+		return c.stopWriter(res, written)
+	}
 	grace := time.NewTimer(writerGrace)
 	defer grace.Stop()
+	select {
+	case <-written:
+	case <-grace.C:
+		c.SetWriteDeadline(pastDeadline) //nolint:errcheck // fails only on a closed connection, where the write ends too
+		<-written
+		res.Response.Header.Set("Connection", "close")
+		if r, ok := res.Response.Remainder.(*bodyStream); ok {
+			r.closeConn = true
+		}
+	}
+	return res
+}
+
+// stopWriter ends the writer of a request whose response could not be read, and returns the result of the exchange.
+// Whether the request was sent is known only when the writer has ended: bytes that belong to no response may arrive
+// before the first byte of the request is written. A failure of the writer itself takes precedence.
+func (c *conn) stopWriter(res Result, written <-chan Result) Result {
 	select {
 	case sent := <-written:
-		if sent.Failure != FailNone && res.Response == nil {
+		if sent.Failure != FailNone {
 			return sent
 		}
-	case <-grace.C:
+	default:
 		c.SetWriteDeadline(pastDeadline) //nolint:errcheck // fails only on a closed connection, where the write ends too
 		<-written
-		if res.Response != nil {
-			res.Response.Header.Set("Connection", "close")
-			if r, ok := res.Response.Remainder.(*bodyStream); ok {
-				r.closeConn = true
-			}
-		}
 	}
+	res.Outcome = outcomeOfFailure(c.bytesSent.Load())
 	return res
 }
 
--- /dev/null
+++ b/pkg/upstream/long_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+)
+
+// slowWriter delays each write by delay, as a writer does whose goroutine is not scheduled at once, and counts the bytes that
+// are written.
+type slowWriter struct {
+	net.Conn
+	delay   time.Duration
+	written *atomic.Int64
+}
+
+func (c slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(c.delay)
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// newLongPost returns a request whose body does not fit into the write buffer.
+func newLongPost(id string, size int) *Exchange {
+	ex := newPost(id, "")
+	ex.Request.Body, ex.Request.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, size))), int64(size)
+	ex.Deadline = time.Now().Add(5 * time.Second)
+	return ex
+}
+
+// Guards against reporting a long request as not run while its writer still sends it. A faulty server sends bytes that belong
+// to no response; they arrive before the first byte of the request is written, or after it.
+func TestLongRequestIsNotRunOnlyIfNoByteFollows(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before the first byte": 20 * time.Millisecond, "while it is sent": 0} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			pool := NewPool(Settings{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+				near, far := net.Pipe()
+				t.Cleanup(func() { near.Close(); far.Close() })
+				go io.WriteString(far, "and more bytes, which belong to no answer\r\n\r\n") //nolint:errcheck // the test fails without them
+				go io.Copy(io.Discard, far)                                                 //nolint:errcheck // ends with the pipe
+				return slowWriter{Conn: near, delay: delay, written: &written}, nil
+			}})
+			for range 50 {
+				written.Store(0)
+				res := pool.Do(t.Context(), "desk", newLongPost("a", 64<<10))
+				time.Sleep(2 * delay) // A writer that goes on has sent its next part by then.
+				sent := written.Load()
+				want := idempotency.OutcomeUnknown
+				if sent == 0 {
+					want = idempotency.OutcomeNotRun
+				}
+				if res.Response != nil || res.Outcome != want {
+					t.Fatalf("%d bytes of the request were sent: %+v, want outcome %d", sent, res, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a long request that cannot be encoded and holds its caller until the deadline, since no response follows.
+func TestLongRequestThatCannotBeEncodedFailsAtOnce(t *testing.T) {
+	addr := serve(t, func(int, *http.Request, net.Conn) {})
+	pool := NewPool(Settings{})
+	defer pool.CloseIdle()
+	ex := newLongPost("a", 64<<10)
+	ex.Request.URL.RawQuery = "line\nbreak"
+	ex.Deadline = time.Now().Add(time.Hour)
+	done := make(chan Result, 1)
+	go func() { done <- pool.Do(t.Context(), addr, ex) }()
+	select {
+	case res := <-done:
+		if res.Failure != FailRequest || res.Outcome != idempotency.OutcomeNotRun {
+			t.Errorf("%+v, want failure request with outcome not run", res)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the exchange goes on")
+	}
+}
--- a/pkg/upstream/result.go
+++ b/pkg/upstream/result.go
@@ -75,11 +75,16 @@
 	Remainder io.ReadCloser
 }
 
-// failedResult returns the result of an exchange that failed after sent bytes of the request had been written.
+// failedResult returns the result of an exchange that failed after sent bytes of the request had been written, and that
+// writes no more.
 func failedResult(f Failure, sent int64, err error) Result {
-	outcome := idempotency.OutcomeUnknown
+	return Result{Outcome: outcomeOfFailure(sent), Failure: f, Err: fmt.Errorf("upstream: %s: %w", f, err)}
+}
+
+// outcomeOfFailure returns the outcome of a request without a response of which sent bytes were written in all.
+func outcomeOfFailure(sent int64) idempotency.Outcome {
 	if sent == 0 {
-		outcome = idempotency.OutcomeNotRun
+		return idempotency.OutcomeNotRun
 	}
-	return Result{Outcome: outcome, Failure: f, Err: fmt.Errorf("upstream: %s: %w", f, err)}
+	return idempotency.OutcomeUnknown
 }
