Put every configuration that the platform has accepted in force

Callers got 404 on routes that the operator had added, and requests on a moved route went to the old service, for as long as the configuration had more than 64 combinations of priority, target, time-out and attempts.

Cause: the limits of the product's release notes were applied to what the platform's store had accepted. One value beyond a limit kept the whole configuration, and each later one, out of force.

Fix: the check is split. Consistency applies to all configurations, limits only to release notes.

--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -1,12 +1,10 @@
 package admission
 
-import (
-	"time"
-
-	"github.com/monsoonlatch/monsoonlatch/pkg/config"
-)
+import "time"
 
 const (
+	// maxPolicyAverages bounds the memory for averages, of which a configuration may need thousands.
+	maxPolicyAverages = 10_000
 	// averageWeight is the weight of a new sample; the average follows a change within about ten samples.
 	averageWeight = 0.125
 	// refusalDecay lowers an estimate that has caused a refusal. Refused requests give no new samples, so an estimate
@@ -45,7 +43,7 @@
 	e.all.add(serviceTime)
 	a := e.policies[req.Policy]
 	if a == nil {
-		if len(e.policies) >= config.MaxPolicies {
+		if len(e.policies) >= maxPolicyAverages {
 			// Withdrawn policies are not removed one by one; the averages of those in use are rebuilt within a few
 			// samples.
 			clear(e.policies)
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -265,7 +265,8 @@
 	t.update(record, current.address)
 }
 
-// serviceNamePattern matches a valid service name.
+// serviceNamePattern matches a valid service name. The service that the node's settings name is valid too, since those who
+// run the platform choose its name.
 var serviceNamePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 func (t *BackendTracker) validate(a Announcement) error {
@@ -273,7 +274,7 @@
 	address, err := netip.ParseAddrPort(a.Address)
 	_, knownState := membershipStates[a.State]
 	switch {
-	case !serviceNamePattern.MatchString(a.Service):
+	case a.Service == "", a.Service != t.settings.Instance.Service && !serviceNamePattern.MatchString(a.Service):
 		return invalid(fmt.Sprintf("invalid service name %q", a.Service), "use up to 63 characters from a-z, 0-9 and -, with no hyphen at either end")
 	case err != nil || address.Port() == 0:
 		return invalid(fmt.Sprintf("invalid address %q", a.Address), "give an IP address and a port")
--- a/pkg/announce/announce_test.go
+++ b/pkg/announce/announce_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Guards against a backend server that gets no work because its service has a name that release notes do not allow, though
+// the platform has given the service that name.
+func TestServiceOfTheSettingsIsValid(t *testing.T) {
+	for _, service := range []string{"De sk", "Desk_" + strings.Repeat("x", 100), "büro"} {
+		tracker := New(Settings{Instance: membership.Instance{ID: "i1", Service: service, Incarnation: 7}, Clock: &manualClock{time.Unix(10, 0)}, Log: zerolog.Nop()})
+		code := post(tracker, "127.0.0.1:5", strings.Replace(readyJSON, "desk", service, 1))
+		if in, _ := tracker.Instance(); code != http.StatusNoContent || in.State != membership.StateReady {
+			t.Errorf("service %.20q: status %d, state %s", service, code, in.State)
+		}
+	}
+	tracker := New(Settings{Instance: membership.Instance{ID: "i1", Incarnation: 7}, Clock: &manualClock{time.Unix(10, 0)}, Log: zerolog.Nop()})
+	if code := post(tracker, "127.0.0.1:5", strings.Replace(readyJSON, "desk", "", 1)); code != http.StatusBadRequest {
+		t.Errorf("no service: status %d, want a refusal", code)
+	}
+}
+
 // Guards against new requests for a backend server that drains, has departed or has stopped announcing itself, against
 // changed records that do not supersede older ones, and against a repeated announcement that counts as a change.
 func TestLifecycle(t *testing.T) {
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -24,16 +25,20 @@
 	longestPrefix int
 }
 
-// newSnapshot builds the snapshot of a configuration that has passed Check.
+// newSnapshot builds the snapshot of a consistent configuration. Of routes that match the same requests, the one whose name
+// comes first is used on all nodes.
 func newSnapshot(version Version, hash string, c Configuration) *Snapshot {
 	s := &Snapshot{Version: version, Hash: hash, Configuration: c, table: make(map[string]map[string][]Match)}
 	for _, r := range c.Routes {
-		prefixes := s.table[r.Host]
+		host := normalizeHost(r.Host)
+		prefixes := s.table[host]
 		if prefixes == nil {
 			prefixes = make(map[string][]Match)
-			s.table[r.Host] = prefixes
+			s.table[host] = prefixes
 		}
-		prefixes[r.PathPrefix] = append(prefixes[r.PathPrefix], Match{Route: r, Policy: c.Policies[r.Policy]})
+		matches := append(prefixes[r.PathPrefix], Match{Route: r, Policy: c.Policies[r.Policy]})
+		slices.SortFunc(matches, func(a, b Match) int { return cmp.Compare(a.Route.Name, b.Route.Name) })
+		prefixes[r.PathPrefix] = matches
 		s.longestPrefix = max(s.longestPrefix, len(r.PathPrefix))
 	}
 	return s
@@ -51,9 +56,10 @@
 	return s.matchHost(s.table[""], method, path)
 }
 
-// normalizeHost returns the host of a Host header in lower case and without the port.
+// normalizeHost returns the host of a Host header or of a route in lower case and without the port.
 func normalizeHost(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+	// A colon before a closing bracket belongs to an IPv6 address.
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
 		host = host[:i]
 	}
 	return strings.ToLower(host)
@@ -96,10 +102,19 @@
 	return nil
 }
 
-// Build checks the configuration and returns its snapshot.
+// Build returns the snapshot of a configuration that release notes have produced, or the errors of Check.
 func Build(version Version, hash string, c Configuration) (*Snapshot, error) {
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
 	return newSnapshot(version, hash, c), nil
 }
+
+// BuildAccepted returns the snapshot of a configuration that another system has accepted, or the errors of
+// CheckConsistency.
+func BuildAccepted(version Version, hash string, c Configuration) (*Snapshot, error) {
+	if err := c.CheckConsistency(); err != nil {
+		return nil, err
+	}
+	return newSnapshot(version, hash, c), nil
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return err
 	}
-	snap, err := config.Build(version, hash, cfg)
+	snap, err := config.BuildAccepted(version, hash, cfg)
 	if err != nil {
 		return err
 	}
--- a/pkg/membership/validate.go
+++ b/pkg/membership/validate.go
@@ -14,8 +14,8 @@
 	MaxLinkMbps = 1_000_000
 	// maxCounter limits Incarnation and Sequence: an incarnation is a time in milliseconds, and both must be able to rise.
 	maxCounter = 1 << 53
-	// maxNameBytes limits IDs and names.
-	maxNameBytes = 256
+	// maxNameBytes limits IDs and names. It is far longer than the names of services that operators choose.
+	maxNameBytes = 4 << 10
 )
 
 // Validate returns an error that names the first field out of its range.
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -105,7 +105,7 @@
 // setCommonHeaders sets the headers that are sent to the egress and, in the native dialect, also to the backend server.
 func setCommonHeaders(h http.Header, o Outgoing) {
 	values := []string{o.ID, strconv.FormatInt(o.Remaining.Microseconds(), 10), strconv.Itoa(o.Rank),
-		strconv.FormatUint(uint64(o.Version), 10), o.Service, o.Route}
+		strconv.FormatUint(uint64(o.Version), 10), escapeName(o.Service), escapeName(o.Route)}
 	for i, name := range commonHeaders {
 		// The values share one allocation.
 		h[name] = values[i : i+1 : i+1]
@@ -116,14 +116,14 @@
 
 // setPeerHeaders sets the headers that are sent only to the egress of another node.
 func (c *call) setPeerHeaders(h http.Header, now time.Time) {
-	set(h, HeaderPolicy, c.policy)
+	set(h, HeaderPolicy, escapeName(c.policy))
 	setFlag(h, HeaderIdempotent, c.idempotent)
 	setCount(h, HeaderHops, int64(c.hops))
 	if !c.due.IsZero() {
 		setInt(h, HeaderDue, c.due.Sub(now).Microseconds())
 	}
 	if c.caller != "" {
-		set(h, HeaderCaller, c.caller)
+		set(h, HeaderCaller, escapeName(c.caller))
 	}
 	if c.keyed() {
 		setInt(h, HeaderWindow, c.idempotencyWindow.Microseconds())
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -126,10 +126,10 @@
 func (e *Egress) parse(r *http.Request) (*call, *reply) {
 	h, now := r.Header, e.Clock.Now()
 	c := &call{id: first(h, HeaderRequestID), method: r.Method, url: r.URL, host: r.Host, header: h, arrived: now,
-		service: first(h, HeaderService), route: first(h, HeaderRoute), policy: first(h, HeaderPolicy),
+		service: unescapeName(first(h, HeaderService)), route: unescapeName(first(h, HeaderRoute)), policy: unescapeName(first(h, HeaderPolicy)),
 		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1",
-		caller: first(h, HeaderCaller)}
-	remaining, ok1 := parseInt(h, HeaderRemaining, int64(time.Hour/time.Microsecond))
+		caller: unescapeName(first(h, HeaderCaller))}
+	remaining, ok1 := parseInt(h, HeaderRemaining, int64(maxRemaining/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
 	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
 	if c.id == "" || c.service == "" || !ok1 || !ok2 || !ok3 {
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -110,6 +111,28 @@
 	return ""
 }
 
+// escapeName encodes the name of an item of the configuration as a header value: header values must not contain control
+// characters and lose spaces at their ends. Usual names stay as they are.
+func escapeName(name string) string {
+	for i := range len(name) {
+		if c := name[i]; c <= ' ' || c >= 0x7f || c == '%' {
+			return url.PathEscape(name)
+		}
+	}
+	return name
+}
+
+// unescapeName reverses escapeName. It returns other values unchanged.
+func unescapeName(value string) string {
+	if !strings.Contains(value, "%") {
+		return value
+	}
+	if name, err := url.PathUnescape(value); err == nil {
+		return name
+	}
+	return value
+}
+
 func set(h http.Header, name, value string) { h[name] = []string{value} }
 
 func setInt(h http.Header, name string, v int64) { h[name] = []string{strconv.FormatInt(v, 10)} }
@@ -159,8 +182,11 @@
 // stall of a few milliseconds would turn a "not run" response into an unknown outcome.
 const responseGrace = 50 * time.Millisecond
 
+// maxRemaining is the longest remaining time that is sent to the next hop.
+const maxRemaining = 24 * time.Hour
+
 // wireRemaining returns the remaining time that is sent to the next hop in HeaderRemaining.
 func wireRemaining(now, deadline time.Time) time.Duration {
-	left := deadline.Sub(now)
+	left := min(deadline.Sub(now), maxRemaining)
 	return max(0, left-min(hopMargin, left/10))
 }
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -15,8 +15,9 @@
 	readTimeout = 15 * time.Second
 	// idleTimeout is longer than package upstream keeps idle connections, so that a node never sends on a connection
 	// that its peer is closing.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes limits the header of a request. Operators may allow callers less, but not more.
+	maxHeaderBytes = 1 << 20
 )
 
 // NewServer returns an HTTP server for the listener that accepts calls from callers.
