Tell a failed connection from a request that cannot be encoded

Cause: net/http hides the error of a connection that fails while the body is written, so that it was taken for a request that cannot be encoded.

Fix: the connection keeps the error of its last write.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -32,6 +32,8 @@
 	// bytesSent counts the bytes of the request that the kernel accepted. It is atomic because a long request is written
 	// concurrently with reading the response.
 	bytesSent atomic.Int64
+	// writeErr is the error with which a write of the request has failed. net/http hides it if the body is being written.
+	writeErr error
 
 	// ctx and deadline are those of the current exchange. Each change of a deadline costs a change of a runtime timer.
 	// Therefore, if earlyReadDeadline is set, reads keep the deadline Exchange.ResponseCheckAt until a response has begun
@@ -64,11 +66,13 @@
 	if (c.bytesSent.Load() > 0 || len(p) > bufferSize) && !c.writeDeadlineSet {
 		c.writeDeadlineSet = true
 		if err := c.SetWriteDeadline(c.deadline); err != nil {
+			c.writeErr = err
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Write(p)
 	c.bytesSent.Add(int64(n))
+	c.writeErr = err
 	return n, err
 }
 
@@ -125,6 +129,7 @@
 // attachBuffers takes buffers from the pools for one exchange.
 func (c *conn) attachBuffers() {
 	c.bytesSent.Store(0)
+	c.writeErr = nil
 	c.br = readerPool.Get().(*bufio.Reader)
 	c.br.Reset(c)
 	c.bw = writerPool.Get().(*bufio.Writer)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -192,13 +192,17 @@
 
 // send writes the request. The Failure of its result is FailNone if the whole request was written.
 func (c *conn) send(ctx context.Context, ex *Exchange) Result {
-	if err := ex.Request.Write(c.bw); err != nil {
-		return failedResult(c.classifyError(ctx, err, c.classifyWriteError(err)), c.bytesSent.Load(), err)
+	err := ex.Request.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
 	}
-	if err := c.bw.Flush(); err != nil {
-		return failedResult(c.classifyError(ctx, err, FailWrite), c.bytesSent.Load(), err)
+	switch {
+	case err == nil:
+		return Result{}
+	case c.writeErr != nil:
+		return failedResult(c.classifyError(ctx, c.writeErr, FailWrite), c.bytesSent.Load(), c.writeErr)
 	}
-	return Result{}
+	return failedResult(c.classifyError(ctx, err, FailRequest), c.bytesSent.Load(), err)
 }
 
 const (
@@ -246,15 +250,6 @@
 	return HeaderRequestID
 }
 
-// classifyWriteError distinguishes a connection failure from a request that cannot be encoded.
-func (c *conn) classifyWriteError(err error) Failure {
-	var ne *net.OpError
-	if errors.As(err, &ne) {
-		return FailWrite
-	}
-	return FailRequest
-}
-
 // readHead reads the status line and header of the final response.
 func (c *conn) readHead(ex *Exchange) (*http.Response, error) {
 	if c.earlyReadDeadline {
--- a/pkg/upstream/long_test.go
+++ b/pkg/upstream/long_test.go
@@ -85,3 +85,28 @@
 		t.Fatal("the exchange goes on")
 	}
 }
+
+// Guards against a connection that fails while a body is written and that counts as a request that cannot be encoded: the
+// response that the server may have sent before would not be read.
+func TestFailedWriteOfABodyIsAFailedWrite(t *testing.T) {
+	for name, size := range map[string]int{"short": 1000, "long": 64 << 10} {
+		pool := NewPool(Settings{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			t.Cleanup(func() { near.Close(); far.Close() })
+			time.AfterFunc(50*time.Millisecond, func() { io.WriteString(far, rawResponse("a", "early")) }) //nolint:errcheck // the test fails without it
+			return &failingConn{Conn: near, limit: size / 2}, nil
+		}})
+		ex := newLongPost("a", size)
+		ex.EchoHeader = "X-Id"
+		switch res := pool.Do(t.Context(), "desk", ex); name {
+		case "short":
+			if res.Failure != FailWrite || res.Outcome != idempotency.OutcomeUnknown {
+				t.Errorf("%+v, want failure write with an unknown outcome", res)
+			}
+		case "long":
+			if res.Response == nil || string(res.Response.Body) != "early" {
+				t.Errorf("%+v, want the response that was sent before", res)
+			}
+		}
+	}
+}
