Use a connection again only if the whole request was written

Callers' requests were written where a backend server expected the rest of another client's body, and were lost.

TestConnectionOfAnUnfinishedBodyIsNotUsedAgain failed before: the server read "GET / HTTP/1.1" in the body.

Fix: the result of the writer decides. Whatever its error, the connection is closed after the response, streamed ones included.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -135,8 +135,8 @@
 }
 
 // roundTripLong writes a request that may not fit into the socket buffer concurrently with reading the response: a
-// server may respond before it has read the whole body and then never read the rest. In that case the connection is
-// closed, since the server would read the next request as the rest of the body.
+// server may respond before it has read the whole body and then never read the rest. The connection is used again only if
+// the whole request was written.
 func (c *conn) roundTripLong(ctx context.Context, ex *Exchange) Result {
 	c.writeDeadlineSet = true
 	if err := c.SetWriteDeadline(c.deadline); err != nil {
@@ -154,13 +154,8 @@
 	if res.Response == nil {
 		return c.stopWriter(res, written)
 	}
-	grace := time.NewTimer(writerGrace)
-	defer grace.Stop()
-	select {
-	case <-written:
-	case <-grace.C:
-		c.SetWriteDeadline(pastDeadline) //nolint:errcheck // fails only on a closed connection, where the write ends too
-		<-written
+	if !c.awaitWriter(written) {
+		// The server would read the next request as the rest of the body.
 		res.Response.Header.Set("Connection", "close")
 		if r, ok := res.Response.Remainder.(*bodyStream); ok {
 			r.closeConn = true
@@ -169,6 +164,20 @@
 	return res
 }
 
+// awaitWriter waits for the writer of a request whose response has been read, and stops it after writerGrace. It reports
+// whether the whole request was written.
+func (c *conn) awaitWriter(written <-chan Result) bool {
+	grace := time.NewTimer(writerGrace)
+	defer grace.Stop()
+	select {
+	case sent := <-written:
+		return sent.Failure == FailNone
+	case <-grace.C:
+		c.SetWriteDeadline(pastDeadline) //nolint:errcheck // fails only on a closed connection, where the write ends too
+		return (<-written).Failure == FailNone
+	}
+}
+
 // stopWriter ends the writer of a request whose response could not be read, and returns the result of the exchange.
 // Whether the request was sent is known only when the writer has ended: bytes that belong to no response may arrive
 // before the first byte of the request is written. A failure of the writer itself takes precedence.
--- a/pkg/upstream/long_test.go
+++ b/pkg/upstream/long_test.go
@@ -110,3 +110,62 @@
 		}
 	}
 }
+
+// Guards against another request being sent where the rest of a long body is due: a server answers before it has read the
+// body, keeps the connection and reads on later. Writing the body fails, is stopped, or ends just before or after the answer.
+func TestConnectionOfAnUnfinishedBodyIsNotUsedAgain(t *testing.T) {
+	const size = 64 << 20
+	for name, c := range map[string]struct {
+		// answerAt is when the server answers, and deadline when the exchange ends.
+		answerAt, deadline time.Duration
+		length             int
+	}{
+		"answer at the deadline":       {250 * time.Millisecond, 300 * time.Millisecond, 2},
+		"answer long before":           {0, 5 * time.Second, 2},
+		"streamed answer at the end":   {250 * time.Millisecond, 300 * time.Millisecond, 200 << 10},
+		"streamed answer, long before": {0, 5 * time.Second, 200 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			foreign := make(chan []byte, 1)
+			addr := serve(t, func(_ int, r *http.Request, conn net.Conn) {
+				if r.ContentLength < size {
+					_, _ = io.WriteString(conn, rawResponse(r.Header.Get("X-Id"), "own"))
+					return
+				}
+				_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10) // The test holds with any size below that of the body.
+				time.Sleep(c.answerAt)
+				_, _ = io.WriteString(conn, rawResponse("long", string(make([]byte, c.length))))
+				time.Sleep(200 * time.Millisecond)
+				body, _ := io.ReadAll(r.Body)
+				if i := bytes.IndexFunc(body, func(b rune) bool { return b != 'd' }); i >= 0 {
+					foreign <- body[i:min(len(body), i+200)]
+				}
+				close(foreign)
+			})
+			pool := NewPool(Settings{})
+			defer pool.CloseIdle()
+			ex := newGet("long")
+			ex.Request.Method, ex.Request.ContentLength = http.MethodPost, size
+			ex.Request.Body = io.NopCloser(bytes.NewReader(bytes.Repeat([]byte("d"), size)))
+			ex.Deadline = time.Now().Add(c.deadline)
+			res := pool.Do(t.Context(), addr, ex)
+			if res.Response == nil {
+				t.Fatalf("%+v, want the early answer", res)
+			}
+			if r := res.Response.Remainder; r != nil {
+				if _, err := io.Copy(io.Discard, r); err != nil {
+					t.Log(err) // At the deadline, the rest of the answer may be late.
+				}
+				r.Close()
+			}
+			for range 3 {
+				if next := pool.Do(t.Context(), addr, newGet("next")); next.Response == nil {
+					t.Errorf("%+v, want a response to the next request", next)
+				}
+			}
+			if bytes, ok := <-foreign; ok {
+				t.Errorf("the body is continued with %q", bytes)
+			}
+		})
+	}
+}
