Keep the departure of a backend server with the store and other nodes

Callers' requests reached a backend server up to 9 s after its departure had been acknowledged, and its exit cut them off.

Cause: only the node beside the server knew of the departure. The node was killed, restarted and checked the first late heartbeat with a health check, but believed the second one. The record of a departed instance was deleted from the store, and the other nodes were not asked.

Fix: records name the start of the server and whether it leaves, and outlast the departure. A drain or departure is acknowledged when the store or another node holds it. A node that starts asks both before it believes an announcement; a health check, which may be wrong either way, does not decide.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -66,6 +66,7 @@
 	nameControl        = "control" // as returned by rpcwire.Server.Name
 	nameDirectoryState = "state"
 	nameFollower       = "follower"
+	nameStore          = "store"
 	namePeers          = "peers"
 	namePublisher      = "publisher"
 	nameGate           = "gate"
@@ -162,6 +163,7 @@
 		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
+	b.Provide(nameStore, store)
 	b.Provide(nameDirectoryState, state)
 	b.Provide(nameFollower, follower)
 	b.Provide(namePeers, peers)
@@ -181,11 +183,12 @@
 	b.Provide(nameGate, gate)
 	b.Provide(nameBackendPool, backendPool)
 	b.Provide(nameHealth, health)
+	recall := &directory.Recall{Store: find[*platform.Store](b, nameStore), Peers: peers, InstancesListed: follower.InstancesListed, Log: b.log}
 	announcer := announce.New(announce.Settings{
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
 			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.LinkMbps, Incarnation: uint64(b.clock.Now().UnixMilli()), Sequence: 1},
 		Backend: b.vm.Backend.Addr(), Timeout: maxMissedHeartbeats * b.vm.Heartbeat, Clock: b.clock, Log: b.log, DrainTime: b.vm.Bounds.Drain / drainTimeDivisor,
-		AcceptsWork: health.acceptsWork,
+		AcceptsWork: health.acceptsWork, Recall: recall.Run, AwaitPreserved: publisher.AwaitPreserved,
 		OnChange: func(instance membership.Instance) {
 			if instance.State == membership.StateReady {
 				gate.SetSlots(instance.Slots)
@@ -196,6 +199,7 @@
 	})
 	b.Provide(nameAnnounce, announcer)
 	peers.OnOwnRecord = func(known membership.Instance) {
+		announcer.ObserveOwn(known)
 		instance, _ := announcer.Instance()
 		removed := known.State == membership.StateDeparted && known.Incarnation == instance.Incarnation && known.Sequence > instance.Sequence
 		if removed || known.Incarnation > instance.Incarnation {
@@ -243,7 +247,9 @@
 	if b.Err != nil {
 		return
 	}
-	b.Register(newBackgroundTasks("duties", follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
+	cleaner := &directory.Cleaner{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Self: b.self(),
+		Clock: b.clock, Log: b.log}
+	b.Register(newBackgroundTasks("duties", cleaner.Run, follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
 		find[*announce.BackendTracker](b, nameAnnounce).Run, ingress.Run, ingress.Peers.Run, find[*upstream.Pool](b, nameBackendPool).Run))
 }
 
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -84,6 +84,13 @@
 	fmt.Fprintf(w, "%s %s %s %s", s.id, r.Method, r.URL.Path, body)
 }
 
+// requestCount returns the number of requests that have reached the backend server.
+func (s *testBackendServer) requestCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.headers)
+}
+
 func (s *testBackendServer) runCount(attempt string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,6 +104,8 @@
 	cancel        context.CancelFunc
 	done          chan error
 	sequence      int
+	// grace is the grace period of the node in nanoseconds.
+	grace atomic.Int64
 }
 
 // testIP is a loopback address that only this process uses. On 127.0.0.1, another process or the source port of a
@@ -141,8 +150,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.done = cancel, make(chan error, 1)
+	v.grace.Store(int64(v.Bounds.Grace))
 	go func() {
-		err := runNode(ctx, k, v.Bounds.Grace)
+		err := runNode(ctx, k, func() time.Duration { return time.Duration(v.grace.Load()) })
 		if ctx.Err() == nil {
 			nodeErrors <- err
 		}
@@ -151,6 +161,13 @@
 	t.Cleanup(func() { v.cancel() })
 }
 
+// kill ends the node without a grace period. It still closes its connections; review/ and the tests in test/e2e kill processes.
+func (v *vm) kill() {
+	v.grace.Store(int64(time.Millisecond))
+	v.cancel()
+	<-v.done
+}
+
 // sendHeartbeat sends a heartbeat of the backend server and reports whether the node acknowledged it.
 func (v *vm) sendHeartbeat(state string) bool {
 	v.sequence++
@@ -571,6 +588,70 @@
 	}
 }
 
+// Guards against requests to a backend server whose departure was acknowledged by a node that was killed right after: several
+// announcements from before arrive late, and the health check of the server answers either way. Two restarts and an outage of
+// the store at the time of the departure must not make a difference.
+func TestLateHeartbeatsAfterARestartBringNothingBack(t *testing.T) {
+	for name, c := range map[string]struct{ healthy, storeDown bool }{
+		"health check fails": {}, "health check passes": {healthy: true}, "store down at the departure": {healthy: true, storeDown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, officeVMs, deskVM := startMesh(t)
+			leaving := officeVMs[0]
+			leaving.backendServer.leaving.Store(!c.healthy)
+			if c.storeDown {
+				store.SetFaults(metastore.Faults{Status: http.StatusServiceUnavailable})
+			}
+			waitFor(t, "an acknowledged departure", func() bool { return leaving.announce("instances.deregister", `{"born":1000}`) })
+			leaving.kill()
+			store.SetFaults(metastore.Faults{})
+			time.Sleep(leaving.Bounds.Drain)
+			before := leaving.backendServer.requestCount()
+			for range 2 {
+				leaving.start(t)
+				waitFor(t, "the restarted node to be ready", func() bool { return leaving.readyStatus() == http.StatusOK })
+				for i := range 50 {
+					if i%5 == 0 && !leaving.sendHeartbeat("ready") {
+						t.Error("a late heartbeat was not acknowledged")
+					}
+					deskVM.call("GET", "/safe/1", fmt.Sprint("r", i)) // It may be refused while the store is down.
+					leaving.call("GET", "/safe/1", fmt.Sprint("s", i))
+					time.Sleep(10 * time.Millisecond)
+				}
+				if record := store.Get("instances", leaving.Node); strings.Contains(record, `"state":"ready"`) {
+					t.Errorf("the leaving backend server is offered to all nodes: %s", record)
+				}
+				leaving.kill()
+			}
+			if after := leaving.backendServer.requestCount(); after != before {
+				t.Errorf("%d requests reached a backend server that leaves", after-before)
+			}
+		})
+	}
+}
+
+// Guards against a departure that is acknowledged though nothing but the node knows of it.
+func TestDepartureIsNotAcknowledgedBeforeItIsPreserved(t *testing.T) {
+	store := metastore.New()
+	store.Put("config", "main", configurationJSON(3, "/lodge/>office"))
+	srv := httptest.NewServer(store)
+	t.Cleanup(srv.CloseClientConnections)
+	alone := startVM(t, strings.TrimPrefix(srv.URL, "http://"), "office-1", "office")
+	waitFor(t, "the backend server to get work", func() bool { return alone.sendHeartbeat("ready") && alone.call("POST", "/lodge/1", "a").status == 200 })
+	store.SetFaults(metastore.Faults{Status: http.StatusServiceUnavailable})
+	for range 2 {
+		if alone.sendHeartbeat("draining") {
+			t.Error("a drain was acknowledged that only the node knows of")
+		}
+	}
+	time.Sleep(alone.Bounds.Drain)
+	if r := alone.call("POST", "/lodge/1", "b"); r.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503: the backend server has said that it drains", r.status)
+	}
+	store.SetFaults(metastore.Faults{})
+	waitFor(t, "the acknowledgement", func() bool { return alone.sendHeartbeat("draining") })
+}
+
 // Guards against a backend server that gets more requests than the limit that it names in its responses, summed over the
 // nodes that send to it.
 func TestLimitOfBackendServerIsKept(t *testing.T) {
@@ -710,7 +791,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { _ = runNode(ctx, k, time.Second); close(done) }() // This test does not check the stop.
+	go func() { _ = runNode(ctx, k, func() time.Duration { return time.Second }); close(done) }() // This test does not check the stop.
 	waitFor(t, "the node to be ready", func() bool { return v.readyStatus() == 200 })
 	if r := v.call("POST", "/lodge/1", "refused-1"); r.status != 503 || r.header.Get("Retry-After") == "" {
 		t.Errorf("request to a service without instances: %+v", r)
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -146,6 +146,8 @@
 		w.WriteHeader(f.Status)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind, f)
+	case r.Method == http.MethodGet && name != "":
+		s.serveObject(w, kind, name)
 	case r.Method == http.MethodGet:
 		s.list(w, r, kind)
 	default:
@@ -153,6 +155,17 @@
 	}
 }
 
+func (s *Store) serveObject(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		writeJSON(w, http.StatusNotFound, map[string]any{})
+		return
+	}
+	writeJSON(w, http.StatusOK, o)
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -114,11 +114,21 @@
 	// OnChange, if set, is called with each new record, in order. It must not block.
 	OnChange func(membership.Instance)
 	// AcceptsWork, if set, asks the backend server whether it accepts new requests; false also means that it did not
-	// answer. It is called by Run when the first announcement since the node's start says ready. The server may have
-	// announced its departure to an earlier run of the node, and this announcement may be older than that.
+	// answer. It is called by Run when the first announcement since the node's start says ready. A wrong answer only delays
+	// the next announcement's effect, or is made up for by Recall.
 	AcceptsWork func(ctx context.Context, a Announcement) bool
+	// Recall, if set, returns the records that an earlier run of the node has published, or false if ctx ended first. Until
+	// then no announcement makes the backend server ready, since it may be older than a departure that the earlier run has
+	// acknowledged.
+	Recall func(ctx context.Context) ([]membership.Instance, bool)
+	// AwaitPreserved, if set, blocks until the record would outlast this process. A drain or a departure is acknowledged only
+	// then.
+	AwaitPreserved func(ctx context.Context, record membership.Instance) error
 }
 
+// preserveTimeout limits the wait before an acknowledgement, which a backend server expects within a second.
+const preserveTimeout = 800 * time.Millisecond
+
 // BackendTracker tracks the state of the node's own backend server and maintains the record of its instance.
 type BackendTracker struct {
 	settings      Settings
@@ -128,6 +138,13 @@
 	lastAnnounced time.Time
 	start         backendStart
 	current       atomic.Pointer[ownState]
+	// recalled is set when the records of an earlier run are known. Until then held is the latest announcement that says
+	// ready, and heldSince the time of the first one of its start.
+	recalled  bool
+	held      *Announcement
+	heldSince time.Time
+	// confirming is set once an announcement has been passed to unconfirmed, or a state has been put into effect.
+	confirming bool
 	// unconfirmed holds the first announcement since the node's start until Run has asked the backend server. Only one
 	// value is ever sent, so that sending does not block.
 	unconfirmed chan Announcement
@@ -155,7 +172,7 @@
 	if s.OnChange == nil {
 		s.OnChange = func(membership.Instance) {}
 	}
-	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine(), unconfirmed: make(chan Announcement, 1)}
+	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine(), unconfirmed: make(chan Announcement, 1), recalled: s.Recall == nil}
 	tracker.SetDrainTime(s.DrainTime)
 	record := s.Instance
 	record.State = membership.StateStarting
@@ -256,8 +273,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.current.Load()
-	if incarnation < current.record.Incarnation || current.record.State == membership.StateDeparted {
-		return
+	departed := current.record.State == membership.StateDeparted
+	if incarnation < current.record.Incarnation || departed && incarnation == current.record.Incarnation {
+		return // The removal of the record of a departed instance does not bring the instance back.
 	}
 	event.IncarnationRaised.Write(event.IncarnationRaised.Log(&t.settings.Log).Uint64("incarnation", current.record.Incarnation).Uint64("known", incarnation))
 	record := current.record
@@ -305,11 +323,36 @@
 	return err == nil && t.isAllowed(a)
 }
 
-// Announce processes one announcement. An outdated one is logged and ignored.
+// Announce processes one announcement. An outdated one is logged and ignored. A drain or departure is in effect at once, but
+// the error is of kind Unavailable as long as it would not outlast this process.
 func (t *BackendTracker) Announce(a Announcement) error {
 	if err := t.validate(a); err != nil {
 		return err
 	}
+	if err := t.process(a); err != nil {
+		return err
+	}
+	if a.State == stateDraining || a.State == stateDeparted {
+		return t.awaitPreserved()
+	}
+	return nil
+}
+
+// awaitPreserved blocks until the record of a leaving backend server would outlast this process.
+func (t *BackendTracker) awaitPreserved() error {
+	record, _ := t.Instance()
+	if t.settings.AwaitPreserved == nil || !record.BackendLeaving {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), preserveTimeout)
+	defer cancel()
+	if err := t.settings.AwaitPreserved(ctx, record); err != nil {
+		return fault.Wrap(fault.Unavailable, "announce", err, "send the announcement again; neither the store nor another node has accepted the record")
+	}
+	return nil
+}
+
+func (t *BackendTracker) process(a Announcement) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a.isOutdated(t.start) || t.contradictsLeaving(a) {
@@ -324,8 +367,111 @@
 		return fault.New(fault.Conflict, "announce", "this node already serves a backend server of service "+old.record.Service,
 			"stop the other backend server first, or run a separate node for each")
 	}
-	first := t.start == backendStart{}
-	if first && a.identified() && a.State == stateReady && t.settings.AcceptsWork != nil {
+	if !t.recalled && a.State == stateReady {
+		t.hold(a)
+		return nil
+	}
+	return t.confirmOrApply(a)
+}
+
+// hold keeps an announcement back until the records of an earlier run are known. If neither the store nor another node
+// answers, a start is believed once its announcements have gone on for longer than one can be late.
+func (t *BackendTracker) hold(a Announcement) {
+	if t.held == nil || !a.isOfStart(t.start) {
+		t.heldSince = t.settings.Clock.Now()
+	}
+	t.noteAnnounced(a)
+	t.held = &a
+	if t.lastAnnounced.Sub(t.heldSince) >= t.settings.Timeout {
+		event.AnnouncementUnchecked.Write(event.AnnouncementUnchecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).Uint64("sequence", a.Sequence))
+		t.endRecall()
+	}
+}
+
+// endRecall processes the announcement that has been held back.
+func (t *BackendTracker) endRecall() {
+	t.recalled = true
+	a := t.held
+	t.held = nil
+	if a == nil || !a.isOfStart(t.start) || t.stateMachine.Current() != stateStarting {
+		return
+	}
+	if err := t.confirmOrApply(*a); err != nil {
+		event.AnnouncementRefused.Write(event.AnnouncementRefused.Log(&t.settings.Log).Err(err))
+	}
+}
+
+// recall takes over the records of an earlier run.
+func (t *BackendTracker) recall(ctx context.Context) {
+	records, ok := t.settings.Recall(ctx)
+	if !ok {
+		return
+	}
+	for _, record := range records {
+		t.ObserveOwn(record)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.recalled {
+		t.endRecall()
+	}
+}
+
+// ObserveOwn takes note of the own record as the store or another node holds it. If it says that a start of the backend server
+// leaves, that start gets no requests, whatever it has announced to this run of the node.
+func (t *BackendTracker) ObserveOwn(known membership.Instance) {
+	if !known.BackendLeaving {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := t.nameStart(known.BackendID, known.BackendStarted)
+	current := t.current.Load()
+	if left.isOfStart(t.start) && current.leaving() || !left.isOfStart(t.start) && t.start != (backendStart{}) && left.Born <= t.start.startedMillis {
+		return
+	}
+	leavingState := stateDraining
+	if known.State == membership.StateDeparted {
+		leavingState = stateDeparted
+	}
+	if err := t.leave(left, leavingState); err != nil {
+		event.AnnouncementRefused.Write(event.AnnouncementRefused.Log(&t.settings.Log).Err(err))
+	}
+}
+
+// nameStart returns an announcement that names a start. Without a start time, an ID names the current start if that has it.
+func (t *BackendTracker) nameStart(id string, born int64) Announcement {
+	if born == 0 && id == t.start.id {
+		born = t.start.startedMillis
+	}
+	return Announcement{ID: id, Born: born}
+}
+
+// leave puts a drain or departure into effect for a start that may not have announced itself to this run of the node.
+func (t *BackendTracker) leave(a Announcement, leavingState string) error {
+	record := t.current.Load().record
+	if !a.isOfStart(t.start) {
+		t.stateMachine.SetState(stateStarting)
+		t.start = backendStart{id: a.ID, startedMillis: a.Born}
+		if record.State == membership.StateDeparted {
+			// A departure supersedes all records of its incarnation, so another one needs a higher one.
+			record.Incarnation++
+		}
+	}
+	if err := t.trigger(leavingState); err != nil {
+		return err
+	}
+	t.confirming = true
+	record.BackendID, record.State = a.ID, membershipStates[leavingState]
+	t.update(record, t.current.Load().address)
+	return nil
+}
+
+// confirmOrApply puts an announced state into effect. The first one since the node's start that says ready is passed to Run,
+// which asks the backend server first.
+func (t *BackendTracker) confirmOrApply(a Announcement) error {
+	if !t.confirming && a.identified() && a.State == stateReady && t.settings.AcceptsWork != nil {
+		t.confirming = true
 		t.noteAnnounced(a)
 		t.unconfirmed <- a
 		return nil
@@ -345,6 +491,7 @@
 		return fault.Wrap(fault.Conflict, "announce", err, "a backend server that has announced that it leaves must announce starting after its restart, or name its start")
 	}
 	t.noteAnnounced(a)
+	t.confirming = true
 	record := t.current.Load().record
 	if record.State == membership.StateDeparted && a.State != stateDeparted {
 		// A departure supersedes all records of its incarnation, so the new state needs a higher one.
@@ -384,29 +531,26 @@
 // Depart processes the departure of a backend server, with or without a preceding drain. The departure of a start that
 // has not announced itself is remembered too: the node may have restarted, and late announcements of that start may
 // still arrive. A born of zero means that the departure does not name its start.
+//
+// The departure is in effect at once, but the error is of kind Unavailable as long as it would not outlast this process.
 func (t *BackendTracker) Depart(id string, born int64) error {
+	if err := t.depart(id, born); err != nil {
+		return err
+	}
+	return t.awaitPreserved()
+}
+
+func (t *BackendTracker) depart(id string, born int64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	departing := Announcement{ID: id, Born: born}
-	sameStart := departing.isOfStart(t.start) || born == 0 && id == t.start.id
-	if !sameStart && t.start != (backendStart{}) && born <= t.start.startedMillis {
+	departing := t.nameStart(id, born)
+	if !departing.isOfStart(t.start) && t.start != (backendStart{}) && born <= t.start.startedMillis {
 		return fault.New(fault.NotFound, "depart", fmt.Sprintf("backend server %q is not the one that announced itself to this node", id),
 			"ignore the error: an earlier start of the backend server is sent no requests")
 	}
-	record := t.current.Load().record
-	if !sameStart {
-		t.stateMachine.SetState(stateStarting)
-		t.start = backendStart{id: id, startedMillis: born}
-		if record.State == membership.StateDeparted {
-			// A departure supersedes all records of its incarnation, so another one needs a higher one.
-			record.Incarnation++
-		}
-	}
-	if err := t.trigger(stateDeparted); err != nil {
+	if err := t.leave(departing, stateDeparted); err != nil {
 		return fault.Wrap(fault.Conflict, "depart", err, "")
 	}
-	record.BackendID, record.State = id, membership.StateDeparted
-	t.update(record, t.current.Load().address)
 	return nil
 }
 
@@ -422,6 +566,8 @@
 // update replaces the record and calls OnChange if it has changed. Each change increments the record's sequence.
 func (t *BackendTracker) update(record membership.Instance, addr string) {
 	old := t.current.Load()
+	record.BackendStarted = t.start.startedMillis
+	record.BackendLeaving = record.State == membership.StateDraining || record.State == membership.StateDeparted
 	if record == old.record {
 		if addr != old.address {
 			moved := *old
@@ -500,8 +646,13 @@
 	}
 }
 
-// Run checks the first announcement and looks for missed ones until ctx ends.
+// Run recalls the records of an earlier run, checks the first announcement, and looks for missed ones until ctx ends.
 func (t *BackendTracker) Run(ctx context.Context) {
+	if t.settings.Recall != nil {
+		var recall sync.WaitGroup
+		recall.Go(func() { t.recall(ctx) })
+		defer recall.Wait()
+	}
 	tick := time.NewTicker(t.settings.Timeout / 6)
 	defer tick.Stop()
 	for {
--- a/pkg/announce/handler.go
+++ b/pkg/announce/handler.go
@@ -46,6 +46,8 @@
 		return http.StatusForbidden
 	case fault.Conflict:
 		return http.StatusConflict
+	case fault.Unavailable:
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
--- /dev/null
+++ b/pkg/announce/restart_test.go
@@ -0,0 +1,166 @@
+package announce
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// restartedTracker returns the tracker of a node that has restarted. Its recall returns the given records, or does not end if
+// they are nil. The health check always gives the same answer.
+func restartedTracker(t *testing.T, clk *manualClock, healthy bool, records []membership.Instance) *BackendTracker {
+	tracker := New(Settings{Instance: membership.Instance{ID: "n1", Service: "desk", Incarnation: 90}, Clock: clk, Log: zerolog.Nop(),
+		DrainTime: time.Second, AcceptsWork: func(context.Context, Announcement) bool { return healthy },
+		Recall: func(ctx context.Context) ([]membership.Instance, bool) {
+			return records, ctx.Err() == nil && records != nil
+		}})
+	if !tracker.recalled && tracker.Admits(clk.now) {
+		t.Fatal("requests are admitted before anything is known")
+	}
+	return tracker
+}
+
+// confirmPending makes the health check of the first announcement, if one is due.
+func confirmPending(tracker *BackendTracker) {
+	select {
+	case a := <-tracker.unconfirmed:
+		tracker.confirm(context.Background(), a)
+	default:
+	}
+}
+
+// Guards against new requests to a backend server that left before its node restarted: any number of announcements that it had
+// sent before arrive late, and its health check answers either way.
+func TestLateAnnouncementsAfterARestartOfTheNode(t *testing.T) {
+	left := func(id string, born int64, state membership.State) membership.Instance {
+		return membership.Instance{ID: "n1", Service: "desk", BackendID: id, BackendStarted: born, BackendLeaving: true, State: state, Incarnation: 7, Sequence: 12}
+	}
+	stopped := membership.Instance{ID: "n1", Service: "desk", BackendID: "i-1", BackendStarted: 1000, State: membership.StateDraining, Incarnation: 7, Sequence: 12}
+	ready := stopped
+	ready.State = membership.StateReady
+	for name, c := range map[string]struct {
+		records []membership.Instance
+		admits  bool
+	}{
+		"departed":                               {[]membership.Instance{left("i-1", 1000, membership.StateDeparted)}, false},
+		"draining":                               {[]membership.Instance{left("i-1", 1000, membership.StateDraining)}, false},
+		"departed, start not named":              {[]membership.Instance{left("i-1", 0, membership.StateDeparted)}, false},
+		"older record in the store":              {[]membership.Instance{ready, left("i-1", 1000, membership.StateDeparted)}, false},
+		"older record of another node":           {[]membership.Instance{left("i-1", 1000, membership.StateDeparted), ready}, false},
+		"a later start departed":                 {[]membership.Instance{left("i-2", 2000, membership.StateDeparted)}, false},
+		"only the node was stopped":              {[]membership.Instance{stopped}, true},
+		"an earlier start departed":              {[]membership.Instance{left("i-0", 500, membership.StateDeparted)}, true},
+		"an earlier start of the ID departed":    {[]membership.Instance{left("i-1", 500, membership.StateDeparted)}, true},
+		"nothing known":                          {[]membership.Instance{}, true},
+		"neither store nor other nodes answered": {nil, false},
+	} {
+		for _, healthy := range []bool{false, true} {
+			for _, before := range []int{0, 1, 2} {
+				clk := &manualClock{time.Unix(10, 0)}
+				tracker := restartedTracker(t, clk, healthy, c.records)
+				for i := range 4 {
+					if i == before {
+						tracker.recall(context.Background())
+					}
+					mustAnnounce(t, tracker, announcement("i-1", 1000, uint64(9+i), Ready))
+					confirmPending(tracker)
+					clk.now = clk.now.Add(time.Second / 2)
+				}
+				if tracker.Admits(clk.now) != c.admits {
+					t.Errorf("%s, healthy %v, %d announcements before the recall: requests are admitted: %v", name, healthy, before, !c.admits)
+				}
+				own, _ := tracker.Instance()
+				if c.records == nil || c.admits {
+					continue
+				}
+				if !own.BackendLeaving || own.State != membership.StateDeparted && own.State != membership.StateDraining {
+					t.Errorf("%s, healthy %v: record %+v, which a further restart would take for that of a backend server that stays", name, healthy, own)
+				}
+				next := announcement("i-1", 9000, 1, Ready)
+				if c.records[len(c.records)-1].BackendStarted == 0 {
+					next.ID = "i-2" // Without its time, a start is known by its ID only.
+				}
+				mustAnnounce(t, tracker, next)
+				if confirmPending(tracker); !tracker.Admits(clk.now) {
+					t.Errorf("%s, healthy %v: the next start is not admitted", name, healthy)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a departure that other nodes report only after the announcements of the restarted node's backend server
+// have been believed.
+func TestDepartureThatBecomesKnownLate(t *testing.T) {
+	clk := &manualClock{time.Unix(10, 0)}
+	tracker := restartedTracker(t, clk, true, []membership.Instance{})
+	tracker.recall(context.Background())
+	mustAnnounce(t, tracker, announcement("i-1", 1000, 9, Ready))
+	if confirmPending(tracker); !tracker.Admits(clk.now) {
+		t.Fatal("not admitted")
+	}
+	known := membership.Instance{ID: "n1", BackendID: "i-1", BackendStarted: 1000, BackendLeaving: true, State: membership.StateDeparted, Incarnation: 7}
+	tracker.ObserveOwn(known)
+	clk.now = clk.now.Add(time.Second)
+	mustAnnounce(t, tracker, announcement("i-1", 1000, 10, Ready))
+	if own, _ := tracker.Instance(); tracker.Admits(clk.now) || own.State != membership.StateDeparted {
+		t.Errorf("record %+v", own)
+	}
+	mustAnnounce(t, tracker, announcement("i-2", 2000, 1, Ready))
+	if tracker.ObserveOwn(known); !tracker.Admits(clk.now) {
+		t.Error("the departure of an earlier start stops the current one")
+	}
+}
+
+// Guards against a backend server that gets no work as long as neither the store nor another node answers its restarted node,
+// though its announcements go on for longer than any can be late.
+func TestBackendServerIsBelievedWithoutAnyAnswer(t *testing.T) {
+	clk := &manualClock{time.Unix(10, 0)}
+	tracker := restartedTracker(t, clk, false, nil)
+	start := clk.now
+	for sequence := uint64(1); sequence < 20; sequence++ {
+		mustAnnounce(t, tracker, announcement("i-1", 1000, sequence, Ready))
+		confirmPending(tracker)
+		if admits, want := tracker.Admits(clk.now), clk.now.Sub(start) > DefaultTimeout; admits != want {
+			t.Errorf("%s after the first announcement: requests are admitted: %v", clk.now.Sub(start), admits)
+		}
+		clk.now = clk.now.Add(time.Second / 2)
+	}
+}
+
+// Guards against an acknowledgement of a drain or departure that no one but this process knows of, so that it would be
+// forgotten if the process ended; new requests end all the same.
+func TestLeavingIsAcknowledgedOnceItIsPreserved(t *testing.T) {
+	for name, leave := range map[string]func(*BackendTracker) error{
+		"drain":     func(tracker *BackendTracker) error { return tracker.Announce(announcement("i-1", 1000, 2, Draining)) },
+		"departure": func(tracker *BackendTracker) error { return tracker.Depart("i-1", 1000) },
+	} {
+		clk, changes := &manualClock{time.Unix(10, 0)}, []membership.Instance(nil)
+		tracker := newTracker(clk, &changes)
+		var preserved error
+		tracker.settings.AwaitPreserved = func(_ context.Context, record membership.Instance) error {
+			if own, _ := tracker.Instance(); own != record || !record.BackendLeaving || record.BackendID != "i-1" || record.BackendStarted != 1000 {
+				t.Errorf("%s: record %+v is preserved", name, record)
+			}
+			return preserved
+		}
+		mustAnnounce(t, tracker, announcement("i-1", 1000, 1, Ready))
+		preserved = errors.New("no one has it")
+		if err := leave(tracker); !fault.Is(err, fault.Unavailable) {
+			t.Errorf("%s that is not preserved: error %v, want kind unavailable", name, err)
+		}
+		if tracker.Admits(clk.now) {
+			t.Errorf("%s that is not preserved: new requests are admitted", name)
+		}
+		preserved = nil
+		if err := leave(tracker); err != nil {
+			t.Errorf("%s that is preserved: %v", name, err)
+		}
+	}
+}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -101,6 +101,20 @@
 	return l, nil
 }
 
+func (m *memoryStore) Get(_ context.Context, kind platform.ObjectKind, name string) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	spec, ok := m.objects[kind][name]
+	switch {
+	case m.down:
+		return platform.Object{}, errStoreDown
+	case !ok:
+		return platform.Object{}, fault.New(fault.NotFound, "get "+name, "not found", "")
+	}
+	return platform.Object{Kind: kind, Name: name, Spec: []byte(spec)}, nil
+}
+
 func (m *memoryStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
 	timeout := time.After(wait)
 	for first := true; ; first = false {
@@ -388,7 +402,7 @@
 		m.down = true
 		var mu sync.Mutex
 		offered := 0
-		p := NewPublisher(NewState(), m, zerolog.Nop(), func(context.Context, membership.Instance) {
+		p := NewPublisher(NewState(), m, zerolog.Nop(), func(context.Context, membership.Instance, func()) {
 			mu.Lock()
 			defer mu.Unlock()
 			offered++
@@ -593,6 +607,10 @@
 		a := args.(OfferArgs)
 		return p.handleOffer(&a, reply.(*OfferReply))
 	}
+	if method == methodKnown {
+		a := args.(KnownArgs)
+		return p.handleKnown(&a, reply.(*KnownReply))
+	}
 	d := args.(Digest)
 	r := reply.(*PullReply)
 	err := p.handlePull(&d, r)
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -24,18 +23,23 @@
 	State *State
 	Store Store
 	Log   zerolog.Logger
-	// Offer sends a record to the other nodes directly. It is called when a write to the store fails.
-	Offer func(ctx context.Context, in membership.Instance)
+	// Offer sends a record to the other nodes directly and calls accepted for each that has accepted it. It is called when a
+	// write to the store fails.
+	Offer func(ctx context.Context, in membership.Instance, accepted func())
 
 	mu     sync.Mutex
 	latest membership.Instance
 	stored membership.Instance
-	wake   chan struct{}
+	// preserved is the newest record that the store or another node holds, so that it outlasts this process. Each change of
+	// it closes and replaces preservedChange.
+	preserved       membership.Instance
+	preservedChange chan struct{}
+	wake            chan struct{}
 }
 
 // NewPublisher returns a publisher that has no record yet.
-func NewPublisher(s *State, store Store, log zerolog.Logger, offer func(context.Context, membership.Instance)) *Publisher {
-	return &Publisher{State: s, Store: store, Log: log, Offer: offer, wake: make(chan struct{}, 1)}
+func NewPublisher(s *State, store Store, log zerolog.Logger, offer func(ctx context.Context, in membership.Instance, accepted func())) *Publisher {
+	return &Publisher{State: s, Store: store, Log: log, Offer: offer, wake: make(chan struct{}, 1), preservedChange: make(chan struct{})}
 }
 
 // Set replaces the record to write. It does not block.
@@ -73,6 +77,35 @@
 	p.mu.Unlock()
 }
 
+// AwaitPreserved blocks until the store or another node holds the record or a newer one. It returns the context's error if ctx
+// ends first.
+func (p *Publisher) AwaitPreserved(ctx context.Context, in membership.Instance) error {
+	for {
+		p.mu.Lock()
+		done, changed := !supersedes(in, p.preserved), p.preservedChange
+		p.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// notePreserved records that the store or another node holds a record.
+func (p *Publisher) notePreserved(in membership.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if supersedes(in, p.preserved) {
+		p.preserved = in
+		close(p.preservedChange)
+		p.preservedChange = make(chan struct{})
+	}
+}
+
 // Latest returns the record that was set last.
 func (p *Publisher) Latest() membership.Instance {
 	p.mu.Lock()
@@ -84,7 +117,7 @@
 func (p *Publisher) isStored() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stored.ID != "" && p.stored.State != membership.StateDeparted
+	return p.stored.ID != ""
 }
 
 // unstored returns the latest record and whether it still has to be written to the store.
@@ -119,32 +152,32 @@
 			continue
 		}
 		event.RecordNotStored.Write(event.RecordNotStored.Log(&p.Log).Err(err).Str("state", in.State.String()).Uint64("sequence", in.Sequence))
-		p.Offer(ctx, in)
-		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
+		p.Offer(ctx, in, func() { p.notePreserved(in) })
+		select {
+		case <-p.wake: // A newer record is not held up by the backoff of this one.
+		case <-time.After(backoff/2 + rand.N(backoff/2)):
+		case <-ctx.Done():
+		}
 	}
 }
 
-// Write stores a record; for a departed instance it deletes the object.
+// Write stores a record. That of a departed instance is kept, since this node may restart while its backend server still runs,
+// and must not send it requests again.
 func (p *Publisher) Write(ctx context.Context, in membership.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if in.State == membership.StateDeparted {
-		if err := p.Store.Delete(ctx, platform.KindInstance, string(in.ID)); err != nil {
-			return err
-		}
-	} else {
-		spec, err := encodeRecord(in)
-		if err != nil {
-			return err
-		}
-		write := p.Store.Put
-		if !p.isStored() {
-			write = p.Store.Create
-		}
-		if err := write(ctx, platform.KindInstance, string(in.ID), spec); err != nil {
-			return err
-		}
+	spec, err := encodeRecord(in)
+	if err != nil {
+		return err
+	}
+	write := p.Store.Put
+	if !p.isStored() {
+		write = p.Store.Create
+	}
+	if err := write(ctx, platform.KindInstance, string(in.ID), spec); err != nil {
+		return err
 	}
+	p.notePreserved(in)
 	p.mu.Lock()
 	if supersedes(in, p.stored) {
 		p.stored = in
--- /dev/null
+++ b/pkg/directory/recall.go
@@ -0,0 +1,129 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
+)
+
+const (
+	// recallTimeout limits one read of the own record from the store and one question to other nodes.
+	recallTimeout = 500 * time.Millisecond
+	// recallListingWait is how long a recall waits for the instances, from which it knows the other nodes.
+	recallListingWait = time.Second
+	// recallNodes is the number of other nodes that are asked. Two of them may be down or just have started.
+	recallNodes = 3
+)
+
+// Recall finds out what an earlier run of this node has published about its instance. The store holds it, and so do the other
+// nodes if the store did not answer at that time.
+type Recall struct {
+	Store Store
+	Peers *Peers
+	// InstancesListed reports whether the instances have been read from the store.
+	InstancesListed func() bool
+	Log             zerolog.Logger
+}
+
+// Run returns the records of the own instance that the store and other nodes hold. It retries until the store or another node
+// has answered, or ctx ends; then ok is false.
+func (r *Recall) Run(ctx context.Context) (records []membership.Instance, ok bool) {
+	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
+		records, answers := r.once(ctx)
+		if answers > 0 {
+			event.RecordRecalled.Write(event.RecordRecalled.Log(&r.Log).Int("records", len(records)).Int("answers", answers))
+			return records, true
+		}
+		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
+	}
+	return nil, false
+}
+
+// once asks the store and other nodes once. It returns the number of answers, which need not contain a record.
+func (r *Recall) once(ctx context.Context) (records []membership.Instance, answers int) {
+	stored, found, err := r.stored(ctx)
+	if err == nil {
+		answers++
+		for start := time.Now(); !r.InstancesListed() && time.Since(start) < recallListingWait && ctx.Err() == nil; {
+			clock.Sleep(ctx, minBackoff/10)
+		}
+	}
+	if found {
+		records = append(records, stored)
+	}
+	known, others := r.Peers.known(ctx)
+	return append(records, known...), answers + others
+}
+
+// stored returns the own record in the store. A record that cannot be decoded counts as none.
+func (r *Recall) stored(ctx context.Context) (in membership.Instance, found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	obj, err := r.Store.Get(ctx, platform.KindInstance, string(r.Peers.Self))
+	if fault.Is(err, fault.NotFound) {
+		return in, false, nil
+	}
+	if err != nil {
+		return in, false, err
+	}
+	if in, err = decodeRecord(obj); err != nil {
+		event.RecordRefused.Write(event.RecordRefused.Log(&r.Log).Err(err))
+		return in, false, nil
+	}
+	return in, true, nil
+}
+
+// KnownArgs names an instance.
+type KnownArgs struct{ ID membership.InstanceID }
+
+// KnownReply holds the record of the instance; its ID is empty if the node knows none.
+type KnownReply struct{ Record membership.Instance }
+
+// handleKnown serves the question of another node for a record.
+func (p *Peers) handleKnown(args *KnownArgs, reply *KnownReply) error {
+	reply.Record = p.State.find(args.ID)
+	return nil
+}
+
+// known asks recallNodes other nodes for the own record. It returns the valid records and the number of nodes that answered.
+func (p *Peers) known(ctx context.Context) (records []membership.Instance, answers int) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	nodes := p.State.topology().nodes
+	replies := make(chan *KnownReply, recallNodes)
+	asked := 0
+	for _, i := range rand.Perm(len(nodes)) {
+		if nodes[i].ID == p.Self || asked == recallNodes {
+			continue
+		}
+		asked++
+		go func() {
+			var reply KnownReply
+			if err := p.Caller.Call(ctx, nodes[i].ControlAddress, methodKnown, KnownArgs{ID: p.Self}, &reply); err != nil {
+				event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", nodes[i].ControlAddress))
+				replies <- nil
+				return
+			}
+			replies <- &reply
+		}()
+	}
+	for range asked {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		answers++
+		if reply.Record.ID == p.Self && reply.Record.Validate() == nil {
+			records = append(records, reply.Record)
+		}
+	}
+	return records, answers
+}
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -121,6 +121,13 @@
 	return out
 }
 
+// find returns the record of an instance, or the zero value.
+func (s *State) find(id membership.InstanceID) membership.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances[id]
+}
+
 // NodeCount returns the number of nodes that have not departed.
 func (s *State) NodeCount() int { return int(s.nodes.Load()) }
 
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -39,6 +39,8 @@
 	// List returns all objects of a kind. With allowStale the result may be seconds old, which makes the call
 	// cheaper; a watch that starts at the revision of the listing delivers the changes since.
 	List(ctx context.Context, kind platform.ObjectKind, allowStale bool) (Listing, error)
+	// Get returns the current state of an object. The error is of kind NotFound if there is none.
+	Get(ctx context.Context, kind platform.ObjectKind, name string) (platform.Object, error)
 	// Watch returns the changes after a revision. It returns as soon as there is a change, or without one after wait.
 	Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error)
 	// Create writes an object that is expected not to exist yet; an existing object is replaced.
--- a/pkg/event/directory.go
+++ b/pkg/event/directory.go
@@ -20,5 +20,10 @@
 		"Check the store.")
 	RecordsFromPeer = define(1147, "records_from_peer", zerolog.InfoLevel,
 		"newer instance records were received from another node", "")
+	RecordRecalled = define(1149, "record_recalled", zerolog.InfoLevel,
+		"the store and other nodes were asked what an earlier run of this node had published", "")
+	RecordNotRemoved = define(1150, "record_not_removed", zerolog.WarnLevel,
+		"removing the record of an instance that departed long ago from the store failed; it is tried again",
+		"Check the store.")
 	PeerNotHeard = define(1148, "peer_not_heard", zerolog.WarnLevel, "another node did not respond", "")
 )
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -45,6 +45,11 @@
 	// BackendID identifies the current run of the backend server if the server announces an ID of its own; a restart
 	// may change it.
 	BackendID string
+	// BackendStarted is the time of that start in Unix milliseconds; 0 if the server does not announce it.
+	BackendStarted int64
+	// BackendLeaving reports that this start of the backend server has announced that it leaves. It never gets new requests
+	// again. A node that only stops itself announces StateDraining without it.
+	BackendLeaving bool
 	// Slots is the number of requests that the backend server runs at the same time.
 	Slots int
 	// Link is the bandwidth of the VM's network link in Mbit/s; 0 if unknown.
--- a/pkg/membership/validate.go
+++ b/pkg/membership/validate.go
@@ -32,6 +32,8 @@
 		return fmt.Errorf("unknown state %d", in.State)
 	case in.Incarnation == 0 || in.Incarnation > maxCounter || in.Sequence > maxCounter:
 		return fmt.Errorf("incarnation %d or sequence %d is out of range", in.Incarnation, in.Sequence)
+	case in.BackendStarted < 0 || in.BackendStarted > maxCounter:
+		return fmt.Errorf("start time %d of the backend server is out of range", in.BackendStarted)
 	case in.Slots < 0 || in.Slots > MaxSlots:
 		return fmt.Errorf("number of slots %d is out of range", in.Slots)
 	case in.Link < 0 || in.Link > MaxLinkMbps:
--- a/pkg/membership/validate_test.go
+++ b/pkg/membership/validate_test.go
@@ -22,6 +22,8 @@
 		"no incarnation":         func(in *Instance) { in.Incarnation = 0 },
 		"largest incarnation":    func(in *Instance) { in.Incarnation = math.MaxUint64 },
 		"largest sequence":       func(in *Instance) { in.Sequence = math.MaxUint64 },
+		"negative start":         func(in *Instance) { in.BackendStarted = -1 },
+		"start out of range":     func(in *Instance) { in.BackendStarted = math.MaxInt64 },
 		"negative slots":         func(in *Instance) { in.Slots = -1 },
 		"huge slots":             func(in *Instance) { in.Slots = math.MaxInt },
 		"negative link":          func(in *Instance) { in.Link = -1 },
