Start no call at a stopping node that its end could cut off

Callers got 502 for requests at which a backend server was at work, since the node beside it had taken them late in its grace period and then ended.

Cause: only the ingress compared a call's deadline with the end of its node.

Evidence: TestStoppingNodeTakesNoRequestThatOutlastsIt failed before (the node had ended while its backend server was at work on 4 requests).

Fix: the egress refuses such calls as not run from the SIGTERM on, also those from its queue, with a reason of its own that does not eject the instance.

Measured: pkg/proxy and the new test pass.

--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -57,6 +57,7 @@
 	if end, ok := ctx.Deadline(); ok { // The kernel always sets a deadline.
 		end = end.Add(-responseMargin)
 		d.ingress.BeginShutdown(end)
+		d.egress.BeginShutdown(end)
 		// A call may wait in another node's queue for longer than this node's grace period.
 		defer time.AfterFunc(time.Until(end), d.endCalls).Stop()
 	}
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -558,6 +558,82 @@
 	}
 }
 
+// Guards against requests that a stopping node takes from other nodes though they outlast it, so that its end cuts them off: in
+// calm, and on connections that clients keep open until the process is gone.
+func TestStoppingNodeTakesNoRequestThatOutlastsIt(t *testing.T) {
+	const workTime = 2500 * time.Millisecond
+	store, officeVMs, deskVM := startMesh(t)
+	store.Put("config", "main", strings.ReplaceAll(configurationJSON(4, "/lodge/>office", "/safe/>office", "/desk/>desk"), `"timeoutMs":1500`, `"timeoutMs":20000`))
+	stopping := officeVMs[0]
+	stopping.kill()
+	stopping.Bounds.Grace = 4 * time.Second
+	stopping.start(t)
+	waitFor(t, "the restarted node to be ready", func() bool { return stopping.sendHeartbeat("ready") && stopping.readyStatus() == http.StatusOK })
+	waitFor(t, "responses of both offices", func() bool {
+		return deskVM.call("GET", "/safe/x", "w1", "X-Deadline-Ms", "19000").status == 200 &&
+			strings.HasPrefix(stopping.call("GET", "/safe/x", "w2", "X-Deadline-Ms", "19000").body, stopping.backendServer.id)
+	})
+	var long atomic.Bool
+	var atWork [2]atomic.Int64
+	for i, v := range officeVMs {
+		v.backendServer.mu.Lock()
+		v.backendServer.handler = func(http.ResponseWriter, *http.Request) bool {
+			atWork[i].Add(1)
+			defer atWork[i].Add(-1)
+			if long.Load() {
+				time.Sleep(workTime)
+			}
+			return false
+		}
+		v.backendServer.mu.Unlock()
+	}
+	stopping.cancel()
+	// Until then all slots are free, and the other nodes do not know yet that this one stops.
+	time.AfterFunc(1700*time.Millisecond, func() { long.Store(true) })
+	type sent struct {
+		via     *vm
+		attempt string
+		result
+	}
+	results := make(chan sent, 1000)
+	var calls sync.WaitGroup
+	ended := false
+	for i := 0; !ended; i++ {
+		for k, v := range []*vm{deskVM, stopping, deskVM, deskVM} {
+			calls.Go(func() {
+				attempt := fmt.Sprint("late-", v.Node, i, "-", k)
+				results <- sent{v, attempt, v.call("POST", "/lodge/1", attempt, "X-Deadline-Ms", "15000")}
+			})
+		}
+		select {
+		case <-stopping.done:
+			ended = true
+			// The end of a process would cut these off; here their connections stay open.
+			if n := atWork[0].Load(); n != 0 {
+				t.Errorf("the node has ended while its backend server is at work on %d requests", n)
+			}
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	calls.Wait()
+	close(results)
+	served := 0
+	for r := range results {
+		runs := officeVMs[0].backendServer.runCount(r.attempt) + officeVMs[1].backendServer.runCount(r.attempt)
+		switch {
+		case r.err == nil && r.status == 200 && runs == 1:
+			served++
+		case r.err == nil && r.status == http.StatusServiceUnavailable && runs == 0: // The other office is full, or the node stops.
+		case r.err != nil && r.via == stopping && runs == 0: // The node has ended, or has closed an idle connection.
+		default:
+			t.Errorf("%s via %s ran %d times: %+v", r.attempt, r.via.Node, runs, r.result)
+		}
+	}
+	if served == 0 {
+		t.Error("no request was served")
+	}
+}
+
 // Guards against requests to a backend server whose departure was acknowledged by an earlier run of its node: after the
 // restart of the node an announcement arrives that the server sent before its departure.
 func TestRestartedNodeSendsNothingToLeavingBackendServer(t *testing.T) {
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -27,6 +27,7 @@
 	RefusedDeadline            Refusal = "deadline"
 	RefusedDisplaced           Refusal = "displaced" // lost its place in the queue to another request
 	RefusedDraining            Refusal = "draining"
+	RefusedStopping            Refusal = "stopping" // the node stops before the deadline of the request
 	RefusedWrongService        Refusal = "wrong_service"
 	RefusedBackendShed         Refusal = "backend_shed" // rejected by the backend server because of its load
 	RefusedConnectFailed       Refusal = "connect_failed"
@@ -48,7 +49,7 @@
 // Refusals lists all reasons for refusals.
 var Refusals = []Refusal{
 	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
-	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedWrongService,
+	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedStopping, RefusedWrongService,
 	RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -161,10 +161,11 @@
 	return balance.EventRefused
 }
 
-// queueFull reports whether the node beside the instance refused the call because too many others wait there.
+// queueFull reports whether the node beside the instance refused the call because too many others wait there, or because it
+// stops too early for this call; less urgent ones mostly have more time.
 func queueFull(rep *reply) bool {
 	switch rep.reason {
-	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedRateLimited:
+	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedRateLimited, metric.RefusedStopping:
 		return true
 	}
 	return false
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -3,12 +3,28 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 )
 
+// stopTime is the time at which a node stops. It is not set while the node is not stopping.
+type stopTime struct{ at atomic.Pointer[time.Time] }
+
+func (s *stopTime) set(at time.Time) { s.at.Store(&at) }
+
+func (s *stopTime) isSet() bool { return s.at.Load() != nil }
+
+// before reports whether the node stops before the deadline of a call. The call could be cut off, also if most calls of its
+// kind take far less time.
+func (s *stopTime) before(deadline time.Time) bool {
+	at := s.at.Load()
+	return at != nil && deadline.After(*at)
+}
+
 // callTracker counts calls in flight and refuses new ones during a drain.
 type callTracker struct {
 	mu       sync.Mutex
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -51,6 +51,7 @@
 type Egress struct {
 	EgressSettings
 	tracker callTracker
+	stop    stopTime
 	advice  advice
 	// sent counts the calls sent to the backend server.
 	sent metrics.Counter
@@ -64,6 +65,13 @@
 	return &Egress{EgressSettings: s, sent: s.Metrics.Counter(metric.BackendSent)}
 }
 
+// BeginShutdown refuses calls whose deadline is after end, also those that wait for a slot: the end of this node would cut them
+// off, while other instances can run them.
+func (e *Egress) BeginShutdown(end time.Time) {
+	e.stop.set(end)
+	event.DrainStarted.Write(event.DrainStarted.Log(&e.Log).Str("part", "egress").Time("until", end))
+}
+
 // BeginDrain refuses all new calls from now on.
 func (e *Egress) BeginDrain() {
 	e.tracker.drain()
@@ -181,6 +189,8 @@
 			return refuse(metric.RefusedDraining)
 		}
 		return refuse(metric.RefusedNotReady)
+	case e.stop.before(c.deadline):
+		return refuse(metric.RefusedStopping)
 	case c.keyed():
 		return e.runKeyed(ctx, c, addr)
 	}
@@ -215,6 +225,10 @@
 		release(false, false, 0)
 		return refuse(metric.RefusedDraining)
 	}
+	if e.stop.before(c.deadline) {
+		release(false, false, 0)
+		return refuse(metric.RefusedStopping)
+	}
 	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
 	e.Metrics.Observe(metric.BackendTime, e.Clock.Now().Sub(start))
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedBackendShed
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,8 +56,7 @@
 	tracker  callTracker
 	selector selector
 	splitter balance.Splitter
-	// stopTime is the time at which the node stops, or nil if it is not stopping.
-	stopTime atomic.Pointer[time.Time]
+	stop     stopTime
 }
 
 // NewIngress returns an ingress that accepts calls immediately. Run must be started to keep its list of instances up
@@ -84,16 +82,10 @@
 // whose deadline is after end. All other calls are still served, because some callers stay on this node as long as too
 // few other nodes are left in the zone.
 func (in *Ingress) BeginShutdown(end time.Time) {
-	in.stopTime.Store(&end)
+	in.stop.set(end)
 	event.DrainStarted.Write(event.DrainStarted.Log(&in.Log).Str("part", "ingress").Time("until", end))
 }
 
-// deadlineAfterStop reports whether the deadline of the call is after the time at which this node stops.
-func (in *Ingress) deadlineAfterStop(c *call) bool {
-	end := in.stopTime.Load()
-	return end != nil && c.deadline.After(*end)
-}
-
 // WaitQuiet blocks until no call has been in flight for the duration quiet, or ctx ends.
 func (in *Ingress) WaitQuiet(ctx context.Context, quiet time.Duration) {
 	const step = 20 * time.Millisecond
@@ -122,7 +114,7 @@
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	incoming := in.Dialect.ParseIncoming(r)
 	parent := in.Calls.find(incoming.Parent)
-	if in.stopTime.Load() != nil {
+	if in.stop.isSet() {
 		set(w.Header(), headerConnection, "close")
 	}
 	if !in.tracker.enter(parent != nil) {
@@ -133,7 +125,7 @@
 	defer in.tracker.leave()
 	c, rep := in.parse(r, incoming, parent)
 	defer in.Bodies.release(int64(len(c.body)))
-	if rep == nil && in.deadlineAfterStop(c) {
+	if rep == nil && in.stop.before(c.deadline) {
 		rep = refuse(metric.RefusedDraining)
 	}
 	if rep == nil {
