Let the next announcement wait for the check of the first one

Cause: while the health check of the first announcement was in progress, the next announcement was believed, and the requests began before the limit was known.

Fix: announcements that arrive during the check wait for its end; then the newest decides, as before.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -42,6 +42,8 @@
 	server  *httptest.Server
 	// leaving makes the health check fail.
 	leaving atomic.Bool
+	// healthDelay is the time in nanoseconds that the health check takes.
+	healthDelay atomic.Int64
 	// limit is the limit that the health check names, or nil.
 	limit atomic.Value
 }
@@ -55,6 +57,7 @@
 
 func (s *testBackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
+		time.Sleep(time.Duration(s.healthDelay.Load()))
 		w.Header().Set("X-Instance-Id", s.id)
 		if limit := s.limit.Load(); limit != nil {
 			w.Header().Set("Server-Limit", limit.(string))
@@ -781,6 +784,7 @@
 	limited := officeVMs[0]
 	waitFor(t, "an acknowledged drain of the other office", func() bool { return officeVMs[1].sendHeartbeat("draining") })
 	limited.backendServer.limit.Store("0.3")
+	limited.backendServer.healthDelay.Store(int64(300 * time.Millisecond)) // Heartbeats arrive meanwhile.
 	limited.cancel()
 	<-limited.done
 	limited.start(t)
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -138,13 +138,16 @@
 	lastAnnounced time.Time
 	start         backendStart
 	current       atomic.Pointer[ownState]
-	// recalled is set when the records of an earlier run are known. Until then held is the latest announcement that says
-	// ready, and heldSince the time of the first one of its start.
-	recalled  bool
+	// recalled is set when the records of an earlier run are known.
+	recalled bool
+	// checking is set while Run asks the backend server.
+	checking bool
+	// held is the latest announcement that has said ready before recalled was set, or while checking is set; heldSince is the
+	// time of the first one of its start.
 	held      *Announcement
 	heldSince time.Time
-	// confirming is set once an announcement has been passed to unconfirmed, or a state has been put into effect.
-	confirming bool
+	// decided is set once an announcement has been passed to unconfirmed, or a state has been put into effect.
+	decided bool
 	// unconfirmed holds the first announcement since the node's start until Run has asked the backend server. Only one
 	// value is ever sent, so that sending does not block.
 	unconfirmed chan Announcement
@@ -367,22 +370,23 @@
 		return fault.New(fault.Conflict, "announce", "this node already serves a backend server of service "+old.record.Service,
 			"stop the other backend server first, or run a separate node for each")
 	}
-	if !t.recalled && a.State == stateReady {
+	if (!t.recalled || t.checking) && a.State == stateReady {
 		t.hold(a)
 		return nil
 	}
 	return t.confirmOrApply(a)
 }
 
-// hold keeps an announcement back until the records of an earlier run are known. If neither the store nor another node
-// answers, a start is believed once its announcements have gone on for longer than one can be late.
+// hold keeps an announcement back until the records of an earlier run are known and the backend server has been asked. If
+// neither the store nor another node answers, a start is believed once its announcements have gone on for longer than one can be
+// late.
 func (t *BackendTracker) hold(a Announcement) {
 	if t.held == nil || !a.isOfStart(t.start) {
 		t.heldSince = t.settings.Clock.Now()
 	}
 	t.noteAnnounced(a)
 	t.held = &a
-	if t.lastAnnounced.Sub(t.heldSince) >= t.settings.Timeout {
+	if !t.recalled && t.lastAnnounced.Sub(t.heldSince) >= t.settings.Timeout {
 		event.AnnouncementUnchecked.Write(event.AnnouncementUnchecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).Uint64("sequence", a.Sequence))
 		t.endRecall()
 	}
@@ -391,14 +395,21 @@
 // endRecall processes the announcement that has been held back.
 func (t *BackendTracker) endRecall() {
 	t.recalled = true
+	t.processHeld(t.confirmOrApply)
+}
+
+// processHeld passes the announcement that has been held back to put, unless a newer one is in effect. It reports whether it
+// did.
+func (t *BackendTracker) processHeld(put func(Announcement) error) bool {
 	a := t.held
 	t.held = nil
 	if a == nil || !a.isOfStart(t.start) || t.stateMachine.Current() != stateStarting {
-		return
+		return false
 	}
-	if err := t.confirmOrApply(*a); err != nil {
+	if err := put(*a); err != nil {
 		event.AnnouncementRefused.Write(event.AnnouncementRefused.Log(&t.settings.Log).Err(err))
 	}
+	return true
 }
 
 // recall takes over the records of an earlier run.
@@ -461,7 +472,7 @@
 	if err := t.trigger(leavingState); err != nil {
 		return err
 	}
-	t.confirming = true
+	t.decided = true
 	record.BackendID, record.State = a.ID, membershipStates[leavingState]
 	t.update(record, t.current.Load().address)
 	return nil
@@ -470,8 +481,8 @@
 // confirmOrApply puts an announced state into effect. The first one since the node's start that says ready is passed to Run,
 // which asks the backend server first.
 func (t *BackendTracker) confirmOrApply(a Announcement) error {
-	if !t.confirming && a.identified() && a.State == stateReady && t.settings.AcceptsWork != nil {
-		t.confirming = true
+	if !t.decided && a.identified() && a.State == stateReady && t.settings.AcceptsWork != nil {
+		t.decided, t.checking = true, true
 		t.noteAnnounced(a)
 		t.unconfirmed <- a
 		return nil
@@ -491,7 +502,7 @@
 		return fault.Wrap(fault.Conflict, "announce", err, "a backend server that has announced that it leaves must announce starting after its restart, or name its start")
 	}
 	t.noteAnnounced(a)
-	t.confirming = true
+	t.decided = true
 	record := t.current.Load().record
 	if record.State == membership.StateDeparted && a.State != stateDeparted {
 		// A departure supersedes all records of its incarnation, so the new state needs a higher one.
@@ -628,16 +639,18 @@
 }
 
 // confirm asks the backend server whether it accepts new requests, as its first announcement says. If it does not say
-// so, the next announcement decides: it is newer than the first one, and a health check that fails may be wrong.
+// so, the next announcement decides: it is newer than the first one, and a health check that fails may be wrong. One that
+// arrives meanwhile waits, since the answer also names the limit that the server has.
 func (t *BackendTracker) confirm(ctx context.Context, a Announcement) {
 	accepts := t.settings.AcceptsWork(ctx, a)
 	event.AnnouncementChecked.Write(event.AnnouncementChecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
 		Uint64("sequence", a.Sequence).Bool("accepts_work", accepts))
-	if !accepts {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.checking = false
+	if t.processHeld(t.apply) || !accepts {
+		return
+	}
 	if !a.isOfStart(t.start) || a.Sequence != t.start.sequence || t.stateMachine.Current() != stateStarting {
 		return // A newer announcement has arrived meanwhile.
 	}
--- a/pkg/announce/leaving_test.go
+++ b/pkg/announce/leaving_test.go
@@ -127,6 +127,9 @@
 				if c.then != nil {
 					mustAnnounce(t, tracker, *c.then)
 				}
+				if tracker.Admits(clk.now) {
+					t.Error("new requests are accepted before the backend server has answered")
+				}
 				return c.accepts
 			}
 			mustAnnounce(t, tracker, first)
