Attribute the leaving of a backend server to the start that leaves

Found in a reading of the change before: a record could name a start that was only held back, or none, as the leaving one, so that the next start under the same ID would have got no work after a restart of the node.

Fix: the start is set together with the ID of the backend server.

Measured: TestLeavingIsAttributedToItsStart passes; it has not been run on the code before.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -264,7 +264,10 @@
 	if current.leaving() || t.trigger(stateDraining) != nil {
 		return
 	}
+	t.decided = true
 	record := current.record
+	// The response may be that to the check of a start whose announcement is not in effect yet.
+	record.BackendID, record.BackendStarted = t.start.id, t.start.startedMillis
 	record.State = membership.StateDraining
 	t.update(record, current.address)
 }
@@ -431,7 +434,7 @@
 // ObserveOwn takes note of the own record as the store or another node holds it. If it says that a start of the backend server
 // leaves, that start gets no requests, whatever it has announced to this run of the node.
 func (t *BackendTracker) ObserveOwn(known membership.Instance) {
-	if !known.BackendLeaving {
+	if !known.BackendLeaving || known.BackendID == "" {
 		return
 	}
 	t.mu.Lock()
@@ -473,7 +476,7 @@
 		return err
 	}
 	t.decided = true
-	record.BackendID, record.State = a.ID, membershipStates[leavingState]
+	record.BackendID, record.BackendStarted, record.State = a.ID, a.Born, membershipStates[leavingState]
 	t.update(record, t.current.Load().address)
 	return nil
 }
@@ -508,7 +511,8 @@
 		// A departure supersedes all records of its incarnation, so the new state needs a higher one.
 		record.Incarnation++
 	}
-	record.Service, record.Slots, record.State, record.BackendID = a.Service, a.Slots, membershipStates[a.State], a.ID
+	record.Service, record.Slots, record.State = a.Service, a.Slots, membershipStates[a.State]
+	record.BackendID, record.BackendStarted = a.ID, a.Born
 	t.update(record, a.Address)
 	return nil
 }
@@ -577,7 +581,6 @@
 // update replaces the record and calls OnChange if it has changed. Each change increments the record's sequence.
 func (t *BackendTracker) update(record membership.Instance, addr string) {
 	old := t.current.Load()
-	record.BackendStarted = t.start.startedMillis
 	record.BackendLeaving = record.State == membership.StateDraining || record.State == membership.StateDeparted
 	if record == old.record {
 		if addr != old.address {
--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -95,6 +95,41 @@
 	}
 }
 
+// Guards against a record that attributes the leaving of one start to another one, which then gets no work after a restart of the
+// node: the next start has the same ID and is not in effect yet, or only the response to its check says that it leaves.
+func TestLeavingIsAttributedToItsStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		events func(*BackendTracker)
+		born   int64
+	}{
+		"next start held back": {func(tracker *BackendTracker) {
+			mustDepart(t, tracker, "i-1", 1000)
+			mustAnnounce(t, tracker, announcement("i-1", 2000, 1, Ready))
+			tracker.RaiseIncarnationAbove(500)
+		}, 1000},
+		"response to the check": {func(tracker *BackendTracker) {
+			tracker.recall(context.Background())
+			mustAnnounce(t, tracker, announcement("i-1", 2000, 1, Ready))
+			tracker.ResponseSaysLeaving()
+			confirmPending(tracker)
+			mustAnnounce(t, tracker, announcement("i-1", 2000, 2, Ready))
+		}, 2000},
+	} {
+		tracker := restartedTracker(t, &manualClock{time.Unix(10, 0)}, true, []membership.Instance{})
+		c.events(tracker)
+		own, _ := tracker.Instance()
+		if !own.BackendLeaving || own.BackendID != "i-1" || own.BackendStarted != c.born {
+			t.Errorf("%s: record %+v, want the start at %d to leave", name, own, c.born)
+		}
+	}
+	tracker := restartedTracker(t, &manualClock{time.Unix(10, 0)}, true, []membership.Instance{{BackendLeaving: true, State: membership.StateDeparted}})
+	tracker.recall(context.Background())
+	mustAnnounce(t, tracker, announcement("i-1", 1000, 1, Ready))
+	if confirmPending(tracker); !tracker.Admits(time.Unix(10, 0)) {
+		t.Error("a record without a backend server stops one")
+	}
+}
+
 // Guards against a departure that other nodes report only after the announcements of the restarted node's backend server
 // have been believed.
 func TestDepartureThatBecomesKnownLate(t *testing.T) {
