Limit pauses of the store's responses instead of their whole time

A large configuration would never have come into force on a VM with a slow link: a list was given up 1.5 s after its start, and a watch 0.3 s after its wait, also while their responses were arriving, and both were repeated from their start.

Cause: a limit on the whole call, of the class of the limits on configurations that the platform accepts.

--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -27,12 +27,12 @@
 	// skipWatchCheckPeriod is how often a node that does not watch the store checks whether it still receives updates
 	// from distributors.
 	skipWatchCheckPeriod = 200 * time.Millisecond
-	// watchResponseGrace is how long the response to a watch may take beyond the requested wait.
+	// watchResponseGrace is how long the response to a watch may take to begin beyond the requested wait.
 	watchResponseGrace = 300 * time.Millisecond
 	// watchJitterDivisor divides a watch's wait; up to the quotient is subtracted at random, so that the watches of
 	// all nodes do not end at the same time.
 	watchJitterDivisor = 4
-	// listTimeout is the timeout for listing all objects of a kind.
+	// listTimeout is how long the response to a list of all objects of a kind may take to begin.
 	listTimeout = 1500 * time.Millisecond
 	// instanceBatchDelay is the delay after an instance change before the next watch, which collects further changes:
 	// during a start or a rollout dozens come at once, and each would take a call of its own. No time limit depends
@@ -174,7 +174,7 @@
 func jitter(wait time.Duration) time.Duration { return wait - rand.N(wait/watchJitterDivisor) }
 
 func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, allowStale bool, handle changeHandler) (Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := withStallLimit(ctx, listTimeout)
 	defer cancel()
 	listing, err := f.Store.List(ctx, kind, allowStale)
 	if err != nil {
@@ -189,7 +189,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration, handle changeHandler) (Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchResponseGrace)
+	ctx, cancel := withStallLimit(ctx, wait+watchResponseGrace)
 	defer cancel()
 	c, err := f.Store.Watch(ctx, kind, after, wait)
 	if err != nil {
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -35,6 +35,8 @@
 // Store is the interface to the platform's store. Errors are fault.Error values: Stale when the history since the
 // requested revision has been discarded, Unavailable when the store did not answer, Limited when it is rejecting
 // calls temporarily.
+//
+// While a Store reads a response, it calls ReportProgress with the context of the call.
 type Store interface {
 	// List returns all objects of a kind. With allowStale the result may be seconds old, which makes the call
 	// cheaper; a watch that starts at the revision of the listing delivers the changes since.
