Keep the other server alive in long tests, and stop nodes by Kernel.Run again

TestQueueOfAStoppingNodeMovesOn failed beside load, in 6 of 13 runs of 14 at once: it sent no heartbeats to the other office, which was lost after six intervals, as the logs of the failed runs show.

runNode repeated Kernel.Run for the sake of a test.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -98,7 +98,7 @@
 	defer cancel()
 	go settingsReloader.run(ctx, hup)
 	event.NodeStarted.Write(event.NodeStarted.Log(&log).Str("service", vm.Service).Str("zone", vm.AvailabilityZone))
-	err = runNode(ctx, k, func() time.Duration { return vm.Bounds.Grace - exitMargin })
+	err = runNode(ctx, k, vm.Bounds.Grace-exitMargin)
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
@@ -106,16 +106,10 @@
 	return nil
 }
 
-// runNode runs all services until ctx ends, and stops them within the grace period at that time. The connections to other nodes
-// are closed last, since services use them until they have stopped.
-func runNode(ctx context.Context, k *kernel.Kernel, grace func() time.Duration) error {
-	if err := k.Start(ctx); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace())
-	defer cancel()
-	err := k.Stop(stopCtx)
+// runNode runs all services until ctx ends. The connections to other nodes are closed last, since services use them
+// until they have stopped.
+func runNode(ctx context.Context, k *kernel.Kernel, grace time.Duration) error {
+	err := k.Run(ctx, grace)
 	if pool, findErr := kernel.Find[*rpcwire.Pool](k, nameRPCPool); findErr == nil {
 		pool.Close()
 	}
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/internal/settingsdoc"
 	"github.com/monsoonlatch/monsoonlatch/internal/standin/metastore"
+	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/platform"
 )
@@ -107,8 +108,7 @@
 	cancel        context.CancelFunc
 	done          chan error
 	sequence      int
-	// grace is the grace period of the node in nanoseconds.
-	grace atomic.Int64
+	kernel        *kernel.Kernel
 }
 
 // testIP is a loopback address that only this process uses. On 127.0.0.1, another process or the source port of a
@@ -153,9 +153,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.done = cancel, make(chan error, 1)
-	v.grace.Store(int64(v.Bounds.Grace))
+	v.kernel = k
 	go func() {
-		err := runNode(ctx, k, func() time.Duration { return time.Duration(v.grace.Load()) })
+		err := runNode(ctx, k, v.Bounds.Grace)
 		if ctx.Err() == nil {
 			nodeErrors <- err
 		}
@@ -164,13 +164,32 @@
 	t.Cleanup(func() { v.cancel() })
 }
 
-// kill ends the node without a grace period. It still closes its connections; review/ and the tests in test/e2e kill processes.
+// kill ends the node without a grace period. Its services still stop in order; test/e2e kills processes.
 func (v *vm) kill() {
-	v.grace.Store(int64(time.Millisecond))
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.kernel.Stop(expired) // Fails, since there is no time left.
 	v.cancel()
 	<-v.done
 }
 
+// keepAnnouncing sends heartbeats of a VM until the test ends, so that its backend server is not lost in a long test.
+func (v *vm) keepAnnouncing(t *testing.T) {
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-time.After(v.Heartbeat):
+				v.sendHeartbeat("ready")
+			case <-stop:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-stopped })
+}
+
 // sendHeartbeat sends a heartbeat of the backend server and reports whether the node acknowledged it.
 func (v *vm) sendHeartbeat(state string) bool {
 	v.sequence++
@@ -525,6 +544,7 @@
 func TestQueueOfAStoppingNodeMovesOn(t *testing.T) {
 	store, officeVMs, deskVM := startMesh(t)
 	store.Put("config", "main", strings.ReplaceAll(configurationJSON(4, "/lodge/>office", "/safe/>office", "/desk/>desk"), `"timeoutMs":1500`, `"timeoutMs":20000`))
+	officeVMs[1].keepAnnouncing(t)
 	stopping := officeVMs[0]
 	stopping.cancel()
 	<-stopping.done
@@ -567,6 +587,7 @@
 	const workTime = 2500 * time.Millisecond
 	store, officeVMs, deskVM := startMesh(t)
 	store.Put("config", "main", strings.ReplaceAll(configurationJSON(4, "/lodge/>office", "/safe/>office", "/desk/>desk"), `"timeoutMs":1500`, `"timeoutMs":20000`))
+	officeVMs[1].keepAnnouncing(t)
 	stopping := officeVMs[0]
 	stopping.kill()
 	stopping.Bounds.Grace = 4 * time.Second
@@ -871,7 +892,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { _ = runNode(ctx, k, func() time.Duration { return time.Second }); close(done) }() // This test does not check the stop.
+	go func() { _ = runNode(ctx, k, time.Second); close(done) }() // This test does not check the stop.
 	waitFor(t, "the node to be ready", func() bool { return v.readyStatus() == 200 })
 	if r := v.call("POST", "/lodge/1", "refused-1"); r.status != 503 || r.header.Get("Retry-After") == "" {
 		t.Errorf("request to a service without instances: %+v", r)
