--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -199,3 +199,18 @@
 		}
 	}
 }
+
+// Guards against new requests to a start that has left before its node restarted, if the late departure of an earlier start and a
+// late announcement of this one arrive before the records of the earlier run are known.
+func TestDepartureOfAHeldStartIsRecalled(t *testing.T) {
+	clk := &manualClock{time.Unix(10, 0)}
+	tracker := restartedTracker(t, clk, true, []membership.Instance{{BackendID: "i-2", BackendStarted: 2000, BackendLeaving: true, State: membership.StateDeparted}})
+	mustDepart(t, tracker, "i-1", 1000)
+	mustAnnounce(t, tracker, announcement("i-2", 2000, 5, Ready))
+	tracker.recall(context.Background())
+	confirmPending(tracker)
+	mustAnnounce(t, tracker, announcement("i-2", 2000, 6, Ready))
+	if tracker.Admits(clk.now) {
+		t.Error("a start that has left is admitted")
+	}
+}
