Recall the departure of a start that is held back

A restarted node that got the late departure of an earlier start, and then a late heartbeat of a later start that had left, admitted the later one: ObserveOwn asked whether the record in force leaves. While an announcement is held back, that record is still the one of the earlier start, so the recalled departure was taken for known. ObserveOwn now asks the state machine, which always belongs to the start that the node has last heard of.

The departure of the later start then also needs an incarnation of its own: a departure supersedes all records of its incarnation, so that other nodes would have ignored it. leave() raised the incarnation only if the start was new to the node, which a held start is not; it now compares with the start that the record in force names.

Before: go test -count=1 -run 'TestDepartureOfAHeld|TestEachDeparted' ./pkg/announce TestDepartureOfAHeldStartIsRecalled: a start that has left is admitted TestEachDepartedStartHasItsOwnIncarnation: both departures with incarnation 90, and after the recall the record still names the earlier start. After: go test -count=1 ./pkg/announce passes.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -440,8 +440,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	left := t.nameStart(known.BackendID, known.BackendStarted)
-	current := t.current.Load()
-	if left.isOfStart(t.start) && current.leaving() || !left.isOfStart(t.start) && t.start != (backendStart{}) && left.Born <= t.start.startedMillis {
+	if left.isOfStart(t.start) {
+		// The record in force may still be that of an earlier start, while this one is held back.
+		if current := t.stateMachine.Current(); current == stateDraining || current == stateDeparted {
+			return
+		}
+	} else if t.start != (backendStart{}) && left.Born <= t.start.startedMillis {
 		return
 	}
 	leavingState := stateDraining
@@ -467,10 +471,10 @@
 	if !a.isOfStart(t.start) {
 		t.stateMachine.SetState(stateStarting)
 		t.start = backendStart{id: a.ID, startedMillis: a.Born}
-		if record.State == membership.StateDeparted {
-			// A departure supersedes all records of its incarnation, so another one needs a higher one.
-			record.Incarnation++
-		}
+	}
+	if record.State == membership.StateDeparted && !a.isOfStart(backendStart{id: record.BackendID, startedMillis: record.BackendStarted}) {
+		// A departure supersedes all records of its incarnation, so that of another start needs a higher one.
+		record.Incarnation++
 	}
 	if err := t.trigger(leavingState); err != nil {
 		return err
--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -214,3 +214,28 @@
 		t.Error("a start that has left is admitted")
 	}
 }
+
+// Guards against the record of a departed start that other nodes ignore because it has the incarnation of an earlier departure:
+// they would go on sending requests for a start that they know as ready.
+func TestEachDepartedStartHasItsOwnIncarnation(t *testing.T) {
+	for name, depart := range map[string]func(*BackendTracker){
+		"announced": func(tracker *BackendTracker) { mustDepart(t, tracker, "i-2", 2000) },
+		"recalled": func(tracker *BackendTracker) {
+			tracker.ObserveOwn(membership.Instance{BackendID: "i-2", BackendStarted: 2000, BackendLeaving: true, State: membership.StateDeparted})
+		},
+	} {
+		tracker := restartedTracker(t, &manualClock{time.Unix(10, 0)}, true, []membership.Instance{})
+		mustDepart(t, tracker, "i-1", 1000)
+		first, _ := tracker.Instance()
+		mustAnnounce(t, tracker, announcement("i-2", 2000, 5, Ready))
+		depart(tracker)
+		second, _ := tracker.Instance()
+		if second.BackendID != "i-2" || second.State != membership.StateDeparted || second.Incarnation <= first.Incarnation {
+			t.Errorf("%s: the departure of i-2 leaves the record %+v after %+v", name, second, first)
+		}
+		mustDepart(t, tracker, "i-2", 2000)
+		if again, _ := tracker.Instance(); again != second {
+			t.Errorf("%s: a repeated departure changes the record from %+v to %+v", name, second, again)
+		}
+	}
+}
