Treat a call as keyed only if its ingress does

An unsafe request with the header Idempotency-Key, for which the users' platform has no meaning, got 502 at an instance beside another node: the egress read the header itself, took the call for a keyed one, and called the idempotency guard, which monsoonlatch-sidecar does not set.

Whether a call is keyed is for the dialect of the ingress to say. The ingress already sends the window of the key with keyed calls only, so the egress now takes the key only from calls that carry the window; in all others the header is passed on like any other. An ingress without a guard treats no call as keyed, and an egress without one refuses a keyed call as not run instead of running it, since a second copy with the same key would run again.

--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -28,8 +28,9 @@
 
 // EgressSettings configures an Egress. All fields are required unless noted; Log may be the zero value.
 type EgressSettings struct {
-	Local   LocalInstance
-	Gate    Gate
+	Local LocalInstance
+	Gate  Gate
+	// Guard keeps the results of keyed calls. If it is nil, keyed calls of other nodes are refused.
 	Guard   idempotency.Guard
 	Backend *upstream.Pool
 	Calls   *Calls
@@ -135,7 +136,7 @@
 	h, now := r.Header, e.Clock.Now()
 	c := &call{id: first(h, HeaderRequestID), method: r.Method, url: r.URL, host: r.Host, header: h, arrived: now,
 		service: unescapeName(first(h, HeaderService)), route: unescapeName(first(h, HeaderRoute)), policy: unescapeName(first(h, HeaderPolicy)),
-		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1",
+		idempotent: first(h, HeaderIdempotent) == "1", retried: first(h, HeaderRetried) == "1",
 		caller: unescapeName(first(h, HeaderCaller))}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(maxRemaining/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
@@ -152,6 +153,11 @@
 	version, _ := parseInt(h, HeaderConfigVersion, 1<<62)
 	window, _ := parseInt(h, HeaderWindow, int64(24*time.Hour/time.Microsecond))
 	c.attempt, c.version, c.idempotencyWindow = int(attempt), config.Version(version), time.Duration(window)*time.Microsecond
+	if len(h[HeaderWindow]) > 0 {
+		// The ingress sends the window with keyed calls only. In other calls, and in other dialects, the header with the key
+		// has no meaning for the mesh.
+		c.key = first(h, headerKey)
+	}
 	clearPeerHeaders(h)
 	stripHopByHop(h)
 	body, err := readBody(r, math.MaxInt64, e.Bodies)
@@ -191,6 +197,8 @@
 		return refuse(metric.RefusedNotReady)
 	case e.stop.before(c.deadline):
 		return refuse(metric.RefusedStopping)
+	case c.keyed() && e.Guard == nil:
+		return refuse(metric.RefusedKeyClaimUnavailable)
 	case c.keyed():
 		return e.runKeyed(ctx, c, addr)
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -24,6 +24,7 @@
 	Self   membership.InstanceID
 	Source config.Source
 	View   membership.View
+	// Guard finds the home of keyed calls. If it is nil, no call is treated as keyed.
 	Guard  idempotency.Guard
 	Egress *Egress
 	Peers  *upstream.Pool
@@ -183,8 +184,10 @@
 // nil unless the request is refused.
 func (in *Ingress) parse(r *http.Request, incoming Incoming, parent *activeCall) (*call, *reply) {
 	now := in.Clock.Now()
-	c := &call{id: incoming.ID, method: r.Method, url: r.URL, host: r.Host, header: r.Header, arrived: now, key: incoming.Key,
-		caller: in.Caller}
+	c := &call{id: incoming.ID, method: r.Method, url: r.URL, host: r.Host, header: r.Header, arrived: now, caller: in.Caller}
+	if in.Guard != nil {
+		c.key = incoming.Key
+	}
 	if c.id == "" {
 		c.id = newID()
 	}
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -99,6 +99,7 @@
 	eg      *Egress
 	callers *httptest.Server
 	peers   *httptest.Server
+	web     *httptest.Server
 	metrics *metric.Set
 	mu      sync.Mutex
 }
@@ -187,6 +188,7 @@
 	n.peers = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.eg.ServeHTTP(w, r) }))
 	n.standin = backend.New(backend.Settings{Slots: 2 * MaxHops, NodeCallers: n.callers.Listener.Addr().String()})
 	web := httptest.NewServer(n.standin)
+	n.web = web
 	n.addr = web.Listener.Addr().String()
 	n.own = membership.Instance{ID: n.id, Service: service, AvailabilityZone: "a", Slots: 20, Incarnation: 1, Sequence: 1,
 		State: membership.StateReady, PeerAddress: n.peers.Listener.Addr().String()}
