Read the configuration at once when its watch gets no response

A watch that hangs is noticed up to 1.3 s after its start. The node then only watched again, which could hang too, and pulled from another node up to 0.7 s later, so that a configuration could be in force 2.04 to 2.22 s after its publication; the bound is 2 s.

After a watch of the configuration that got no response, a node now reads the object itself with one call that may take 0.3 s to begin, and at the same time pulls from another watcher, or else from any node. A failure that the store reports at once, such as a refusal, leads to neither. The jitter of the watches spreads the timeouts.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -163,6 +163,7 @@
 		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
+	follower.OnWatchTimeout = peers.RequestPullFromAny
 	b.Provide(nameStore, store)
 	b.Provide(nameDirectoryState, state)
 	b.Provide(nameFollower, follower)
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync/atomic"
@@ -65,6 +66,8 @@
 	OnOwnRecordRemoved func()
 	// OnStoreLost, if set, is called when the store stops answering.
 	OnStoreLost func()
+	// OnWatchTimeout, if set, is called when a watch of the configuration got no response. It must not block.
+	OnWatchTimeout func()
 
 	// applyBound is the maximum time from the acceptance of a configuration until it is in force.
 	applyBound atomic.Int64
@@ -149,6 +152,7 @@
 			return
 		}
 		f.Metrics.CountRetry(metric.RetryPlatformRequest)
+		timedOut := listed && kind == f.Schema.ConfigurationKind() && errors.Is(err, context.Canceled)
 		if fault.Is(err, fault.Stale) {
 			listed, listCurrent = false, true
 			event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
@@ -165,11 +169,28 @@
 				f.OnStoreLost()
 			}
 		}
+		if timedOut {
+			f.readAfterTimeout(ctx, kind, handle)
+		}
 		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// readAfterTimeout reads the configuration once after a watch of it got no response, since a change may be overdue by then,
+// and the next watch could hang too. It makes at most one call, and none after a failure that was reported at once. The
+// timeouts of the nodes are spread by the jitter of their watches.
+func (f *Follower) readAfterTimeout(ctx context.Context, kind platform.ObjectKind, handle changeHandler) {
+	if f.OnWatchTimeout != nil {
+		f.OnWatchTimeout()
+	}
+	ctx, cancel := withStallLimit(ctx, watchResponseGrace)
+	defer cancel()
+	if object, err := f.Store.Get(ctx, kind, f.Schema.ConfigurationName()); err == nil {
+		handle([]Change{{Object: object}}, false)
+	}
+}
+
 // jitter shortens a wait by a random part.
 func jitter(wait time.Duration) time.Duration { return wait - rand.N(wait/watchJitterDivisor) }
 
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -92,6 +92,7 @@
 	// StoreSilence returns the time since the store last answered.
 	StoreSilence func() time.Duration
 
+	// pullRequests holds the control address to pull from next, or an empty string for a watcher or else any node.
 	pullRequests chan string
 	forwardQueue chan []membership.Instance
 	// requestFull makes the next pull request the full configuration; it is set after received deltas could not be
@@ -174,6 +175,14 @@
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		addr = net.JoinHostPort(addr, p.ControlPort)
 	}
+	p.queuePull(addr)
+}
+
+// RequestPullFromAny requests a pull without waiting for the next periodic one, for a node that has just noticed that the
+// store does not answer it. It does not block: while a request is pending, further ones are dropped.
+func (p *Peers) RequestPullFromAny() { p.queuePull("") }
+
+func (p *Peers) queuePull(addr string) {
 	select {
 	case p.pullRequests <- addr:
 	default:
@@ -188,7 +197,10 @@
 	for {
 		select {
 		case addr := <-p.pullRequests:
-			if !p.pullFrom(ctx, addr) {
+			if addr == "" {
+				addr = p.otherWatcher()
+			}
+			if addr == "" || !p.pullFrom(ctx, addr) {
 				p.pullFromAny(ctx)
 			}
 		case <-first:
@@ -222,6 +234,21 @@
 	return !isWatcher && !p.noFreshReply.Load() && p.freshnessStart.Age(time.Now()) < maxMissedPulls*pullPeriod+peerCallTimeout
 }
 
+// otherWatcher returns the control address of a random other watcher, or an empty string if there is none. A node that has no
+// store of its own may itself wait for this one.
+func (p *Peers) otherWatcher() string {
+	var addrs []string
+	for _, in := range p.State.topology().watchers() {
+		if in.ID != p.Self {
+			addrs = append(addrs, in.ControlAddress)
+		}
+	}
+	if len(addrs) == 0 {
+		return ""
+	}
+	return addrs[rand.IntN(len(addrs))]
+}
+
 // pullTarget returns the control address of the node to pull from: the assigned distributor at the first attempt,
 // then a random distributor. A watcher does not pull while the store answers. While it does not, a watcher and a node
 // without fresh replies pull from any node, since the distributors may have lost the store too.
