Name the limit in all responses of the test's backend server

TestLimitIsKnownBeforeTheFirstRequest failed sometimes beside load (25 requests, 2 allowed). It is the test: its backend server named the limit in the health check only, while a server in need names it in each answer, and a limit that the answers no longer name ends after 500 ms. Traced with the times of all sends and responses:

- The first request waits in the queue for the limit and starts 3.3 s after the health check.
Mostly only 10 ms of its deadline are left then, the exchange ends without a response, and the limit stays.
- If the request arrives somewhat later, as beside load, its response arrives, names no limit, and lifts it: the other requests start.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -45,7 +45,7 @@
 	leaving atomic.Bool
 	// healthDelay is the time in nanoseconds that the health check takes.
 	healthDelay atomic.Int64
-	// limit is the limit that the health check names, or nil.
+	// limit is the limit that all responses name, or nil.
 	limit atomic.Value
 }
 
@@ -57,12 +57,12 @@
 }
 
 func (s *testBackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if limit := s.limit.Load(); limit != nil {
+		w.Header().Set("Server-Limit", limit.(string))
+	}
 	if r.URL.Path == "/healthz" {
 		time.Sleep(time.Duration(s.healthDelay.Load()))
 		w.Header().Set("X-Instance-Id", s.id)
-		if limit := s.limit.Load(); limit != nil {
-			w.Header().Set("Server-Limit", limit.(string))
-		}
 		if s.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
