Add tenants with API keys to the configuration and the data path

A configuration with tenants requires an API key on each route that is not public. The configuration holds digests of the keys only. The ingress finds the tenant, removes the key, and names the tenant to the egress, which names it to the backend server. A tenant's priority takes the place of the route's. A node that cannot confirm its configuration refuses an unknown key as not run. Configurations from nodes of earlier builds are ignored, since they lack tenants.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -80,6 +80,7 @@
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
 	nameReloader       = "reload"
+	nameKeyRules       = "keyRules"
 )
 
 // builder assembles the node. Each component finds the components that it needs by name.
@@ -232,13 +233,16 @@
 
 // buildIngress creates the ingress, which accepts callers' requests.
 func buildIngress(b *builder) {
-	state := find[*directory.State](b, nameDirectoryState)
+	state, rules := find[*directory.State](b, nameDirectoryState), &keyRules{}
+	rules.set(b.vm.Bounds)
+	b.Provide(nameKeyRules, rules)
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
 		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
-		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
+		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget),
+		KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge}))
 }
 
 // buildBackgroundTasks creates the service that runs the background tasks that belong to no listener.
@@ -276,10 +280,11 @@
 
 // buildLifecycle creates the reloader of the settings and the drainer.
 func buildLifecycle(b *builder) {
-	announcer, follower := find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower)
+	announcer, follower, rules := find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower), find[*keyRules](b, nameKeyRules)
 	b.Provide(nameReloader, &reloader{path: b.settings.File, current: b.vm, log: b.log, apply: func(bounds platform.Bounds) {
 		announcer.SetDrainTime(bounds.Drain / drainTimeDivisor)
 		follower.SetApplyBound(bounds.Apply)
+		rules.set(bounds)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReadiness), ingress: find[*proxy.Ingress](b, nameIngress),
 		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log,
--- a/pkg/config/apply.go
+++ b/pkg/config/apply.go
@@ -19,6 +19,8 @@
 		func(p Policy) (string, Policy) { return p.Name, p })...)
 	errs = append(errs, applyItems("route", out.Routes, note.Add.Routes, note.Change.Routes, note.Withdraw.Routes,
 		func(r Route) (string, Route) { return r.Name, r.canonical() })...)
+	errs = append(errs, applyItems("tenant", out.Tenants, note.Add.Tenants, note.Change.Tenants, note.Withdraw.Tenants,
+		func(t Tenant) (string, Tenant) { return t.Name, t.canonical() })...)
 	errs = append(errs, out.Check())
 	if err := errors.Join(errs...); err != nil {
 		return Configuration{}, err
@@ -91,7 +93,7 @@
 
 // Touched returns the sorted names of all items that the note adds, changes or withdraws.
 func (n ReleaseNote) Touched() Names {
-	t := Names{Services: n.Withdraw.Services, Policies: n.Withdraw.Policies, Routes: n.Withdraw.Routes}.sortedCopy()
+	t := Names{Services: n.Withdraw.Services, Policies: n.Withdraw.Policies, Routes: n.Withdraw.Routes, Tenants: n.Withdraw.Tenants}.sortedCopy()
 	for _, items := range []Items{n.Add, n.Change} {
 		for _, s := range items.Services {
 			t.Services = append(t.Services, s.Name)
@@ -102,17 +104,20 @@
 		for _, r := range items.Routes {
 			t.Routes = append(t.Routes, r.Name)
 		}
+		for _, w := range items.Tenants {
+			t.Tenants = append(t.Tenants, w.Name)
+		}
 	}
 	return t.sortedCopy()
 }
 
 // sortedCopy returns a copy with each list sorted.
 func (n Names) sortedCopy() Names {
-	return Names{Services: sortedCopy(n.Services), Policies: sortedCopy(n.Policies), Routes: sortedCopy(n.Routes)}
+	return Names{Services: sortedCopy(n.Services), Policies: sortedCopy(n.Policies), Routes: sortedCopy(n.Routes), Tenants: sortedCopy(n.Tenants)}
 }
 
 // Empty reports whether n lists no names.
-func (n Names) Empty() bool { return len(n.Services)+len(n.Policies)+len(n.Routes) == 0 }
+func (n Names) Empty() bool { return len(n.Services)+len(n.Policies)+len(n.Routes)+len(n.Tenants) == 0 }
 
 // Overlap returns the names that both n and other list.
 func (n Names) Overlap(other Names) Names {
@@ -120,6 +125,7 @@
 		Services: intersection(n.Services, other.Services),
 		Policies: intersection(n.Policies, other.Policies),
 		Routes:   intersection(n.Routes, other.Routes),
+		Tenants:  intersection(n.Tenants, other.Tenants),
 	}
 }
 
@@ -143,7 +149,7 @@
 	for _, group := range []struct {
 		kind  string
 		names []string
-	}{{"service ", n.Services}, {"policy ", n.Policies}, {"route ", n.Routes}} {
+	}{{"service ", n.Services}, {"policy ", n.Policies}, {"route ", n.Routes}, {"tenant ", n.Tenants}} {
 		for _, name := range group.names {
 			parts = append(parts, group.kind+name)
 		}
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -24,7 +24,7 @@
 func (c Configuration) CheckConsistency() error { return errors.Join(c.checkConsistency()...) }
 
 func (c Configuration) checkConsistency() []error {
-	return slices.Concat(c.checkServices(), c.checkPolicies(), c.checkRoutes())
+	return slices.Concat(c.checkServices(), c.checkPolicies(), c.checkRoutes(), c.checkTenants())
 }
 
 func checkItemKey(kind, key, name string) []error {
@@ -82,6 +82,10 @@
 		}
 	}
 	require(p.Rank >= 0 && p.Rank <= MaxRank, "use a rank from 0 (most urgent) to 7 (least urgent)", "rank %d is not between 0 and %d", p.Rank, MaxRank)
+	for _, class := range slices.Sorted(maps.Keys(p.ClassRanks)) {
+		rank := p.ClassRanks[class]
+		require(rank >= 0 && rank <= MaxRank, "use a rank from 0 (most urgent) to 7 (least urgent)", "classRanks: rank %d of %q is not between 0 and %d", rank, class, MaxRank)
+	}
 	require(p.Deadline > 0, "set a deadline such as 2s", "deadline %s is not greater than 0", p.Deadline.Std())
 	require(p.Target > 0 && p.Target <= p.Deadline, "set a target such as 250ms that does not exceed the deadline", "target %s is not greater than 0 and at most the deadline %s", p.Target.Std(), p.Deadline.Std())
 	require(p.Worth >= 0, "set a worth such as 10", "worth %d is negative", p.Worth)
--- a/pkg/config/delta.go
+++ b/pkg/config/delta.go
@@ -13,8 +13,9 @@
 func NewDelta(from Version, a Configuration, to Version, toHash string, b Configuration) Delta {
 	d := Delta{From: from, To: to, ToHash: toHash, Limits: b.Limits}
 	d.Upsert.Services, d.Withdraw.Services = diffItems(a.Services, b.Services, Service.Equal)
-	d.Upsert.Policies, d.Withdraw.Policies = diffItems(a.Policies, b.Policies, func(x, y Policy) bool { return x == y })
+	d.Upsert.Policies, d.Withdraw.Policies = diffItems(a.Policies, b.Policies, Policy.Equal)
 	d.Upsert.Routes, d.Withdraw.Routes = diffItems(a.Routes, b.Routes, Route.Equal)
+	d.Upsert.Tenants, d.Withdraw.Tenants = diffItems(a.Tenants, b.Tenants, Tenant.Equal)
 	return d
 }
 
@@ -35,8 +36,8 @@
 
 // Size returns the number of items that the delta changes or withdraws.
 func (d Delta) Size() int {
-	return len(d.Upsert.Services) + len(d.Upsert.Policies) + len(d.Upsert.Routes) +
-		len(d.Withdraw.Services) + len(d.Withdraw.Policies) + len(d.Withdraw.Routes)
+	return len(d.Upsert.Services) + len(d.Upsert.Policies) + len(d.Upsert.Routes) + len(d.Upsert.Tenants) +
+		len(d.Withdraw.Services) + len(d.Withdraw.Policies) + len(d.Withdraw.Routes) + len(d.Withdraw.Tenants)
 }
 
 // Apply applies the delta to a copy of base and returns the configuration of version d.To. If the hash of the result is
@@ -52,6 +53,7 @@
 		mergeItems(out.Services, d.Upsert.Services, d.Withdraw.Services, func(s Service) string { return s.Name })
 		mergeItems(out.Policies, d.Upsert.Policies, d.Withdraw.Policies, func(p Policy) string { return p.Name })
 		mergeItems(out.Routes, d.Upsert.Routes, d.Withdraw.Routes, func(r Route) string { return r.Name })
+		mergeItems(out.Tenants, d.Upsert.Tenants, d.Withdraw.Tenants, func(t Tenant) string { return t.Name })
 		last = d
 	}
 	hash, err := out.Hash()
--- a/pkg/config/hash.go
+++ b/pkg/config/hash.go
@@ -30,6 +30,11 @@
 	writeMap(&w, "policies", c.Policies, func(p Policy) Policy { return p })
 	w.writeText(",")
 	writeMap(&w, "routes", c.Routes, Route.canonical)
+	if len(c.Tenants) > 0 {
+		// Without tenants, the hash is the one that nodes which do not know tenants compute.
+		w.writeText(",")
+		writeMap(&w, "tenants", c.Tenants, Tenant.canonical)
+	}
 	w.writeText("}")
 	if w.err != nil {
 		return "", fault.Wrap(fault.Invalid, "hash configuration", w.err, "correct the value that cannot be encoded as JSON")
@@ -96,6 +101,11 @@
 	return r
 }
 
+func (t Tenant) canonical() Tenant {
+	t.Keys = ensureSorted(t.Keys)
+	return t
+}
+
 // ensureSorted returns the list itself if it is already sorted, otherwise a sorted copy. Sharing the list is safe
 // because lists of items are never modified in place.
 func ensureSorted(list []string) []string {
@@ -115,7 +125,8 @@
 
 // Clone returns a copy with its own maps. The lists inside items are shared; they are never modified in place.
 func (c Configuration) Clone() Configuration {
-	return Configuration{Limits: c.Limits, Services: cloneMap(c.Services), Policies: cloneMap(c.Policies), Routes: cloneMap(c.Routes)}
+	return Configuration{Limits: c.Limits, Services: cloneMap(c.Services), Policies: cloneMap(c.Policies), Routes: cloneMap(c.Routes),
+		Tenants: cloneMap(c.Tenants)}
 }
 
 func cloneMap[V any](m map[string]V) map[string]V {
@@ -130,10 +141,23 @@
 	return s.Name == other.Name && s.MaxConnections == other.MaxConnections && s.HealthPath == other.HealthPath && equalSets(s.CallableFrom, other.CallableFrom)
 }
 
+// Equal reports whether p and other have the same content.
+func (p Policy) Equal(other Policy) bool {
+	return p.Name == other.Name && p.Rank == other.Rank && p.Target == other.Target && p.Worth == other.Worth &&
+		p.GuaranteedShare == other.GuaranteedShare && p.Deadline == other.Deadline && p.MaxRetries == other.MaxRetries &&
+		p.IdempotencyWindow == other.IdempotencyWindow && maps.Equal(p.ClassRanks, other.ClassRanks)
+}
+
+// Equal reports whether t and other have the same content, regardless of the order of Keys.
+func (t Tenant) Equal(other Tenant) bool {
+	return t.Name == other.Name && t.PriorityClass == other.PriorityClass && t.Rate == other.Rate && t.Burst == other.Burst &&
+		equalSets(t.Keys, other.Keys)
+}
+
 // Equal reports whether r and other have the same content, regardless of the order of Methods.
 func (r Route) Equal(other Route) bool {
 	return r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix && slices.Equal(r.Split, other.Split) && r.Service == other.Service && r.Policy == other.Policy &&
-		r.Idempotent == other.Idempotent && equalSets(r.Methods, other.Methods)
+		r.Idempotent == other.Idempotent && r.Public == other.Public && equalSets(r.Methods, other.Methods)
 }
 
 // equalSets compares two lists regardless of their order. Lists in accepted configurations are sorted, so the direct
--- a/pkg/config/limits.go
+++ b/pkg/config/limits.go
@@ -21,6 +21,10 @@
 		errs = append(errs, checkItemName("route", key)...)
 		errs = append(errs, c.Routes[key].checkLimits()...)
 	}
+	for _, key := range slices.Sorted(maps.Keys(c.Tenants)) {
+		errs = append(errs, checkItemName("tenant", key)...)
+	}
+	errs = append(errs, c.checkTenantKeys()...)
 	return append(errs, c.checkOverlaps()...)
 }
 
@@ -35,6 +39,12 @@
 	checkCount("services", len(c.Services), MaxServices)
 	checkCount("policies", len(c.Policies), MaxPolicies)
 	checkCount("routes", len(c.Routes), MaxRoutes)
+	checkCount("tenants", len(c.Tenants), MaxTenants)
+	keys := 0
+	for _, t := range c.Tenants {
+		keys += len(t.Keys)
+	}
+	checkCount("keys", keys, MaxTenantKeys)
 	return errs
 }
 
--- a/pkg/config/names.go
+++ b/pkg/config/names.go
@@ -8,7 +8,7 @@
 
 // Limits on single values. They keep the head object readable and its size predictable.
 const (
-	// MaxNameBytes limits the names of services, policies and routes, and the ids of release notes.
+	// MaxNameBytes limits the names of services, policies, routes and tenants, and the ids of release notes.
 	MaxNameBytes = 63
 	// MaxPrefixBytes limits path prefixes, and thereby the number of map lookups of one Snapshot.Match.
 	MaxPrefixBytes = 256
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -86,7 +86,7 @@
 }
 
 // itemKinds maps the name of a list in a release note to the kind of its items.
-var itemKinds = map[string]string{"services": "service", "policies": "policy", "routes": "route"}
+var itemKinds = map[string]string{"services": "service", "policies": "policy", "routes": "route", "tenants": "tenant"}
 
 // indexLines records the line of each item, and the first line of the note.
 func (d Document) indexLines(root *yaml.Node) {
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"strings"
 )
@@ -23,12 +24,14 @@
 	table map[string]map[string][]Match
 	// longestPrefix is the length of the longest path prefix. Longer parts of a path need no lookup.
 	longestPrefix int
+	// tenantsByKey holds the tenants by the digest of each of their keys.
+	tenantsByKey map[[sha256.Size]byte]*Tenant
 }
 
 // newSnapshot builds the snapshot of a consistent configuration. Of routes that match the same requests, the one whose name
 // comes first is used on all nodes.
 func newSnapshot(version Version, hash string, c Configuration) *Snapshot {
-	s := &Snapshot{Version: version, Hash: hash, Configuration: c, table: make(map[string]map[string][]Match)}
+	s := &Snapshot{Version: version, Hash: hash, Configuration: c, table: make(map[string]map[string][]Match), tenantsByKey: indexKeys(c.Tenants)}
 	for _, r := range c.Routes {
 		host := normalizeHost(r.Host)
 		prefixes := s.table[host]
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -1,4 +1,4 @@
-// Package config defines the mesh configuration (services, policies and routes), the release notes that change it, and
+// Package config defines the mesh configuration (services, policies, routes and tenants), the release notes that change it, and
 // the immutable snapshot that a node routes requests with. It performs no I/O.
 package config
 
@@ -9,6 +9,9 @@
 	MaxRoutes   = 10_000
 	MaxServices = 500
 	MaxPolicies = 64
+	// MaxTenants and MaxTenantKeys limit the workspaces and all their keys in release notes.
+	MaxTenants    = 1_000
+	MaxTenantKeys = 4_000
 	// MaxRank is the rank of the least urgent work; rank 0 is the most urgent.
 	MaxRank = 7
 	// DefaultIdempotencyWindow is how long the outcome of a request with an idempotency key is kept by default.
@@ -50,6 +53,31 @@
 	// IdempotencyWindow is how long the outcome of a request with an idempotency key is kept; 0 means
 	// DefaultIdempotencyWindow.
 	IdempotencyWindow Duration `json:"idempotencyWindow,omitempty" yaml:"idempotencyWindow,omitempty"`
+	// ClassRanks holds the rank of the requests of tenants by the tenant's priority class. For other requests Rank applies.
+	ClassRanks map[string]int `json:"classRanks,omitempty" yaml:"classRanks,omitempty"`
+}
+
+// RankFor returns the rank of the requests of a tenant with the given priority class; the class may be empty.
+func (p *Policy) RankFor(class string) int {
+	if rank, ok := p.ClassRanks[class]; ok && class != "" {
+		return rank
+	}
+	return p.Rank
+}
+
+// Tenant is a workspace: a customer of the mesh whose requests carry one of its API keys.
+type Tenant struct {
+	Name string `json:"name" yaml:"name"`
+	// Keys holds the SHA-256 digests of the API keys as KeyDigest returns them. The keys themselves are not kept, so that
+	// neither stored objects nor messages nor logs can reveal them.
+	Keys []string `json:"keys,omitempty" yaml:"keys,omitempty"`
+	// PriorityClass selects the rank of the tenant's requests; see Policy.ClassRanks. If it is empty, the rank of the
+	// policy applies.
+	PriorityClass string `json:"priorityClass,omitempty" yaml:"priorityClass,omitempty"`
+	// Rate is the number of requests a second that all nodes together accept from the tenant; 0 means no limit. Burst is
+	// the number of requests that may come at once beyond it.
+	Rate  float64 `json:"rate,omitempty" yaml:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty" yaml:"burst,omitempty"`
 }
 
 // WeightedService is a service that receives a weighted part of the requests of a route.
@@ -73,6 +101,8 @@
 	Policy string            `json:"policy" yaml:"policy"`
 	// Idempotent reports whether a request may safely be executed more than once.
 	Idempotent bool `json:"idempotent" yaml:"idempotent"`
+	// Public routes accept requests without an API key. It has no effect in a configuration without tenants.
+	Public bool `json:"public,omitempty" yaml:"public,omitempty"`
 }
 
 // Limits restricts the size of requests to a node and how long a connection may wait for a header or stay idle. For a
@@ -84,26 +114,30 @@
 	IdleTimeout    Duration `json:"idleTimeout,omitempty" yaml:"idleTimeout,omitempty"`
 }
 
-// Configuration is the complete configuration of the mesh, with each kind of item by name.
+// Configuration is the complete configuration of the mesh, with each kind of item by name. If it has tenants, a request
+// needs an API key of one of them, unless its route is public.
 type Configuration struct {
 	Limits   Limits             `json:"limits,omitzero"`
 	Services map[string]Service `json:"services"`
 	Policies map[string]Policy  `json:"policies"`
 	Routes   map[string]Route   `json:"routes"`
+	Tenants  map[string]Tenant  `json:"tenants,omitempty"`
 }
 
-// Items is a list of services, policies and routes to add or change.
+// Items is a list of services, policies, routes and tenants to add or change.
 type Items struct {
 	Services []Service `json:"services,omitempty" yaml:"services,omitempty"`
 	Policies []Policy  `json:"policies,omitempty" yaml:"policies,omitempty"`
 	Routes   []Route   `json:"routes,omitempty" yaml:"routes,omitempty"`
+	Tenants  []Tenant  `json:"tenants,omitempty" yaml:"tenants,omitempty"`
 }
 
-// Names lists services, policies and routes by name.
+// Names lists services, policies, routes and tenants by name.
 type Names struct {
 	Services []string `json:"services,omitempty" yaml:"services,omitempty"`
 	Policies []string `json:"policies,omitempty" yaml:"policies,omitempty"`
 	Routes   []string `json:"routes,omitempty" yaml:"routes,omitempty"`
+	Tenants  []string `json:"tenants,omitempty" yaml:"tenants,omitempty"`
 }
 
 // ReleaseNote is a set of configuration changes that is applied atomically.
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -72,6 +72,8 @@
 	lastResponse    clock.EventTime
 	failingKinds    atomic.Int32
 	instancesListed atomic.Bool
+	// configurationRefused is set while the newest configuration in the store could not be put in force.
+	configurationRefused atomic.Bool
 }
 
 // InstancesListed reports whether the instances have been read from the store.
@@ -176,6 +178,7 @@
 func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, allowStale bool, handle changeHandler) (Revision, error) {
 	ctx, cancel := withStallLimit(ctx, listTimeout)
 	defer cancel()
+	start := f.Clock.Now()
 	listing, err := f.Store.List(ctx, kind, allowStale)
 	if err != nil {
 		return 0, err
@@ -185,20 +188,36 @@
 		changes[i].Object = obj
 	}
 	handle(changes, true)
+	if !allowStale {
+		f.confirm(kind, start)
+	}
 	return listing.Revision, nil
 }
 
 func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration, handle changeHandler) (Revision, error) {
 	ctx, cancel := withStallLimit(ctx, wait+watchResponseGrace)
 	defer cancel()
+	start := f.Clock.Now()
 	c, err := f.Store.Watch(ctx, kind, after, wait)
 	if err != nil {
 		return after, err
 	}
 	handle(c.Changes, false)
+	if end := start.Add(wait); len(c.Changes) == 0 && !f.Clock.Now().Before(end) {
+		start = end // The store waited for a change until then. Its response may have been read much later.
+	}
+	f.confirm(kind, start)
 	return max(after, c.Revision), nil
 }
 
+// confirm records that the configuration in force was the newest one in the store at the given time, if the store's response
+// was about the configuration and could be applied.
+func (f *Follower) confirm(kind platform.ObjectKind, at time.Time) {
+	if kind == f.Schema.ConfigurationKind() && !f.configurationRefused.Load() {
+		f.State.confirm(at)
+	}
+}
+
 // applyConfiguration accepts the newest configuration among the changes. If one cannot be decoded or is invalid, the
 // current configuration stays in force.
 func (f *Follower) applyConfiguration(changes []Change, _ bool) {
@@ -213,6 +232,7 @@
 		if err == nil && version == f.State.Version() {
 			f.notifyChange(nil)
 		}
+		f.configurationRefused.Store(err != nil)
 		if err != nil {
 			event.ConfigInvalid.Write(event.ConfigInvalid.Log(&f.Log).Err(err).Uint64("version", uint64(version)))
 		}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -60,8 +61,22 @@
 	// replying node is not a watcher and has recently pulled from a node whose reply had Heard set. Freshness passes
 	// over one such hop only; otherwise nodes without access to the store could keep each other from watching it.
 	Heard, Fresh bool
+	// Confirmed is set if the store has confirmed the replying node's configuration, ConfirmedAge ago, as the newest one.
+	// Unlike Fresh it passes over any number of nodes, since the age only grows on the way.
+	Confirmed    bool
+	ConfirmedAge time.Duration
+	// Format is configurationFormat of the replying node.
+	Format int
 }
 
+// configurationFormat increases when nodes that do not know a new part of the configuration would drop it silently. A node
+// takes no configuration from a node with a lower format: one without tenants would be served without their keys. Format
+// 1 has tenants.
+const configurationFormat = 1
+
+// ConfirmationDelay is the time that a confirmation by the store takes at most to reach a node through two others.
+const ConfirmationDelay = 2*pullPeriod + peerCallTimeout
+
 // OfferArgs carries changed records and the version of the configuration in force at the sending node, whose control
 // address is From. Silent is set when the sending node is a watcher that the store does not answer: the receiving node
 // then pulls at once, and watches the store itself if it gets no fresh reply.
@@ -122,6 +137,10 @@
 	// A watcher that the store does not answer must not derive freshness from another node's reply: that node may be
 	// watching the store in place of the watcher, and would stop its watch on getting a fresh reply.
 	reply.Fresh = reply.Heard || !p.State.topology().isWatcher(p.Self) && p.lastDirectReply.Age(time.Now()) <= maxStoreSilence
+	reply.Format = configurationFormat
+	if age := p.State.ConfigurationAge(); age < math.MaxInt64 {
+		reply.Confirmed, reply.ConfirmedAge = true, age
+	}
 	if args.Records == nil {
 		reply.Differs = args.Sum != p.State.Digest().Sum
 	} else {
@@ -262,6 +281,7 @@
 func (p *Peers) pullOnce(ctx context.Context, addr string, digest Digest) (reply PullReply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
+	start := time.Now()
 	if p.requestFull.Swap(false) {
 		digest.Version = 0
 	}
@@ -270,6 +290,10 @@
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
 		return reply, false
 	}
+	if reply.Version != 0 && reply.Format < configurationFormat {
+		event.PeerFormatOld.Write(event.PeerFormatOld.Log(&p.Log).Str("peer", addr).Uint64("version", uint64(reply.Version)).Int("format", reply.Format))
+		return PullReply{}, true
+	}
 	if reply.Heard {
 		p.lastDirectReply.Set(time.Now())
 	}
@@ -282,6 +306,7 @@
 		p.Forward(reply.Records)
 	}
 	if reply.Version == 0 {
+		p.confirm(reply, start)
 		return reply, true
 	}
 	if err := p.applyReply(reply, addr); err != nil {
@@ -289,10 +314,18 @@
 		p.requestFull.Store(true)
 		return reply, true
 	}
+	p.confirm(reply, start)
 	p.Forward(nil)
 	return reply, true
 }
 
+// confirm takes over the confirmation in a reply whose configuration, if any, has been applied. The call began at start.
+func (p *Peers) confirm(reply PullReply, start time.Time) {
+	if reply.Confirmed && reply.ConfirmedAge >= 0 && p.State.Version() >= reply.Version {
+		p.State.confirm(start.Add(-reply.ConfirmedAge))
+	}
+}
+
 func (p *Peers) applyReply(reply PullReply, addr string) error {
 	if len(reply.Changes) == 0 {
 		return p.State.validateAndAccept(&p.Log, reply.Version, reply.Configuration, nil, addr)
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -7,9 +7,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
@@ -22,6 +24,8 @@
 	// checksum is a checksum of the IDs, incarnations and sequences of all records.
 	checksum uint64
 	snapshot atomic.Pointer[config.Snapshot]
+	// confirmed is the time at which the store, directly or through other nodes, last had no newer configuration.
+	confirmed clock.EventTime
 	// deltas are the latest consecutive deltas, oldest first; the last one leads to the configuration in force.
 	deltas   []config.Delta
 	services atomic.Pointer[map[string][]membership.Instance]
@@ -54,6 +58,19 @@
 	return 0
 }
 
+// ConfigurationAge returns the time since the configuration in force was last known to be the newest one in the store.
+func (s *State) ConfigurationAge() time.Duration { return s.confirmed.Age(time.Now()) }
+
+// confirm records that the configuration in force was the newest one in the store at the given time, which is not after
+// the present. Earlier confirmations change nothing.
+func (s *State) confirm(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmed.Age(at) > 0 {
+		s.confirmed.Set(at)
+	}
+}
+
 // Accept puts a configuration in force and reports whether it did. A configuration that is not newer than the one in
 // force is rejected regardless of its source, so that a node never reverts to an older version. The deltas
 // are used if they start at the configuration in force; otherwise Accept computes one.
@@ -92,7 +109,7 @@
 		size += d.Size()
 	}
 	current := s.Current().Configuration
-	if size > len(current.Services)+len(current.Policies)+len(current.Routes) {
+	if size > len(current.Services)+len(current.Policies)+len(current.Routes)+len(current.Tenants) {
 		return nil, false
 	}
 	return slices.Clone(s.deltas[first:]), true
--- a/pkg/event/directory.go
+++ b/pkg/event/directory.go
@@ -25,5 +25,8 @@
 	RecordNotRemoved = define(1150, "record_not_removed", zerolog.WarnLevel,
 		"removing the record of an instance that departed long ago from the store failed; it is tried again",
 		"Check the store.")
+	PeerFormatOld = define(1320, "peer_format_old", zerolog.WarnLevel,
+		"a configuration from a node of an earlier build was ignored, since it may lack the workspaces and their keys",
+		"None while nodes are being upgraded; otherwise upgrade the named node.")
 	PeerNotHeard = define(1148, "peer_not_heard", zerolog.WarnLevel, "another node did not respond", "")
 )
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -17,6 +17,9 @@
 const (
 	RefusedNotReady            Refusal = "not_ready"
 	RefusedNoRoute             Refusal = "no_route"
+	RefusedUnknownKey          Refusal = "unknown_key"        // no valid API key on a route that is not public
+	RefusedConfigUnconfirmed   Refusal = "config_unconfirmed" // the node may lack the newest API keys or revocations
+	RefusedQuotaExceeded       Refusal = "quota_exceeded"     // beyond the requests a second of the tenant
 	RefusedNoInstance          Refusal = "no_instance"
 	RefusedMalformed           Refusal = "malformed"
 	RefusedTooLarge            Refusal = "too_large"
@@ -48,7 +51,7 @@
 
 // Refusals lists all reasons for refusals.
 var Refusals = []Refusal{
-	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
+	RefusedNotReady, RefusedNoRoute, RefusedUnknownKey, RefusedConfigUnconfirmed, RefusedQuotaExceeded, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
 	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedStopping, RefusedWrongService,
 	RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -41,6 +41,9 @@
 	key string
 	// caller is the service on the VM at which the request entered the mesh.
 	caller string
+	// hasTenants is set if the configuration has tenants; tenant is then the one that the call belongs to, or empty.
+	hasTenants bool
+	tenant     string
 
 	arrived  time.Time
 	deadline time.Time
@@ -99,7 +102,8 @@
 // outgoing returns what the next hop is told about the call.
 func (c *call) outgoing(now time.Time) Outgoing {
 	return Outgoing{ID: c.id, Service: c.service, Route: c.route, Rank: c.rank, Version: c.version, Attempt: c.attempt,
-		Retried: c.retried || c.attempt > 0, Remaining: wireRemaining(now, c.deadline), Caller: c.caller}
+		Retried: c.retried || c.attempt > 0, Remaining: wireRemaining(now, c.deadline), Caller: c.caller,
+		HasTenants: c.hasTenants, Tenant: c.tenant}
 }
 
 // setCommonHeaders sets the headers that are sent to the egress and, in the native dialect, also to the backend server.
@@ -125,6 +129,9 @@
 	if c.caller != "" {
 		set(h, HeaderCaller, escapeName(c.caller))
 	}
+	if c.hasTenants {
+		set(h, HeaderTenant, escapeName(c.tenant))
+	}
 	if c.keyed() {
 		setInt(h, HeaderWindow, c.idempotencyWindow.Microseconds())
 	}
@@ -138,6 +145,7 @@
 	delete(h, HeaderWindow)
 	delete(h, HeaderCaller)
 	delete(h, HeaderDue)
+	delete(h, HeaderTenant)
 }
 
 // digest hashes the parts that must be equal in two requests with the same idempotency key. Each part is preceded by
@@ -153,8 +161,17 @@
 	return [32]byte(d.Sum(nil))
 }
 
+// recordKey returns the name of the call's idempotency record. Each tenant has records of its own, so that none can get the
+// response to another's request. The separator cannot occur in a header value.
+func (c *call) recordKey() string {
+	if c.tenant == "" {
+		return c.key
+	}
+	return c.tenant + "\x00" + c.key
+}
+
 func (c *call) keyRequest() idempotency.Request {
-	return idempotency.Request{Service: c.service, Key: c.key, Digest: c.digest(), Window: c.idempotencyWindow}
+	return idempotency.Request{Service: c.service, Key: c.recordKey(), Digest: c.digest(), Window: c.idempotencyWindow}
 }
 
 // newID returns 128 random bits in hexadecimal form. The generator is seeded by the operating system and cannot be
@@ -171,6 +188,7 @@
 	rank     int
 	hops     int
 	retried  bool
+	tenant   string
 	deadline time.Time
 	// hasNestedCall is set by the first nested call, which shows that the backend server is working on this call.
 	hasNestedCall atomic.Bool
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -41,6 +41,8 @@
 	Malformed bool
 	// Parent is the ID of the call in progress at the local backend server in which this request is nested.
 	Parent string
+	// Credential is the API key of the request; see Credential. It is empty if there is no valid one.
+	Credential string
 }
 
 // Outgoing holds what the backend server is told about a request.
@@ -57,6 +59,10 @@
 	Remaining time.Duration
 	// Caller is the service on the VM at which the request entered the mesh.
 	Caller string
+	// HasTenants is set if the configuration has tenants. A name of a tenant that the caller has sent must then be removed.
+	HasTenants bool
+	// Tenant is the tenant whose API key the request carried, or empty.
+	Tenant string
 	// BackendID identifies the backend server process that the request is meant for; it changes with each restart.
 	BackendID string
 	// Call is the ID that the backend server passes on in nested calls for the request.
@@ -118,7 +124,8 @@
 
 // ParseIncoming implements Dialect.
 func (Native) ParseIncoming(r *http.Request) Incoming {
-	in := Incoming{Parent: first(r.Header, HeaderCall), Key: first(r.Header, headerKey), Malformed: badKey(r.Header[headerKey])}
+	in := Incoming{Parent: first(r.Header, HeaderCall), Key: first(r.Header, headerKey), Malformed: badKey(r.Header[headerKey]),
+		Credential: Credential(r.Header)}
 	StripMeshHeaders(r.Header)
 	return in
 }
@@ -129,6 +136,9 @@
 	if o.Call != "" {
 		set(h, HeaderCall, o.Call)
 	}
+	if o.Tenant != "" {
+		set(h, HeaderTenant, escapeName(o.Tenant))
+	}
 }
 
 // Classify implements Dialect.
@@ -151,6 +161,7 @@
 	if r.RetryAfter > 0 {
 		setInt(h, headerRetryAfter, int64((r.RetryAfter+time.Second-1)/time.Second))
 	}
+	SetChallenge(h, r.Reason)
 	body, _ := json.Marshal(refusalBody{Error: refusalText[r.Outcome], Outcome: outcomeNames[r.Outcome],
 		Reason: r.Reason, RetryAfterMs: r.RetryAfter.Milliseconds()})
 	return refusalStatusOf(r.Reason, r.Outcome), body
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -95,7 +95,7 @@
 	if rep.reason != "" {
 		e.Metrics.CountRefusal(rep.reason)
 		now := e.Clock.Now()
-		event.CallTurnedAway.Write(event.CallTurnedAway.Log(&e.Log).Str("request", c.id).Str("service", c.service).Str("route", c.route).
+		event.CallTurnedAway.Write(event.CallTurnedAway.Log(&e.Log).Str("request", c.id).Str("service", c.service).Str("route", c.route).Str("tenant", c.tenant).
 			Str("reason", string(rep.reason)).Str("outcome", outcomeNames[rep.outcome]).Int("rank", c.rank).Dur("took_ms", now.Sub(c.arrived)).
 			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
@@ -109,6 +109,14 @@
 	}
 }
 
+// current returns the configuration of this node, or nil if there is none.
+func (e *Egress) current() *config.Snapshot {
+	if e.Source == nil {
+		return nil
+	}
+	return e.Source.Current()
+}
+
 // compareVersions compares the configuration versions of this node and of the calling node. It sends a newer own
 // version in the response, and calls OnNewerVersion if the calling node has a newer one.
 func (e *Egress) compareVersions(w http.ResponseWriter, r *http.Request, peerVersion config.Version) {
@@ -137,6 +145,14 @@
 		service: unescapeName(first(h, HeaderService)), route: unescapeName(first(h, HeaderRoute)), policy: unescapeName(first(h, HeaderPolicy)),
 		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1",
 		caller: unescapeName(first(h, HeaderCaller))}
+	if tenant, ok := h[HeaderTenant]; ok {
+		c.hasTenants, c.tenant = true, unescapeName(tenant[0])
+	}
+	if snap := e.current(); snap != nil && snap.HasTenants() {
+		// The configuration of the calling node may be older than the first one with tenants.
+		c.hasTenants = true
+		delete(h, headerAuthorization)
+	}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(maxRemaining/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
 	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
@@ -212,7 +228,7 @@
 
 // run waits for a slot and sends the call to the backend server.
 func (e *Egress) run(ctx context.Context, c *call, addr string, h http.Header) *reply {
-	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
+	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Tenant: c.tenant, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
 	if refusal != nil {
 		rep := refuse(refusal.Reason)
 		rep.retryAfter, rep.load = refusal.RetryAfter, e.load()
@@ -245,7 +261,7 @@
 
 // exchange sends the call to the backend server once and returns its response.
 func (e *Egress) exchange(ctx context.Context, c *call, addr string, h http.Header, now time.Time) *reply {
-	active := &activeCall{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0}
+	active := &activeCall{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0, tenant: c.tenant}
 	id := e.Calls.add(active)
 	own, _ := e.Local.Instance()
 	out := c.outgoing(now)
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -139,7 +139,7 @@
 		target, err := in.selector.pick(now, balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now), Exclude: c.tried})
 		return target, err == nil
 	}
-	home, ok := in.Guard.Home(c.service, c.key)
+	home, ok := in.Guard.Home(c.service, c.recordKey())
 	if !ok || slices.Contains(c.tried, home.ID) {
 		return home, false
 	}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -42,6 +42,9 @@
 	HeaderDue = "Ml-Due-Us"
 	// HeaderCaller is the service on the VM at which the request entered the mesh.
 	HeaderCaller = "Ml-Caller"
+	// HeaderTenant is the tenant whose API key the request carried. Between nodes it is present with an empty value if the
+	// configuration has tenants and the request belongs to none; a backend server is sent names only.
+	HeaderTenant = "Ml-Tenant"
 
 	// HeaderOrigin states whether a response comes from a backend server or a node; HeaderOutcome whether the request
 	// was answered, has not run, or may have run; HeaderReason why a node refused it.
@@ -58,6 +61,9 @@
 	headerLength     = "Content-Length"
 	headerConnection = "Connection"
 	headerUserAgent  = "User-Agent"
+
+	headerAuthorization = "Authorization"
+	headerAuthenticate  = "Www-Authenticate"
 )
 
 // Values of HeaderOrigin: where the status of a response comes from.
@@ -75,6 +81,8 @@
 	MaxHops = 28
 	// MaxKeyBytes is the maximum length of an idempotency key in bytes.
 	MaxKeyBytes = 256
+	// MaxCredentialBytes is the maximum length of an API key in bytes.
+	MaxCredentialBytes = 4 << 10
 )
 
 // hopByHop lists the headers that apply to one connection only. Expect is included because bodies are read completely
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -48,6 +48,12 @@
 	DisableAttemptTimeout bool
 	// OnNewerVersion, if set, is called with the control address of a node that has a newer configuration.
 	OnNewerVersion func(controlAddress string)
+	// Quota limits the requests of tenants; nil means no limits.
+	Quota Quota
+	// KeyRules returns the rules for API keys, and ConfigurationAge the time since the configuration of this node was last
+	// known to be the newest one. If either is nil, the configuration is always relied on.
+	KeyRules         func() KeyRules
+	ConfigurationAge func() time.Duration
 }
 
 // Ingress accepts calls from callers and sends each to an instance of its service.
@@ -158,7 +164,7 @@
 // writeCallEvent adds the details of the call and of its reply to a log event, and writes it.
 func (in *Ingress) writeCallEvent(z *zerolog.Event, c *call, rep *reply, write func(*zerolog.Event)) {
 	now := in.Clock.Now()
-	z = z.Str("request", c.id).Str("service", c.service).Str("route", c.route).Str("reason", string(rep.reason)).
+	z = z.Str("request", c.id).Str("service", c.service).Str("route", c.route).Str("tenant", c.tenant).Str("reason", string(rep.reason)).
 		Str("outcome", outcomeNames[rep.outcome]).Int("attempts", len(c.tried)).Int("rank", c.rank).Uint64("version", uint64(c.version)).
 		Dur("took_ms", now.Sub(c.arrived)).Dur("left_ms", c.deadline.Sub(now)).Dur("retry_after_ms", rep.retryAfter)
 	if n := len(c.tried); n > 0 {
@@ -199,7 +205,12 @@
 	if !ok {
 		return c, refuseUnread(metric.RefusedNoRoute)
 	}
-	c.applyRoute(m, snap.Version, now)
+	c.parent = parent
+	tenant, rep := in.identify(r, c, snap, m.Route.Public, incoming.Credential)
+	c.applyRoute(m, tenant, snap.Version, now)
+	if rep != nil {
+		return c, rep
+	}
 	if len(m.Route.Split) > 0 {
 		c.service = in.splitter.Next(m.Route.Name, m.Route.Split)
 	}
@@ -213,6 +224,9 @@
 		event.HopLimit.Write(event.HopLimit.Log(&in.Log).Str("service", c.service).Str("request", c.id))
 		return c, refuseUnread(metric.RefusedTooManyHops)
 	}
+	if rep := in.admitQuota(r, tenant, now); rep != nil {
+		return c, rep
+	}
 	stripHopByHop(c.header)
 	return c, c.bufferBody(r, bodyLimit(snap), in.Bodies)
 }
@@ -242,11 +256,15 @@
 	return len(values) > 1 || len(values) == 1 && len(values[0]) > MaxKeyBytes
 }
 
-// applyRoute sets the fields that follow from the matched route and its policy.
-func (c *call) applyRoute(m *config.Match, version config.Version, now time.Time) {
+// applyRoute sets the fields that follow from the matched route, its policy and the tenant, which is nil if the call
+// belongs to none. The priority of a tenant takes precedence over that of the policy.
+func (c *call) applyRoute(m *config.Match, tenant *config.Tenant, version config.Version, now time.Time) {
 	c.version = version
 	c.service, c.route, c.policy = m.Route.Service, m.Route.Name, m.Policy.Name
 	c.rank, c.maxRetries = m.Policy.Rank, m.Policy.MaxRetries
+	if tenant != nil {
+		c.rank = m.Policy.RankFor(tenant.PriorityClass)
+	}
 	c.latencyTarget, c.deadline = m.Policy.Target.Std(), now.Add(m.Policy.Deadline.Std())
 	c.due = now.Add(c.latencyTarget)
 	c.idempotent = m.Route.Idempotent
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -50,6 +50,13 @@
 	return rep
 }
 
+// refuseBeforeBody returns a refusal for a request whose body, if it has one, was not read.
+func refuseBeforeBody(r *http.Request, reason metric.Refusal) *reply {
+	rep := refuse(reason)
+	rep.unread = r.ContentLength != 0
+	return rep
+}
+
 // replyFromFailure returns the refusal for an exchange that failed without a response.
 func replyFromFailure(res upstream.Result) *reply {
 	rep := &reply{outcome: res.Outcome, failure: res.Failure, err: res.Err}
@@ -98,6 +105,9 @@
 	metric.RefusedTooLarge:    http.StatusRequestEntityTooLarge,
 	metric.RefusedMalformed:   http.StatusBadRequest,
 	metric.RefusedForbidden:   http.StatusForbidden,
+
+	metric.RefusedUnknownKey:    http.StatusUnauthorized,
+	metric.RefusedQuotaExceeded: http.StatusTooManyRequests,
 }
 
 func refusalStatusOf(reason metric.Refusal, outcome idempotency.Outcome) int {
