--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -68,7 +68,20 @@
 	return rapid.Custom(func(t *rapid.T) Route {
 		return Route{Name: genName("r", 8).Draw(t, "name"), PathPrefix: genPath().Draw(t, "prefix"),
 			Methods: rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"GET", "POST", "PUT"}), 0, 3, rapid.ID).Draw(t, "methods"),
-			Service: genName("s", 5).Draw(t, "service"), Policy: genName("p", 4).Draw(t, "policy"), Idempotent: rapid.Bool().Draw(t, "idempotent")}
+			Service: genName("s", 5).Draw(t, "service"), Policy: genName("p", 4).Draw(t, "policy"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Public: rapid.Bool().Draw(t, "public")}
+	})
+}
+
+// genTenant generates tenants whose keys differ from those of all others, except that some lists repeat across versions.
+func genTenant() *rapid.Generator[Tenant] {
+	return rapid.Custom(func(t *rapid.T) Tenant {
+		w := Tenant{Name: genName("t", 4).Draw(t, "name"), PriorityClass: rapid.SampledFrom([]string{"", "0", "1"}).Draw(t, "class"),
+			Rate: rapid.SampledFrom([]float64{0, 0.5, 12}).Draw(t, "rate")}
+		for _, key := range rapid.SliceOfNDistinct(genName("k", 5), 0, 3, rapid.ID).Draw(t, "keys") {
+			w.Keys = append(w.Keys, KeyDigest(w.Name+key))
+		}
+		return w
 	})
 }
 
@@ -82,6 +95,7 @@
 		n.Add.Services, n.Change.Services = distributeItems(rapid.SliceOfN(genService(), 0, 4).Draw(t, "services"), valid, c.Services, func(s Service) string { return s.Name })
 		n.Add.Policies, n.Change.Policies = distributeItems(rapid.SliceOfN(genPolicy(), 0, 3).Draw(t, "policies"), valid, c.Policies, func(p Policy) string { return p.Name })
 		n.Add.Routes, n.Change.Routes = distributeItems(rapid.SliceOfN(genRoute(), 0, 4).Draw(t, "routes"), valid, c.Routes, func(r Route) string { return r.Name })
+		n.Add.Tenants, n.Change.Tenants = distributeItems(rapid.SliceOfN(genTenant(), 0, 3).Draw(t, "tenants"), valid, c.Tenants, func(w Tenant) string { return w.Name })
 		removed := genName("r", 8).Draw(t, "withdraw")
 		if _, ok := c.Routes[removed]; (ok && !slices.Contains(n.Touched().Routes, removed)) == valid {
 			n.Withdraw.Routes = []string{removed}
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -31,11 +31,14 @@
 	refusal *AdmissionRefusal
 	mu      sync.Mutex
 	ranks   []int
+	// requests holds all requests for a slot.
+	requests []AdmissionRequest
 }
 
 func (g *fifoGate) Acquire(ctx context.Context, req AdmissionRequest) (func(bool, bool, time.Duration), *AdmissionRefusal) {
 	g.mu.Lock()
 	g.ranks = append(g.ranks, req.Rank)
+	g.requests = append(g.requests, req)
 	g.mu.Unlock()
 	if g.refusal != nil {
 		return nil, g.refusal
@@ -211,6 +214,8 @@
 	header http.Header
 	body   string
 	err    error
+	// closes is set if the response ends its connection.
+	closes bool
 }
 
 // call sends a request to the node's listener for callers. The headers are alternating names and values.
@@ -228,7 +233,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err, closes: resp.Close}
 }
 
 func (n *node) get(path string, headers ...string) answer {
