--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -390,6 +390,15 @@
 			t.Errorf("%d store calls by %d nodes after a change, want at most %d", n, nodes, watcherCount*6)
 		}
 	})
+	// A configuration counts as confirmed at a watcher for two watches, and is passed on within ConfirmationDelay.
+	for range 50 {
+		time.Sleep(100 * time.Millisecond)
+		for i, s := range states {
+			if age := s.ConfigurationAge(); age > 2*time.Second+ConfirmationDelay {
+				t.Fatalf("node %d of %d: the configuration was last confirmed %v ago", i, nodes, age)
+			}
+		}
+	}
 	cancel()
 	wg.Wait()
 }
