--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -109,6 +109,11 @@
 	done          chan error
 	sequence      int
 	kernel        *kernel.Kernel
+	// bind is the address on which the node listens if it is not the one in its settings.
+	bind string
+	// log receives the log of the node, if set.
+	log     io.Writer
+	metrics *metric.Set
 }
 
 // testIP is a loopback address that only this process uses. On 127.0.0.1, another process or the source port of a
@@ -136,18 +141,29 @@
 }
 
 func startVM(t *testing.T, store, name, service string) *vm {
+	v := newVM(t, store, name, service)
+	v.start(t)
+	return v
+}
+
+// newVM returns a VM whose node has not started.
+func newVM(t *testing.T, store, name, service string) *vm {
 	v := &vm{backendServer: newTestBackendServer(t, "i-"+name)}
 	control := freePort(t)
 	v.VMSettings = platform.VMSettings{Node: name, Service: service, AvailabilityZone: "west", IP: testIP,
 		Backend: netip.MustParseAddrPort(v.backendServer.server.Listener.Addr().String()), Callers: freePort(t), Peers: freePort(t), Ready: freePort(t),
 		Announcements: freePort(t), FirstPort: int(control.Port()), LastPort: int(control.Port()), StoreAddress: store, Heartbeat: time.Second,
 		MemoryBytes: 284 << 20, Bounds: platform.Bounds{Drain: 600 * time.Millisecond, Grace: 6 * time.Second, Apply: 2 * time.Second, RetryRatio: 0.2}}
-	v.start(t)
 	return v
 }
 
 func (v *vm) start(t *testing.T) {
-	k, err := newNode(&Settings{Metrics: "127.0.0.1:0"}, v.VMSettings, zerolog.Nop(), metric.NewSet())
+	log := zerolog.Nop()
+	if v.log != nil {
+		log = zerolog.New(v.log)
+	}
+	v.metrics = metric.NewSet()
+	k, err := newNode(&Settings{Metrics: "127.0.0.1:0", Bind: v.bind}, v.VMSettings, log, v.metrics)
 	if err != nil {
 		t.Fatal(err)
 	}
