--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -51,6 +51,9 @@
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
+	// readAheadDivisor is the divisor that yields the memory for responses that their receivers take slowly from the memory
+	// limit of the process. Beyond it, such a receiver holds a slot of the backend server until its deadline.
+	readAheadDivisor = 16
 	// connectionsPerSlot limits the connections to the backend server; the limit is far below the number that it
 	// accepts.
 	connectionsPerSlot = 2
@@ -226,7 +229,7 @@
 	egress := proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
 		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), PassTargets: true}, Backend: find[*upstream.Pool](b, nameBackendPool), Calls: calls,
 		Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameDirectoryState),
-		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies})
+		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies, ReadAhead: proxy.NewBodyBudget(b.vm.MemoryBytes / readAheadDivisor)})
 	find[*healthChecker](b, nameHealth).onResponse = egress.TakeAdvice
 	b.Provide(nameEgress, egress)
 }
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -40,6 +41,10 @@
 	Dialect Dialect
 	// Bodies limits the memory that request bodies take; nil means no limit.
 	Bodies *BodyBudget
+	// ReadAhead limits the memory for responses that are read from the backend server before their receivers take them, and
+	// ReadAheadBytes that for one response; zero means DefaultReadAhead. Without ReadAhead, nothing is read ahead.
+	ReadAhead      *BodyBudget
+	ReadAheadBytes int64
 	// Source, if set, provides the current configuration of this node. Responses carry its version if it is newer than
 	// that of the call.
 	Source config.Source
@@ -245,20 +250,40 @@
 		release(false, false, 0)
 		return refuse(metric.RefusedStopping)
 	}
-	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
+	workCtx, interrupt := context.WithCancel(c.workContext(ctx))
+	rep := e.exchange(workCtx, c, addr, h, start)
 	e.Metrics.Observe(metric.BackendTime, e.Clock.Now().Sub(start))
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedBackendShed
 	if rep.rest == nil {
+		interrupt()
 		release(served, shed, e.Clock.Now().Sub(start))
 	} else {
 		rep.rest = &closeNotifier{ReadCloser: rep.rest, onClose: func(ended bool) {
 			release(ended, false, e.Clock.Now().Sub(start))
 		}}
+		rep.rest = e.readAhead(rep, interrupt)
 	}
 	rep.load = e.load()
 	return rep
 }
 
+// readAhead returns the rest of the body of a reply, which is read ahead if there is memory for it. Closing it calls
+// interrupt, which releases the context of the exchange.
+func (e *Egress) readAhead(rep *reply, interrupt context.CancelFunc) io.ReadCloser {
+	if e.ReadAhead == nil {
+		return &closeNotifier{ReadCloser: rep.rest, onClose: func(bool) { interrupt() }}
+	}
+	left := int64(-1)
+	if rep.length >= 0 {
+		left = rep.length - int64(len(rep.body))
+	}
+	limit := e.ReadAheadBytes
+	if limit == 0 {
+		limit = DefaultReadAhead
+	}
+	return newReadAhead(rep.rest, left, limit, e.ReadAhead, interrupt)
+}
+
 // exchange sends the call to the backend server once and returns its response.
 func (e *Egress) exchange(ctx context.Context, c *call, addr string, h http.Header, now time.Time) *reply {
 	active := &activeCall{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0, tenant: c.tenant}
