--- /dev/null
+++ b/pkg/proxy/pipeline_test.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/backend"
+)
+
+// pipe opens a connection to the node's listener for callers. The connection is closed when the test ends.
+func (n *node) pipe(t *testing.T) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", n.callers.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// pipelined returns a request for a connection on which others follow before it is answered.
+func pipelined(method, path, body string, headers ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: x\r\n", method, path)
+	for i := 0; i < len(headers); i += 2 {
+		fmt.Fprintf(&b, "%s: %s\r\n", headers[i], headers[i+1])
+	}
+	if method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	return b.String() + "\r\n" + body
+}
+
+// readAnswer reads the next response of a connection.
+func readAnswer(r *bufio.Reader) answer {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err, closes: resp.Close}
+}
+
+// Guards against responses to pipelined requests that come in another order than the requests, over one hop and over two, and
+// against one that is lost: the earlier requests take longer.
+func TestPipelinedAnswersComeInOrder(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	for _, n := range m.nodes {
+		conn, answers := n.pipe(t)
+		var all strings.Builder
+		const requests = 20
+		for i := range requests {
+			all.WriteString(pipelined("GET", fmt.Sprintf("/lookups/%d", i), "", backend.HeaderServiceTime, fmt.Sprintf("%dms", 2*(requests-i))))
+		}
+		if _, err := io.WriteString(conn, all.String()); err != nil {
+			t.Fatal(err)
+		}
+		for i := range requests {
+			a := readAnswer(answers)
+			if a.status != 200 || a.body != fmt.Sprintf("ran GET /lookups/%d %s", i, a.header.Get(HeaderRequestID)) {
+				t.Fatalf("response %d: %+v", i, a)
+			}
+		}
+	}
+}
+
+// Guards against a request that may run only once and is started before the request ahead of it on its connection is
+// answered: if that answer ends the connection, the client sends the request again.
+func TestPipelinedRequestWaitsForTheOneAhead(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	for i, n := range m.nodes {
+		conn, answers := n.pipe(t)
+		fmt.Fprint(conn, pipelined("GET", "/lookups", "", backend.HeaderFault, string(backend.FaultLate)),
+			pipelined("POST", "/deposits", "one"), pipelined("GET", "/lookups/last", ""))
+		waitUntil(func() bool { return m.nodes[0].standin.Counts().Total == 2*i+1 })
+		time.Sleep(50 * time.Millisecond) // A request that does not wait would run meanwhile.
+		if total := m.nodes[1].standin.Counts().Total; total != i {
+			t.Errorf("via node %d: %d deposits ran before the request ahead was answered, want %d", i, total, i)
+		}
+		m.nodes[0].standin.ReleaseLate()
+		for _, want := range []string{"ran GET /lookups ", "ran POST /deposits ", "ran GET /lookups/last "} {
+			if a := readAnswer(answers); a.status != 200 || !strings.HasPrefix(a.body, want) {
+				t.Errorf("via node %d: response %+v, want one that begins with %q", i, a, want)
+			}
+		}
+		if total := m.nodes[1].standin.Counts().Total; total != i+1 {
+			t.Errorf("via node %d: the deposit ran %d times, want once", i, total-i)
+		}
+	}
+}
+
+// Guards against a request that runs behind a response that ends its connection: its client counts it as not read and sends
+// it again.
+func TestNothingRunsBehindAClosingAnswer(t *testing.T) {
+	key := []string{"Authorization", "Bearer " + acmeKey}
+	for name, c := range map[string]struct {
+		first   string
+		prepare func(*node)
+		status  int
+	}{
+		"the client asks for it":         {pipelined("GET", "/lookups", "", append(key, "Connection", "close")...), nil, 200},
+		"refusal with an unread body":    {pipelined("POST", "/lookups", "body"), nil, 401},
+		"body beyond the limit":          {pipelined("POST", "/lookups", strings.Repeat("x", DefaultMaxBodyBytes+1), key...), nil, 413},
+		"no route":                       {pipelined("GET", "/none", "", key...), nil, 404},
+		"the node stops":                 {pipelined("GET", "/lookups", "", key...), func(n *node) { n.in.BeginShutdown(time.Now().Add(time.Hour)) }, 200},
+		"the node drains":                {pipelined("GET", "/lookups", "", key...), func(n *node) { n.in.BeginDrain() }, 503},
+		"cut response":                   {pipelined("GET", "/lookups", "", append(key, backend.HeaderBytes, "300000", backend.HeaderFault, string(backend.FaultCutLength))...), nil, 200},
+		"request that cannot be read":    {"GET /lookups HTTP/1.1\r\nBad Header: 1\r\n\r\n", nil, 400},
+		"length that is given two times": {"POST /lookups HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", nil, 400},
+	} {
+		m := newMesh(t, "desk", "office")
+		m.setTenants(acme())
+		n := m.nodes[1]
+		if c.prepare != nil {
+			c.prepare(n)
+		}
+		conn, answers := n.pipe(t)
+		go fmt.Fprint(conn, c.first, strings.Repeat(pipelined("POST", "/deposits", "one", key...), 3))
+		a := readAnswer(answers)
+		if a.status != c.status || !a.closes && a.err == nil {
+			t.Errorf("%s: response %+v, want status %d and the end of the connection", name, a, c.status)
+		}
+		if rest, _ := io.ReadAll(answers); len(rest) != 0 && a.err == nil {
+			t.Errorf("%s: %d more bytes came: %.100q", name, len(rest), rest)
+		}
+		if total := n.standin.Counts().Total; total != 0 {
+			t.Errorf("%s: %d deposits ran behind the response", name, total)
+		}
+	}
+}
+
+// Guards against a client that makes a node work on many requests at a time, or keep many, by pipelining without reading the
+// responses.
+func TestPipelineIsBounded(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	n := m.nodes[1]
+	var busy, most, runs atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer busy.Add(-1)
+		if now := busy.Add(1); now > most.Load() {
+			most.Store(now)
+		}
+		runs.Add(1)
+		_, _ = w.Write(make([]byte, 32<<10))
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ln) //nolint:errcheck // ends with Close
+	defer server.Close()
+	m.nodes[0].addr = ln.Addr().String()
+	conn, answers := n.pipe(t)
+	const requests = 5000
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for range requests {
+			if _, err := io.WriteString(conn, pipelined("GET", "/lookups", "")); err != nil {
+				return
+			}
+		}
+	}()
+	// The node stops reading once the kernel's buffers for the responses are full.
+	for last := int64(-1); last != runs.Load(); time.Sleep(200 * time.Millisecond) {
+		last = runs.Load()
+	}
+	if got := runs.Load(); got == 0 || got > requests/2 {
+		t.Errorf("%d of %d requests ran although no response was read, want a part that the buffers of the kernel hold", got, requests)
+	}
+	for i := range requests {
+		if a := readAnswer(answers); a.status != 200 || len(a.body) != 32<<10 {
+			t.Fatalf("response %d: status %d, %d bytes, error %v", i, a.status, len(a.body), a.err)
+		}
+	}
+	<-written
+	if most.Load() != 1 {
+		t.Errorf("%d requests of one connection ran at a time, want 1", most.Load())
+	}
+}
