Notice callers that leave while further requests wait on the connection

The server of net/http sees the end of a connection only while no other request waits on it, so that work for a client that pipelines went on after the client had left.

--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -130,12 +130,18 @@
 	}
 	defer in.tracker.leave()
 	c, rep := in.parse(r, incoming, parent)
+	if rep == nil && callerLeft(r.Context()) {
+		// The request has waited behind another one. Closing the connection discards those behind it.
+		rep = refuseUnread(metric.RefusedCallerGone)
+	}
 	defer in.Bodies.release(int64(len(c.body)))
 	if rep == nil && in.stop.before(c.deadline) {
 		rep = refuse(metric.RefusedDraining)
 	}
 	if rep == nil {
-		rep = in.forward(r.Context(), c)
+		ctx, stop := watchCaller(r.Context())
+		defer stop()
+		rep = in.forward(ctx, c)
 	}
 	if rep.reason != "" {
 		in.Metrics.CountRefusal(rep.reason)
--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -187,6 +187,7 @@
 func (m *mesh) newNode(i int, service string, g idempotency.Guard) *node {
 	n := &node{id: membership.InstanceID(fmt.Sprint("i", i)), metrics: metric.NewSet(), gate: &fifoGate{slots: make(chan struct{}, 20)}}
 	n.callers = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.in.ServeHTTP(w, r) }))
+	n.callers.Config.ConnContext = NewServer(nil).ConnContext
 	n.peers = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { n.eg.ServeHTTP(w, r) }))
 	n.standin = backend.New(backend.Settings{Slots: 2 * MaxHops, NodeCallers: n.callers.Listener.Addr().String()})
 	web := httptest.NewServer(n.standin)
--- a/pkg/proxy/pipeline_test.go
+++ b/pkg/proxy/pipeline_test.go
@@ -185,3 +185,35 @@
 		t.Errorf("%d requests of one connection ran at a time, want 1", most.Load())
 	}
 }
+
+// Guards against requests that run after their client has closed the connection, because earlier ones on it were still in
+// progress, and against idempotent work that goes on for a client that has left while others of its requests wait.
+func TestPipelineOfAClientThatLeft(t *testing.T) {
+	for name, later := range map[string]bool{"sent at once": false, "sent while the first is in progress": true} {
+		m := newMesh(t, "desk", "office")
+		n := m.nodes[1]
+		conn, _ := n.pipe(t)
+		behind := pipelined("GET", "/lookups/behind", "") + pipelined("POST", "/deposits", "behind")
+		first := pipelined("GET", "/lookups", "", backend.HeaderServiceTime, "8s")
+		if later {
+			fmt.Fprint(conn, first)
+		} else {
+			fmt.Fprint(conn, first, behind)
+		}
+		waitUntil(func() bool { return m.runs() == 1 })
+		if later {
+			fmt.Fprint(conn, behind)
+			time.Sleep(20 * time.Millisecond)
+		}
+		conn.Close()
+		start := time.Now()
+		waitUntil(func() bool { return m.nodes[0].standin.Idle() || time.Since(start) > 5*time.Second })
+		time.Sleep(50 * time.Millisecond) // A request behind would run now.
+		if c := m.nodes[0].standin.Counts(); c.Cancelled != 1 {
+			t.Errorf("%s: got counts %+v, want the first request cancelled", name, c)
+		}
+		if m.runs() != 1 {
+			t.Errorf("%s: %d requests ran, want only the one that was in progress when the client left", name, m.runs())
+		}
+	}
+}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -24,6 +24,7 @@
 func NewServer(h http.Handler) *http.Server {
 	s := NewPeerServer(h)
 	s.ReadTimeout = readTimeout
+	s.ConnContext = withCallerConn
 	return s
 }
 
