--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -51,6 +51,9 @@
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
+	// readAheadDivisor is the divisor that yields the memory for responses that their receivers take slowly from the memory
+	// limit of the process. Beyond it, such a receiver holds a slot of the backend server until its deadline.
+	readAheadDivisor = 16
 	// connectionsPerSlot limits the connections to the backend server; the limit is far below the number that it
 	// accepts.
 	connectionsPerSlot = 2
@@ -80,6 +83,7 @@
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
 	nameReloader       = "reload"
+	nameKeyRules       = "keyRules"
 )
 
 // builder assembles the node. Each component finds the components that it needs by name.
@@ -226,20 +230,23 @@
 	egress := proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
 		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), PassTargets: true}, Backend: find[*upstream.Pool](b, nameBackendPool), Calls: calls,
 		Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameDirectoryState),
-		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies})
+		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies, ReadAhead: proxy.NewBodyBudget(b.vm.MemoryBytes / readAheadDivisor)})
 	find[*healthChecker](b, nameHealth).onResponse = egress.TakeAdvice
 	b.Provide(nameEgress, egress)
 }
 
 // buildIngress creates the ingress, which accepts callers' requests.
 func buildIngress(b *builder) {
-	state := find[*directory.State](b, nameDirectoryState)
+	state, rules := find[*directory.State](b, nameDirectoryState), &keyRules{}
+	rules.set(b.vm.Bounds)
+	b.Provide(nameKeyRules, rules)
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
 		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
-		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
+		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget),
+		KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge}))
 }
 
 // buildBackgroundTasks creates the service that runs the background tasks that belong to no listener.
@@ -277,10 +284,11 @@
 
 // buildLifecycle creates the reloader of the settings and the drainer.
 func buildLifecycle(b *builder) {
-	announcer, follower := find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower)
+	announcer, follower, rules := find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower), find[*keyRules](b, nameKeyRules)
 	b.Provide(nameReloader, &reloader{path: b.settings.File, current: b.vm, log: b.log, apply: func(bounds platform.Bounds) {
 		announcer.SetDrainTime(bounds.Drain / drainTimeDivisor)
 		follower.SetApplyBound(bounds.Apply)
+		rules.set(bounds)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReadiness), ingress: find[*proxy.Ingress](b, nameIngress),
 		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log,
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -41,6 +42,10 @@
 	Dialect Dialect
 	// Bodies limits the memory that request bodies take; nil means no limit.
 	Bodies *BodyBudget
+	// ReadAhead limits the memory for responses that are read from the backend server before their receivers take them, and
+	// ReadAheadBytes that for one response; zero means DefaultReadAhead. Without ReadAhead, nothing is read ahead.
+	ReadAhead      *BodyBudget
+	ReadAheadBytes int64
 	// Source, if set, provides the current configuration of this node. Responses carry its version if it is newer than
 	// that of the call.
 	Source config.Source
@@ -96,7 +101,7 @@
 	if rep.reason != "" {
 		e.Metrics.CountRefusal(rep.reason)
 		now := e.Clock.Now()
-		event.CallTurnedAway.Write(event.CallTurnedAway.Log(&e.Log).Str("request", c.id).Str("service", c.service).Str("route", c.route).
+		event.CallTurnedAway.Write(event.CallTurnedAway.Log(&e.Log).Str("request", c.id).Str("service", c.service).Str("route", c.route).Str("tenant", c.tenant).
 			Str("reason", string(rep.reason)).Str("outcome", outcomeNames[rep.outcome]).Int("rank", c.rank).Dur("took_ms", now.Sub(c.arrived)).
 			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
@@ -110,6 +115,14 @@
 	}
 }
 
+// current returns the configuration of this node, or nil if there is none.
+func (e *Egress) current() *config.Snapshot {
+	if e.Source == nil {
+		return nil
+	}
+	return e.Source.Current()
+}
+
 // compareVersions compares the configuration versions of this node and of the calling node. It sends a newer own
 // version in the response, and calls OnNewerVersion if the calling node has a newer one.
 func (e *Egress) compareVersions(w http.ResponseWriter, r *http.Request, peerVersion config.Version) {
@@ -138,6 +151,14 @@
 		service: unescapeName(first(h, HeaderService)), route: unescapeName(first(h, HeaderRoute)), policy: unescapeName(first(h, HeaderPolicy)),
 		idempotent: first(h, HeaderIdempotent) == "1", retried: first(h, HeaderRetried) == "1",
 		caller: unescapeName(first(h, HeaderCaller))}
+	if tenant, ok := h[HeaderTenant]; ok {
+		c.hasTenants, c.tenant = true, unescapeName(tenant[0])
+	}
+	if snap := e.current(); snap != nil && snap.HasTenants() {
+		// The configuration of the calling node may be older than the first one with tenants.
+		c.hasTenants = true
+		delete(h, headerAuthorization)
+	}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(maxRemaining/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
 	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
@@ -220,7 +241,7 @@
 
 // run waits for a slot and sends the call to the backend server.
 func (e *Egress) run(ctx context.Context, c *call, addr string, h http.Header) *reply {
-	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
+	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Tenant: c.tenant, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
 	if refusal != nil {
 		rep := refuse(refusal.Reason)
 		rep.retryAfter, rep.load = refusal.RetryAfter, e.load()
@@ -237,23 +258,43 @@
 		release(false, false, 0)
 		return refuse(metric.RefusedStopping)
 	}
-	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
+	workCtx, interrupt := context.WithCancel(c.workContext(ctx))
+	rep := e.exchange(workCtx, c, addr, h, start)
 	e.Metrics.Observe(metric.BackendTime, e.Clock.Now().Sub(start))
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedBackendShed
 	if rep.rest == nil {
+		interrupt()
 		release(served, shed, e.Clock.Now().Sub(start))
 	} else {
 		rep.rest = &closeNotifier{ReadCloser: rep.rest, onClose: func(ended bool) {
 			release(ended, false, e.Clock.Now().Sub(start))
 		}}
+		rep.rest = e.readAhead(rep, interrupt)
 	}
 	rep.load = e.load()
 	return rep
 }
 
+// readAhead returns the rest of the body of a reply, which is read ahead if there is memory for it. Closing it calls
+// interrupt, which releases the context of the exchange.
+func (e *Egress) readAhead(rep *reply, interrupt context.CancelFunc) io.ReadCloser {
+	if e.ReadAhead == nil {
+		return &closeNotifier{ReadCloser: rep.rest, onClose: func(bool) { interrupt() }}
+	}
+	left := int64(-1)
+	if rep.length >= 0 {
+		left = rep.length - int64(len(rep.body))
+	}
+	limit := e.ReadAheadBytes
+	if limit == 0 {
+		limit = DefaultReadAhead
+	}
+	return newReadAhead(rep.rest, left, limit, e.ReadAhead, interrupt)
+}
+
 // exchange sends the call to the backend server once and returns its response.
 func (e *Egress) exchange(ctx context.Context, c *call, addr string, h http.Header, now time.Time) *reply {
-	active := &activeCall{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0}
+	active := &activeCall{rank: c.rank, hops: c.hops, deadline: c.deadline, retried: c.retried || c.attempt > 0, tenant: c.tenant}
 	id := e.Calls.add(active)
 	own, _ := e.Local.Instance()
 	out := c.outgoing(now)
