Name the limit in all responses of the test's backend server

TestLimitIsKnownBeforeTheFirstRequest failed sometimes beside load (25 requests, 2 allowed). It is the test: its backend server named the limit in the health check only, while a server in need names it in each answer, and a limit that the answers no longer name ends after 500 ms. Traced with the times of all sends and responses:

- The first request waits in the queue for the limit and starts 3.3 s after the health check.
Mostly only 10 ms of its deadline are left then, the exchange ends without a response, and the limit stays.
- If the request arrives somewhat later, as beside load, its response arrives, names no limit, and lifts it: the other requests start.

Now all responses name the limit. So that these can't stand in for the health check, the backend server holds them until the requests are counted; the bound is as before.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -45,7 +45,7 @@
 	leaving atomic.Bool
 	// healthDelay is the time in nanoseconds that the health check takes.
 	healthDelay atomic.Int64
-	// limit is the limit that the health check names, or nil.
+	// limit is the limit that all responses name, or nil.
 	limit atomic.Value
 }
 
@@ -57,12 +57,12 @@
 }
 
 func (s *testBackendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if limit := s.limit.Load(); limit != nil {
+		w.Header().Set("Server-Limit", limit.(string))
+	}
 	if r.URL.Path == "/healthz" {
 		time.Sleep(time.Duration(s.healthDelay.Load()))
 		w.Header().Set("X-Instance-Id", s.id)
-		if limit := s.limit.Load(); limit != nil {
-			w.Header().Set("Server-Limit", limit.(string))
-		}
 		if s.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -811,28 +811,35 @@
 	<-limited.done
 	limited.start(t)
 	waitFor(t, "the restarted node to be ready", func() bool { return limited.readyStatus() == http.StatusOK })
+	// No response arrives before the requests are counted, so that only the health check can have named the limit.
+	counted := make(chan struct{})
+	release := sync.OnceFunc(func() { close(counted) })
+	t.Cleanup(release)
 	limited.backendServer.mu.Lock()
 	before := len(limited.backendServer.headers)
-	limited.backendServer.handler = func(http.ResponseWriter, *http.Request) bool { time.Sleep(200 * time.Millisecond); return false }
+	limited.backendServer.handler = func(http.ResponseWriter, *http.Request) bool { <-counted; return false }
 	limited.backendServer.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for limited.backendServer.requestCount() == before && t.Context().Err() == nil {
+			limited.call("GET", "/safe/1", "first")
+		}
+	})
 	waitFor(t, "a request to reach the limited backend server", func() bool {
 		limited.sendHeartbeat("ready")
-		limited.call("GET", "/safe/1", "first")
-		limited.backendServer.mu.Lock()
-		defer limited.backendServer.mu.Unlock()
-		return len(limited.backendServer.headers) > before
+		return limited.backendServer.requestCount() > before
 	})
-	var wg sync.WaitGroup
 	for i := range 40 {
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
 			[]*vm{limited, deskVM}[i%2].call("GET", "/safe/1", fmt.Sprint("b", i)) // It may be refused.
 		})
 	}
+	time.Sleep(time.Second)
+	sent := limited.backendServer.requestCount() - before
+	release()
 	wg.Wait()
-	limited.backendServer.mu.Lock()
-	defer limited.backendServer.mu.Unlock()
-	if sent := len(limited.backendServer.headers) - before; sent > 2 {
+	if sent > 2 {
 		t.Errorf("%d requests reached a backend server within a second that takes one in three seconds", sent)
 	}
 }
