Tell "not run" of a request that another node cannot have read whole

A request that broke off while it was written to another node counted as unknown from its first byte on: 502, or 504 on the users' platform, after which a client may not repeat an unsafe request, and no attempt at another instance. But another node reads the whole request before it hands it on. If the connection fails before the kernel has accepted the last byte, the other node cannot have started, and the outcome is "not run". Exchange.StartsWhenComplete says so for exchanges between nodes only; a backend server may start on the first byte, so that nothing changes there. A request that the node has encoded wrongly, and a failed write all of whose bytes were accepted, stay unknown.

A request with a header of the maximum length passed the listener for callers, and was refused by the next node, whose limit was the same though the mesh adds headers: 431 without the ID of the request, so 502 to the client. The listener between nodes now has room for the headers of the mesh.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -181,7 +181,7 @@
 func (in *Ingress) send(ctx context.Context, c *call, target membership.Instance, now time.Time) *reply {
 	setCommonHeaders(c.header, c.outgoing(now))
 	c.setPeerHeaders(c.header, now)
-	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true,
+	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true, StartsWhenComplete: true,
 		Idempotent: c.idempotent, Deadline: c.deadline.Add(responseGrace)}
 	if c.requestRetry != nil {
 		ex.ResponseCheckAt = now.Add(c.attemptTimeout)
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -18,12 +18,15 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the header of a request. Operators may allow callers less, but not more.
 	maxHeaderBytes = 1 << 20
+	// meshHeaderBytes is the room for the headers that a node adds to a request. Without it, another node would refuse a
+	// request in a form that does not show to which request it belongs.
+	meshHeaderBytes = 64 << 10
 )
 
 // NewServer returns an HTTP server for the listener that accepts calls from callers.
 func NewServer(h http.Handler) *http.Server {
 	s := NewPeerServer(h)
-	s.ReadTimeout = readTimeout
+	s.ReadTimeout, s.MaxHeaderBytes = readTimeout, maxHeaderBytes
 	return s
 }
 
@@ -31,7 +34,7 @@
 // nodes write a request without pauses, and a read timeout shorter than the idle timeout would interrupt the runtime's
 // network poller for each request.
 func NewPeerServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: h, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + meshHeaderBytes}
 }
 
 // Tuning holds the Go runtime settings of a node. Zero values keep the defaults of the runtime.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -32,6 +32,8 @@
 	// bytesSent counts the bytes of the request that the kernel accepted. It is atomic because a long request is written
 	// concurrently with reading the response.
 	bytesSent atomic.Int64
+	// incomplete is set when the kernel has refused a part of the request; nothing is written after that.
+	incomplete atomic.Bool
 	// writeErr is the error with which a write of the request has failed. net/http hides it if the body is being written.
 	writeErr error
 
@@ -67,12 +69,16 @@
 		c.writeDeadlineSet = true
 		if err := c.SetWriteDeadline(c.deadline); err != nil {
 			c.writeErr = err
+			c.incomplete.Store(true)
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Write(p)
 	c.bytesSent.Add(int64(n))
 	c.writeErr = err
+	if err != nil && n < len(p) {
+		c.incomplete.Store(true)
+	}
 	return n, err
 }
 
@@ -129,6 +135,7 @@
 // attachBuffers takes buffers from the pools for one exchange.
 func (c *conn) attachBuffers() {
 	c.bytesSent.Store(0)
+	c.incomplete.Store(false)
 	c.writeErr = nil
 	c.br = readerPool.Get().(*bufio.Reader)
 	c.br.Reset(c)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -40,6 +40,9 @@
 	// Idempotent requests may use any pooled connection, others only one with a response within
 	// Settings.MaxNonIdempotentIdle.
 	Idempotent bool
+	// StartsWhenComplete states that the server acts on a request only once it has read all of it, as other nodes do. If the
+	// connection fails before the kernel has accepted the last byte, the request has then not run.
+	StartsWhenComplete bool
 	// Dedicated makes the exchange use a new connection, which is closed afterwards. It is for requests without an ID: on a
 	// connection that others use, a second copy of a response without an ID could be taken for the response to any of them.
 	Dedicated bool
@@ -58,11 +61,11 @@
 // Do sends the request to addr and reads the response. Cancelling ctx closes the connection.
 func (p *Pool) Do(ctx context.Context, addr string, ex *Exchange) Result {
 	if err := ctx.Err(); err != nil {
-		return failedResult(FailCancelled, 0, err)
+		return failedResult(FailCancelled, err)
 	}
 	now := p.settings.Clock.Now()
 	if !ex.Deadline.IsZero() && !now.Before(ex.Deadline) {
-		return failedResult(FailDeadline, 0, os.ErrDeadlineExceeded)
+		return failedResult(FailDeadline, os.ErrDeadlineExceeded)
 	}
 	c, res := p.acquire(ctx, addr, ex, now)
 	if c == nil {
@@ -71,7 +74,7 @@
 	if ex.BeforeSend != nil {
 		if err := ex.BeforeSend(); err != nil {
 			c.host.discard(c)
-			return failedResult(FailWithheld, 0, err)
+			return failedResult(FailWithheld, err)
 		}
 	}
 	c.attachBuffers()
@@ -102,11 +105,11 @@
 	}
 	c, err := h.dial(ctx, max)
 	if err != nil {
-		return nil, failedResult(classifyDialError(ctx, err), 0, err)
+		return nil, failedResult(classifyDialError(ctx, err), err)
 	}
 	if err := c.startExchange(ctx, ex); err != nil {
 		h.discard(c)
-		return nil, failedResult(FailConnect, 0, err)
+		return nil, failedResult(FailConnect, err)
 	}
 	return c, Result{}
 }
@@ -140,7 +143,7 @@
 func (c *conn) roundTripLong(ctx context.Context, ex *Exchange) Result {
 	c.writeDeadlineSet = true
 	if err := c.SetWriteDeadline(c.deadline); err != nil {
-		return failedResult(FailWrite, 0, err)
+		return failedResult(FailWrite, err)
 	}
 	written := make(chan Result, 1)
 	go func() {
@@ -152,7 +155,7 @@
 	}()
 	res := c.receive(ctx, ex)
 	if res.Response == nil {
-		return c.stopWriter(res, written)
+		return c.stopWriter(ex, res, written)
 	}
 	if !c.awaitWriter(written) {
 		// The server would read the next request as the rest of the body.
@@ -181,7 +184,7 @@
 // stopWriter ends the writer of a request whose response could not be read, and returns the result of the exchange.
 // Whether the request was sent is known only when the writer has ended: bytes that belong to no response may arrive
 // before the first byte of the request is written. A failure of the writer itself takes precedence.
-func (c *conn) stopWriter(res Result, written <-chan Result) Result {
+func (c *conn) stopWriter(ex *Exchange, res Result, written <-chan Result) Result {
 	select {
 	case sent := <-written:
 		if sent.Failure != FailNone {
@@ -191,7 +194,7 @@
 		c.SetWriteDeadline(pastDeadline) //nolint:errcheck // fails only on a closed connection, where the write ends too
 		<-written
 	}
-	res.Outcome = outcomeOfFailure(c.bytesSent.Load())
+	res.Outcome = c.outcomeOfFailure(ex)
 	return res
 }
 
@@ -209,9 +212,9 @@
 	case err == nil:
 		return Result{}
 	case c.writeErr != nil:
-		return failedResult(c.classifyError(ctx, c.writeErr, FailWrite), c.bytesSent.Load(), c.writeErr)
+		return c.failedResult(ex, c.classifyError(ctx, c.writeErr, FailWrite), c.writeErr)
 	}
-	return failedResult(c.classifyError(ctx, err, FailRequest), c.bytesSent.Load(), err)
+	return c.failedResult(ex, c.classifyError(ctx, err, FailRequest), err)
 }
 
 const (
@@ -232,24 +235,24 @@
 	for range maxResponses {
 		resp, err := c.readHead(ex)
 		if err != nil {
-			return failedResult(c.classifyError(ctx, err, FailMalformed), c.bytesSent.Load(), err)
+			return c.failedResult(ex, c.classifyError(ctx, err, FailMalformed), err)
 		}
 		switch err := verifyHead(resp, ex); {
 		case err == nil:
 			return c.readBody(ctx, resp, ex)
 		case !errors.Is(err, ErrRequestIDMismatch):
-			return failedResult(FailCut, c.bytesSent.Load(), err)
+			return c.failedResult(ex, FailCut, err)
 		case !ex.SkipLateResponses || resp.Close || resp.Header.Get(ex.echoHeader()) == "":
-			return failedResult(FailMismatch, c.bytesSent.Load(), err)
+			return c.failedResult(ex, FailMismatch, err)
 		}
 		c.limitBytes(maxDiscardedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); errors.Is(err, errReadBudget) {
-			return failedResult(FailMismatch, c.bytesSent.Load(), err)
+			return c.failedResult(ex, FailMismatch, err)
 		} else if err != nil {
-			return failedResult(c.classifyError(ctx, err, FailCut), c.bytesSent.Load(), err)
+			return c.failedResult(ex, c.classifyError(ctx, err, FailCut), err)
 		}
 	}
-	return failedResult(FailMismatch, c.bytesSent.Load(), ErrRequestIDMismatch)
+	return c.failedResult(ex, FailMismatch, ErrRequestIDMismatch)
 }
 
 func (ex *Exchange) echoHeader() string {
@@ -322,7 +325,7 @@
 	limit := c.host.pool.settings.MaxBufferedBody
 	body, complete, err := readBounded(resp, limit)
 	if err != nil {
-		return failedResult(c.classifyError(ctx, err, FailCut), c.bytesSent.Load(), err)
+		return c.failedResult(ex, c.classifyError(ctx, err, FailCut), err)
 	}
 	a.Body = body
 	if !complete {
--- a/pkg/upstream/result.go
+++ b/pkg/upstream/result.go
@@ -56,7 +56,8 @@
 	errConnectionLimit   = errors.New("maximum number of connections to the address in use")
 )
 
-// Result is the result of one exchange. Outcome is OutcomeNotRun only if no byte of the request left this process.
+// Result is the result of one exchange. Outcome is OutcomeNotRun only if no byte of the request left this process, or if the
+// last byte did not and the server starts only on complete requests (Exchange.StartsWhenComplete).
 type Result struct {
 	Outcome  idempotency.Outcome
 	Failure  Failure
@@ -75,15 +76,21 @@
 	Remainder io.ReadCloser
 }
 
-// failedResult returns the result of an exchange that failed after sent bytes of the request had been written, and that
-// writes no more.
-func failedResult(f Failure, sent int64, err error) Result {
-	return Result{Outcome: outcomeOfFailure(sent), Failure: f, Err: fmt.Errorf("upstream: %s: %w", f, err)}
+// failedResult returns the result of an exchange that failed before anything was written.
+func failedResult(f Failure, err error) Result {
+	return Result{Outcome: idempotency.OutcomeNotRun, Failure: f, Err: wrapFailure(f, err)}
 }
 
-// outcomeOfFailure returns the outcome of a request without a response of which sent bytes were written in all.
-func outcomeOfFailure(sent int64) idempotency.Outcome {
-	if sent == 0 {
+// failedResult returns the result of an exchange that failed on this connection, and that writes no more.
+func (c *conn) failedResult(ex *Exchange, f Failure, err error) Result {
+	return Result{Outcome: c.outcomeOfFailure(ex), Failure: f, Err: wrapFailure(f, err)}
+}
+
+func wrapFailure(f Failure, err error) error { return fmt.Errorf("upstream: %s: %w", f, err) }
+
+// outcomeOfFailure returns the outcome of a request without a response, of which no more is written.
+func (c *conn) outcomeOfFailure(ex *Exchange) idempotency.Outcome {
+	if c.bytesSent.Load() == 0 || ex.StartsWhenComplete && c.incomplete.Load() {
 		return idempotency.OutcomeNotRun
 	}
 	return idempotency.OutcomeUnknown
