--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
+	"github.com/monsoonlatch/monsoonlatch/pkg/quota"
 	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
@@ -77,6 +78,7 @@
 	nameHealth         = "health"
 	nameEgress         = "egress"
 	nameIngress        = "ingress"
+	nameQuota          = "quota"
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
 	nameReloader       = "reload"
@@ -95,7 +97,7 @@
 
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
 // the drainer first, the control server last.
-var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildEgress, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
+var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildEgress, buildQuota, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
 
 // newNode builds all components. It returns the first error.
 func newNode(s *Settings, vm platform.VMSettings, log zerolog.Logger, metrics *metric.Set) (*kernel.Kernel, error) {
@@ -230,6 +232,18 @@
 	b.Provide(nameEgress, egress)
 }
 
+// buildQuota creates the service that holds tenants to their quotas over all nodes.
+func buildQuota(b *builder) {
+	state, bounds := find[*directory.State](b, nameDirectoryState), b.vm.Bounds
+	pool, server, follower := find[*rpcwire.Pool](b, nameRPCPool), find[*rpcwire.Server](b, nameControl), find[*directory.Follower](b, nameFollower)
+	if b.Err != nil {
+		return
+	}
+	b.Provide(nameQuota, quota.New(quota.Settings{Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, View: state, Complete: follower.InstancesListed,
+		Caller: pool, Version: func() uint64 { return uint64(state.Version()) }, Clock: b.clock, Metrics: b.metrics(), Log: b.callLog,
+		Terms: quota.Terms{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}}, server))
+}
+
 // buildIngress creates the ingress, which accepts callers' requests.
 func buildIngress(b *builder) {
 	state := find[*directory.State](b, nameDirectoryState)
@@ -244,13 +258,14 @@
 // buildBackgroundTasks creates the service that runs the background tasks that belong to no listener.
 func buildBackgroundTasks(b *builder) {
 	follower, peers, ingress := find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers), find[*proxy.Ingress](b, nameIngress)
+	quotas := find[*quota.Service](b, nameQuota)
 	if b.Err != nil {
 		return
 	}
 	cleaner := &directory.Cleaner{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Self: b.self(),
 		Clock: b.clock, Log: b.log}
 	b.Register(newBackgroundTasks("duties", cleaner.Run, follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
-		find[*announce.BackendTracker](b, nameAnnounce).Run, ingress.Run, ingress.Peers.Run, find[*upstream.Pool](b, nameBackendPool).Run))
+		find[*announce.BackendTracker](b, nameAnnounce).Run, ingress.Run, ingress.Peers.Run, quotas.Run, quotas.RunTransfers, find[*upstream.Pool](b, nameBackendPool).Run))
 }
 
 // buildListeners creates a service for each address that the node listens on over HTTP.
--- a/pkg/event/datapath.go
+++ b/pkg/event/datapath.go
@@ -31,4 +31,24 @@
 		"the responses of the backend server name another limit on its requests per second, or say that it leaves or no longer leaves",
 		"Find out why the backend server takes less; limit 0 means that it names none.")
 	DrainEnded = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no calls in flight", "")
+
+	QuotaRefused = define(1330, "quota_refused", zerolog.InfoLevel,
+		"a tenant's requests are refused because they exceed its quota",
+		"Compare the tenant's demand with its rate and burst in the configuration.")
+	QuotaHomeLost = define(1331, "quota_home_lost", zerolog.WarnLevel,
+		"a node that keeps quotas of tenants does not answer; the next node stands in for it",
+		"Check the VM of the named node and the network to it.")
+	QuotaHomeBack = define(1332, "quota_home_back", zerolog.InfoLevel, "a node that keeps quotas of tenants answers again", "")
+	QuotaLone     = define(1333, "quota_lone", zerolog.WarnLevel,
+		"no node of the zone answers for the quota of a tenant; this node admits a small part of it alone",
+		"Check the network between the VMs of the zone.")
+	QuotaIsolated = define(1334, "quota_isolated", zerolog.WarnLevel,
+		"no other node of the zone answers this one, which keeps quotas of tenants; it grants none until one does",
+		"Check the network between this VM and the others of the zone.")
+	QuotaRejoined = define(1335, "quota_rejoined", zerolog.InfoLevel,
+		"another node of the zone has been reached again; this node grants quotas of tenants again", "")
+	QuotaLimitChanged = define(1336, "quota_limit_changed", zerolog.InfoLevel,
+		"the limit of a tenant has changed and is in force at the node that keeps its quota", "")
+	QuotaTransferFailed = define(1337, "quota_transfer_failed", zerolog.InfoLevel,
+		"another zone did not answer a request for a part of a tenant's quota", "")
 )
