--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -12,7 +12,7 @@
 	aheadLead = 50 * time.Millisecond
 	// minAheadRate is the number of requests per second at one node from which tokens are taken ahead. Below it, most
 	// tokens taken ahead would expire unused.
-	minAheadRate = 10
+	minAheadRate = 20
 	// maxBlock is the longest time for which a node refuses requests by the last answer of the home.
 	maxBlock = 50 * time.Millisecond
 	// minRetryAfter is the shortest time after which a refused caller is asked to come back.
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -25,7 +25,7 @@
 	// reservedTime is the time for which a giver keeps what its own demand needs.
 	reservedTime = 500 * time.Millisecond
 	// leadTime is the time before a bucket runs out at which tokens are requested from other zones.
-	leadTime = 100 * time.Millisecond
+	leadTime = 150 * time.Millisecond
 	// transferMargin is the factor by which a request for tokens exceeds the expected need.
 	transferMargin = 1.15
 	// fruitlessPause is the interval between requests for tokens when no zone has any.
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -125,7 +125,7 @@
 // short reports whether tokens should be requested from other zones: the bucket is about to run out. Stand-ins do not
 // request any, because the home may be back at any time and would lose them.
 func (l *Ledger) short(now time.Time, b *bucket) bool {
-	return l.parts > 1 && b.role == RoleHome && !now.Before(b.nextTransfer) && b.tokens < max(1, l.surplusDemand(now, b)*leadTime.Seconds())
+	return l.parts > 1 && b.role == RoleHome && !now.Before(b.nextTransfer) && b.tokens < max(2, l.surplusDemand(now, b)*leadTime.Seconds())
 }
 
 // Request is a request for tokens to another zone.
