--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// cautiousShare is the share of the zone's rate that is granted beside a home that may still be granting.
-	cautiousShare = 0.25
+	// cautiousShare is the share of the zone's rate that is granted beside a home that may still be granting. If that
+	// happens in all zones for a whole window, it takes as much as an overshoot of 0.1 permits.
+	cautiousShare = 0.1
 	// standInStorage is the time for which a stand-in may save up its rate. It is short, since the home may be back for
 	// up to probePeriod before the stand-in finds out.
 	standInStorage = 100 * time.Millisecond
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -122,10 +122,10 @@
 	return max(0, b.demand.rate(now)-b.rate(l.parts))
 }
 
-// short reports whether tokens should be requested from other zones: the bucket is about to run out. Stand-ins do not
-// request any, because the home may be back at any time and would lose them.
+// short reports whether tokens should be requested from other zones: the bucket is about to run out. Stand-ins request
+// tokens too, since moved tokens are safe beside a home that still grants.
 func (l *Ledger) short(now time.Time, b *bucket) bool {
-	return l.parts > 1 && b.role == RoleHome && !now.Before(b.nextTransfer) && b.tokens < max(2, l.surplusDemand(now, b)*leadTime.Seconds())
+	return l.parts > 1 && !now.Before(b.nextTransfer) && b.tokens < max(2, l.surplusDemand(now, b)*leadTime.Seconds())
 }
 
 // Request is a request for tokens to another zone.
@@ -194,7 +194,7 @@
 // Receive adds tokens that another zone has given. Tokens whose request was sent too long ago are dropped.
 func (l *Ledger) Receive(now, sent time.Time, tenant string, given float64) (accepted float64) {
 	b := l.buckets[tenant]
-	if b == nil || b.role != RoleHome {
+	if b == nil {
 		return 0
 	}
 	if !(given >= minTransfer) {
--- a/pkg/quota/mesh_test.go
+++ b/pkg/quota/mesh_test.go
@@ -37,6 +37,7 @@
 	cutZone             map[string]bool
 	cutNode             map[*meshNode]bool
 	calls, crossZone    int
+	stopped             bool
 	// admitted and asked are the times of admitted and of all requests by tenant.
 	admitted, asked map[string][]time.Time
 }
@@ -45,7 +46,6 @@
 	mesh    *mesh
 	record  membership.Instance
 	service *Service
-	view    *meshView
 	cancel  context.CancelFunc
 	// stalled is set while the VM does not answer, though its process has not ended.
 	stalled bool
@@ -71,7 +71,9 @@
 
 func (v *meshView) set(in membership.Instance) {
 	v.mu.Lock()
-	v.records[in.ID] = in
+	if v.records[in.ID].Sequence <= in.Sequence {
+		v.records[in.ID] = in
+	}
 	v.mu.Unlock()
 	select {
 	case v.changed <- struct{}{}:
@@ -98,12 +100,14 @@
 
 // start starts the node's process. The directory is complete at once, like that of a node that has read the store.
 func (n *meshNode) start() {
-	n.view = &meshView{records: make(map[membership.InstanceID]membership.Instance), changed: make(chan struct{}, 1)}
+	view := &meshView{records: make(map[membership.InstanceID]membership.Instance), changed: make(chan struct{}, 1)}
+	n.mesh.mu.Lock()
 	for _, o := range n.mesh.nodes {
-		n.view.records[o.record.ID] = o.record
+		view.records[o.record.ID] = o.record
 	}
+	n.mesh.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := New(Settings{Self: n.record.ID, AvailabilityZone: n.record.AvailabilityZone, View: n.view, Caller: n, Terms: testTerms, Clock: clock.System{},
+	s := New(Settings{Self: n.record.ID, AvailabilityZone: n.record.AvailabilityZone, View: view, Caller: n, Terms: testTerms, Clock: clock.System{},
 		Metrics: metric.NewSet(), Log: zerolog.Nop(), Random: n.mesh.random}, nil)
 	n.mesh.mu.Lock()
 	n.service, n.cancel = s, cancel
@@ -131,16 +135,19 @@
 
 // announce changes the node's record. The other nodes learn of it within a second.
 func (n *meshNode) announce(state membership.State) {
+	n.mesh.mu.Lock()
 	n.record.State = state
+	n.record.Sequence++
 	record := n.record
+	n.mesh.mu.Unlock()
 	for _, o := range n.mesh.nodes {
 		delay := time.Duration(n.mesh.random() * float64(time.Second))
 		if o == n {
 			delay = 0
 		}
 		time.AfterFunc(delay, func() {
-			if o.running() != nil {
-				o.view.set(record)
+			if s := o.running(); s != nil {
+				s.View.(*meshView).set(record)
 			}
 		})
 	}
@@ -267,6 +274,9 @@
 
 // stop ends all processes and waits for the calls in progress.
 func (m *mesh) stop() {
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
 	time.Sleep(2 * callTimeout)
 	for _, n := range m.nodes {
 		n.kill()
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -84,8 +84,20 @@
 	accounts map[string]*entry
 	health   *Health
 	contact  Contact
+	// joined holds the nodes of the zone that have told that they joined and may be missing in the view.
+	joined map[membership.InstanceID]joinedNode
 }
 
+// joinedNode is a node that counts as a member until the given time.
+type joinedNode struct {
+	address string
+	until   time.Time
+}
+
+// joinedTime is the time for which a node that has told that it joined counts as a member. A change of the membership
+// reaches all nodes sooner.
+const joinedTime = 5 * time.Second
+
 // entry is the state of a tenant at a node that its requests enter.
 type entry struct {
 	*Account
@@ -120,7 +132,7 @@
 	count := settings.Metrics.Counter
 	s := &Service{Settings: settings, changes: settings.View.Subscribe(), shortage: make(chan string, transferQueueSize),
 		transferSlots: make(chan struct{}, maxTransfers), ledger: NewLedger(settings.Clock.Now(), settings.Terms),
-		accounts: make(map[string]*entry), health: NewHealth(),
+		accounts: make(map[string]*entry), health: NewHealth(), joined: make(map[membership.InstanceID]joinedNode),
 		counters: counters{granted: count("quota.granted"), refused: count("quota.refused"), timedOut: count("quota.timed_out"),
 			starting: count("quota.starting"), gone: count("quota.home_gone"), silent: count("quota.home_silent"),
 			notHome: count("quota.not_home"), standIn: count("quota.stand_in"), cautious: count("quota.stand_in_cautious"),
@@ -139,6 +151,7 @@
 
 // Run follows the membership, probes nodes that do not answer and drops idle state until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	s.announce(s.topology.Load())
 	probe, expire := time.NewTicker(probePeriod), time.NewTicker(expirePeriod)
 	defer probe.Stop()
 	defer expire.Stop()
@@ -148,7 +161,7 @@
 			s.follow(s.Clock.Now())
 		case <-probe.C:
 			now := s.Clock.Now()
-			if !s.topology.Load().shrinkAt.IsZero() {
+			if s.mustFollow(now) {
 				s.follow(now)
 			}
 			s.probe(now)
@@ -162,14 +175,64 @@
 
 // follow adopts the current membership.
 func (s *Service) follow(now time.Time) {
-	old := s.topology.Load()
-	t := NewTopology(now, s.Self, s.AvailabilityZone, s.View.All(), old)
+	records := s.View.All()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old := s.topology.Load()
+	t := NewTopology(now, s.Self, s.AvailabilityZone, s.addJoined(now, records), old)
 	if !t.sameHomes(old) {
 		s.ledger.Follow(now, t)
 	}
 	s.topology.Store(t)
+	if t.member() && !old.member() {
+		go s.announce(t)
+	}
+}
+
+// mustFollow reports whether the topology changes with time only.
+func (s *Service) mustFollow(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.joined {
+		if !now.Before(j.until) {
+			return true
+		}
+	}
+	return !s.topology.Load().shrinkAt.IsZero()
+}
+
+// addJoined returns the records with those of nodes that have told that they joined, and forgets the expired ones. The
+// caller holds mu.
+func (s *Service) addJoined(now time.Time, records []membership.Instance) []membership.Instance {
+	for id, j := range s.joined {
+		switch i := slices.IndexFunc(records, func(in membership.Instance) bool { return in.ID == id }); {
+		case !now.Before(j.until):
+			delete(s.joined, id)
+		case i < 0:
+			records = append(records, membership.Instance{ID: id, AvailabilityZone: s.AvailabilityZone, ControlAddress: j.address})
+		case records[i].State == membership.StateDeparted:
+			records[i].State = membership.StateStarting
+		}
+	}
+	return records
+}
+
+// announce tells the other nodes of the zone that this one has started or joined. Otherwise a node whose directory is
+// behind would grant beside this one as the home, or stand in for it until its next probe.
+func (s *Service) announce(t *Topology) {
+	own := t.own()
+	i := slices.IndexFunc(own, func(n Node) bool { return n.ID == s.Self })
+	if i < 0 {
+		return
+	}
+	args := &ProbeArgs{From: s.Self, Joined: own[i].Address}
+	var wg sync.WaitGroup
+	for _, n := range own {
+		if n.ID != s.Self {
+			wg.Go(func() { call[ProbeReply](s, n, methodProbe, args, nil) })
+		}
+	}
+	wg.Wait()
 }
 
 // isComplete reports whether the nodes of the mesh are known.
@@ -530,6 +593,16 @@
 // HandleProbe serves a probe from another node.
 func (s *Service) HandleProbe(args *ProbeArgs, reply *ProbeReply) error {
 	s.heard(args.From)
+	if args.Joined != "" {
+		now := s.Clock.Now()
+		s.mu.Lock()
+		known := s.topology.Load().contains(args.From)
+		s.joined[args.From] = joinedNode{args.Joined, now.Add(joinedTime)}
+		s.mu.Unlock()
+		if !known {
+			s.follow(now)
+		}
+	}
 	t := s.topology.Load()
 	reply.Home = args.Tenant != "" && s.isComplete(t) && t.IsHome(args.Tenant)
 	return nil
--- a/pkg/quota/topology.go
+++ b/pkg/quota/topology.go
@@ -84,6 +84,14 @@
 	return false
 }
 
+// contains reports whether a node is in the node's own zone.
+func (t *Topology) contains(id membership.InstanceID) bool {
+	return slices.ContainsFunc(t.own(), func(n Node) bool { return n.ID == id })
+}
+
+// member reports whether the node itself is a member.
+func (t *Topology) member() bool { return t.contains(t.self) }
+
 // own returns the nodes of the node's own zone. The caller must not modify the slice.
 func (t *Topology) own() []Node { return t.zones[t.zone] }
 
--- a/pkg/quota/wire.go
+++ b/pkg/quota/wire.go
@@ -42,10 +42,13 @@
 	HomeAddress string
 }
 
-// ProbeArgs asks a node whether it runs and, if Tenant is set, whether it is the home of that tenant.
+// ProbeArgs asks a node whether it runs and, if Tenant is set, whether it is the home of that tenant. A node that has just
+// started or joined sends it with its control address in Joined to all nodes of its zone, so that they take it into
+// account before their directories name it.
 type ProbeArgs struct {
 	Tenant string
 	From   membership.InstanceID
+	Joined string
 }
 
 // ProbeReply is the answer to ProbeArgs.
