--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -125,7 +125,8 @@
 func (a *Account) Receive(now, sent time.Time, ask Ask, g Grant) (lost int) {
 	if g.Tokens < ask.Need {
 		a.blockedUntil = now.Add(min(g.Wait, maxBlock))
-		a.retryAt, a.spacing = now.Add(g.Wait), g.Spacing
+		// The callers refused at other nodes are told to come back in the same time.
+		a.retryAt, a.spacing = now.Add(g.Wait), seconds(g.Spacing.Seconds()*max(1, g.Demand/max(1, a.rate.rate(now))))
 	} else {
 		a.blockedUntil = time.Time{}
 	}
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -32,8 +32,10 @@
 // Grant is the answer to an Ask.
 type Grant struct {
 	Tokens int
-	// Wait is the time until a refused caller can get a token; Spacing is the additional time for each further caller.
+	// Wait is the time until a refused caller can get a token; Spacing is the additional time for each further caller in
+	// the zone. Demand is the demand in the zone per second, of which a node has its share.
 	Wait, Spacing time.Duration
+	Demand        float64
 	// Short is set when tokens should be requested from other zones.
 	Short bool
 	// LimitChanged is set when the limit differs from the one of the last Ask.
@@ -94,6 +96,7 @@
 	rate := b.rate(l.parts)
 	g := Grant{LimitChanged: changed, Spacing: seconds(1 / rate)}
 	b.demand.add(now, float64(max(0, ask.Arrived)))
+	g.Demand = b.demand.rate(now)
 	available := max(0, b.tokens)
 	need := min(float64(max(0, ask.Need)), math.Floor(available))
 	ahead := min(float64(max(0, ask.Ahead)), math.Floor((available-need)*aheadShare))
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -72,7 +72,7 @@
 	const length = 16 * time.Second
 	synctest.Test(t, func(*testing.T) {
 		m := newMesh(s.Seed, s.Zones, s.PerZone)
-		m.loss, m.late, m.doubled = s.Loss, s.Late, s.Doubled
+		m.set(func() { m.loss, m.late, m.doubled = s.Loss, s.Late, s.Doubled })
 		limits := tenants(propertyRates...)
 		start := time.Now()
 		var wg sync.WaitGroup
@@ -215,7 +215,34 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
 		if exceeded := s.run(t); len(exceeded) > 0 {
+			// The order of goroutines may hide the failure in a repeated run, so that rapid does not show the scenario.
+			t.Logf("%v in scenario %+v", exceeded, s)
 			rt.Fatalf("%v in scenario %+v", exceeded, s)
 		}
 	})
 }
+
+// Guards against faults that random scenarios have found: a home that returned at once after a planned leave granted beside
+// the node whose directory was behind, and a stand-in granted too much beside a home that lost a fifth of its messages.
+func TestScenariosFound(t *testing.T) {
+	const second = time.Second
+	for _, s := range []scenario{
+		{Seed: 341, Zones: 1, PerZone: 2, Late: 0.02, Demand: []float64{1, 0.6, 1, 5}, Entry: []string{"wandering", "pulsed", "wandering", "one"},
+			Disruptions: []disruption{{At: 11 * second, Length: second / 5, Kind: "leave", Tenant: 2, Zones: 1}}},
+		{Seed: 341, Zones: 1, PerZone: 2, Demand: []float64{5, 5, 5, 5}, Entry: []string{"any", "any", "any", "any"},
+			Disruptions: []disruption{{At: 9 * second, Length: second / 5, Kind: "leave", Tenant: 3, Zones: 1}, {At: 11 * second, Length: second / 5, Kind: "leave", Tenant: 3, Zones: 1}}},
+		{Seed: 10, Zones: 1, PerZone: 2, Loss: 0.2, Demand: []float64{5, 5, 0.6, 5}, Entry: []string{"wandering", "wandering", "any", "wandering"},
+			Disruptions: []disruption{{At: 0, Length: 4 * second, Kind: "cut homes", Tenant: 2, Zones: 1}, {At: 6500 * time.Millisecond, Length: second / 5, Kind: "kill all"}}},
+		{Seed: 3973487, Zones: 1, PerZone: 7, Loss: 0.2, Demand: []float64{0.6, 1, 1, 5}, Entry: []string{"any", "any", "one", "any"},
+			Disruptions: []disruption{{At: second / 20, Length: second / 5, Kind: "kill all", Tenant: 3, Zones: 1},
+				{At: 2846 * time.Millisecond, Length: 1162 * time.Millisecond, Kind: "kill homes", Tenant: 1, Zones: 1},
+				{At: second / 20, Length: 5 * second, Kind: "cut homes", Tenant: 1, Zones: 1}}},
+	} {
+		for seed := range uint64(5) {
+			s.Seed += seed
+			if exceeded := s.run(t); len(exceeded) > 0 {
+				t.Errorf("%v in scenario %+v", exceeded, s)
+			}
+		}
+	}
+}
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -387,10 +387,10 @@
 	return false, wait
 }
 
-// spread adds a random part to a time to come back, so that callers do not return together.
+// spread limits a time to come back and adds a random part to it, so that callers do not return together.
 func (s *Service) spread(d time.Duration) time.Duration {
 	d = min(max(d, minRetryAfter), maxRetryAfter)
-	return min(maxRetryAfter, d+time.Duration(retrySpread*s.Random()*float64(d)))
+	return d + time.Duration(retrySpread*s.Random()*float64(d))
 }
 
 // afterTake does what the answer of the ledger calls for. The caller does not hold mu.
