--- a/pkg/metric/reasons_test.go
+++ b/pkg/metric/reasons_test.go
@@ -74,7 +74,7 @@
 	}
 	known := NewSet().Snapshot()
 	source := readSources(t)
-	counters := regexp.MustCompile("`((?:refused|retry|relay|sync|config|platform|control)\\.[a-z_.]+)`").FindAllStringSubmatch(string(page), -1)
+	counters := regexp.MustCompile("`((?:refused|retry|relay|sync|config|platform|control|quota)\\.[a-z_.]+)`").FindAllStringSubmatch(string(page), -1)
 	if len(counters) < 20 {
 		t.Fatalf("found %d counters in docs/OPERATIONS.md, want at least 20", len(counters))
 	}
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -27,8 +27,9 @@
 	reservedTime = 500 * time.Millisecond
 	// leadTime is the time before a bucket runs out at which tokens are requested from other zones.
 	leadTime = 150 * time.Millisecond
-	// transferMargin is the factor by which a request for tokens exceeds the expected need.
-	transferMargin = 1.15
+	// transferMargin is the factor by which a request for tokens exceeds the expected need, since the estimate of the
+	// demand varies.
+	transferMargin = 1.4
 	// fruitlessPause is the interval between requests for tokens when no zone has any.
 	fruitlessPause = time.Second
 	// minTransfer is the least number of tokens that is worth a message.
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -15,6 +15,9 @@
 	// aheadShare is the share of the tokens in the bucket, beyond those for waiting requests, that is granted ahead of
 	// demand to one node.
 	aheadShare = 0.25
+	// bookingMargin lengthens the time between callers that are told to come back, because the random parts of their
+	// times and new requests let some of them collide.
+	bookingMargin = 1.1
 )
 
 // Ask is a request for tokens of one tenant.
@@ -94,7 +97,7 @@
 		return Grant{Wait: time.Second}
 	}
 	rate := b.rate(l.parts)
-	g := Grant{LimitChanged: changed, Spacing: seconds(1 / rate)}
+	g := Grant{LimitChanged: changed, Spacing: seconds(bookingMargin / rate)}
 	b.demand.add(now, float64(max(0, ask.Arrived)))
 	g.Demand = b.demand.rate(now)
 	available := max(0, b.tokens)
