--- a/pkg/proxy/tenant.go
+++ b/pkg/proxy/tenant.go
@@ -12,8 +12,9 @@
 )
 
 // Quota limits the requests of tenants over all nodes. Admit is called once for each request of a tenant whose rate is
-// above 0, on the path of the request and by many goroutines at a time, and must not wait for another node. If ok is
-// false, the request is refused and may be sent again after retryAfter. The tenant must not be modified.
+// above 0, on the path of the request and by many goroutines at a time. It may wait for another node of the zone, until ctx
+// ends at the latest. If ok is false, the request is refused and may be sent again after retryAfter. The tenant must not be
+// modified.
 type Quota interface {
 	Admit(ctx context.Context, tenant *config.Tenant, now time.Time) (ok bool, retryAfter time.Duration)
 }
