Share slots and places in the queue by tenant

Cause: one tenant that sends several times its usual takes the slots and the queue of a backend server from all others, since requests of a rank were served in the order of arrival.

Change: among the requests of a rank, slots and places are shared by the observed service time of each tenant, not by count. A newcomer displaces the newest waiting request of the tenant that holds most.

--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -23,14 +23,31 @@
 
 // selectWaiting returns the index of the waiting request of a rank that starts next: the oldest that can meet its
 // target or, in a backlog, the newest that can. A request that is already late starts only if no other one of its rank
-// can meet its target.
+// can meet its target. If that request has a tenant, the tenant whose turn it is takes its place, in the same order.
 func (q *Queue) selectWaiting(now time.Time, rank int) int {
+	i, onTime := q.selectAmong(now, rank, nil)
+	if q.queues[rank][i].tenant == nil {
+		return i
+	}
+	i, _ = q.selectAmong(now, rank, q.selectTenant(now, rank, onTime))
+	return i
+}
+
+// selectAmong returns the index of the request that starts next of those of a tenant, or of all if t is nil, and reports
+// whether it can meet its target.
+func (q *Queue) selectAmong(now time.Time, rank int, t *tenant) (index int, onTime bool) {
 	list := q.queues[rank]
-	if list[0].request.Target.IsZero() {
-		return 0
+	if t == nil && list[0].request.Target.IsZero() {
+		return 0, true
 	}
-	oldest, newest := -1, -1
+	first, oldest, newest := -1, -1, -1
 	for i := range list {
+		if t != nil && list[i].tenant != t {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
 		if !q.onTime(now, list[i].request) {
 			continue
 		}
@@ -41,11 +58,11 @@
 	}
 	switch {
 	case oldest < 0:
-		return 0
-	case q.waitIndicatesBacklog(now, list[oldest].request):
-		return newest
+		return first, false
+	case !list[oldest].request.Target.IsZero() && q.waitIndicatesBacklog(now, list[oldest].request):
+		return newest, true
 	}
-	return oldest
+	return oldest, true
 }
 
 // displaceLate makes room for a request that can meet its target by removing the oldest one of its rank that cannot.
--- a/pkg/admission/fifo.go
+++ b/pkg/admission/fifo.go
@@ -41,7 +41,7 @@
 		return Decision{Refusal: Refusal{metric.RefusedQueueFull, minRetryAfter}}
 	}
 	f.lastTicket++
-	f.queue = append(f.queue, queuedRequest{f.lastTicket, req})
+	f.queue = append(f.queue, queuedRequest{ticket: f.lastTicket, request: req})
 	return Decision{Verdict: Wait, Ticket: f.lastTicket}
 }
 
@@ -62,7 +62,7 @@
 		e := f.queue[0]
 		f.queue = f.queue[1:]
 		if deadlinePassed(now, e.request) {
-			f.notices = append(f.notices, Notice{e.ticket, Refusal{metric.RefusedDeadline, minRetryAfter}})
+			f.notices = append(f.notices, Notice{Ticket: e.ticket, Refusal: Refusal{metric.RefusedDeadline, minRetryAfter}})
 			continue
 		}
 		f.inUse++
@@ -87,7 +87,7 @@
 	kept := f.queue[:0]
 	for _, e := range f.queue {
 		if deadlinePassed(now, e.request) {
-			f.notices = append(f.notices, Notice{e.ticket, Refusal{metric.RefusedDeadline, minRetryAfter}})
+			f.notices = append(f.notices, Notice{Ticket: e.ticket, Refusal: Refusal{metric.RefusedDeadline, minRetryAfter}})
 			continue
 		}
 		kept = append(kept, e)
@@ -105,7 +105,7 @@
 	f.limit.setAnnounced(n)
 	if f.limit.announced == 0 {
 		for _, e := range f.queue {
-			f.notices = append(f.notices, Notice{e.ticket, Refusal{Reason: metric.RefusedNotReady}})
+			f.notices = append(f.notices, Notice{Ticket: e.ticket, Refusal: Refusal{Reason: metric.RefusedNotReady}})
 		}
 		f.queue = nil
 	}
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -18,7 +18,7 @@
 	mu         sync.Mutex
 	discipline Discipline
 	waiters    map[Ticket]*waiter
-	// wakeTimer calls wake while a request waits for the rate limit.
+	// wakeTimer calls wake while a request waits for the rate limit or may have to move.
 	wakeTimer *time.Timer
 }
 
@@ -49,7 +49,7 @@
 	switch d.Verdict {
 	case Run:
 		g.mu.Unlock()
-		return g.releaseFunc(req), nil
+		return g.releaseFunc(req, now), nil
 	case Refuse:
 		g.mu.Unlock()
 		refused := d.Refusal // a copy, so that d stays off the heap on the fast path
@@ -58,7 +58,7 @@
 	wt := &waiter{ready: make(chan Notice, 1), request: req}
 	g.waiters[d.Ticket] = wt
 	if d.Displaced != 0 {
-		g.displace(d.Displaced)
+		g.displace(d.Displaced, d.DisplacedReason)
 	}
 	latest := g.discipline.LatestStart(req)
 	g.scheduleWake(now)
@@ -66,7 +66,7 @@
 	return g.wait(ctx, req, d.Ticket, wt, latest)
 }
 
-// scheduleWake sets the timer for the next request that waits for the rate limit, if any.
+// scheduleWake sets the timer for the next request that waits for the rate limit or may have to move, if any.
 func (g *Gate) scheduleWake(now time.Time) {
 	after, ok := g.discipline.NextWake(now)
 	switch {
@@ -87,9 +87,9 @@
 }
 
 // displace refuses a request that has lost its place in the queue to another one.
-func (g *Gate) displace(t Ticket) {
+func (g *Gate) displace(t Ticket, reason metric.Refusal) {
 	if wt := g.waiters[t]; wt != nil {
-		g.notify(Notice{t, Refusal{metric.RefusedDisplaced, clampRetryAfter(targetRetryDelay(wt.request))}})
+		g.notify(Notice{Ticket: t, Refusal: Refusal{reason, clampRetryAfter(targetRetryDelay(wt.request))}})
 	}
 }
 
@@ -117,7 +117,7 @@
 	if !n.Granted() {
 		return nil, &n.Refusal
 	}
-	release := g.releaseFunc(req)
+	release := g.releaseFunc(req, n.Started)
 	if deadlinePassed(g.clock.Now(), req) {
 		release(false, false, 0)
 		return nil, &Refusal{metric.RefusedDeadline, minRetryAfter}
@@ -153,13 +153,15 @@
 		return &n.Refusal
 	}
 	now := g.clock.Now()
-	g.notifyAll(g.discipline.Done(now, req, Result{}))
+	g.notifyAll(g.discipline.Done(now, req, Result{Started: n.Started}))
 	g.scheduleWake(now)
 	return contextRefusal(err)
 }
 
-// releaseFunc returns the function that releases a slot.
-func (g *Gate) releaseFunc(req Request) func(served, shed bool, took time.Duration) {
+// releaseFunc returns the function that releases a slot, which the request got at the time started.
+func (g *Gate) releaseFunc(req Request, started time.Time) func(served, shed bool, took time.Duration) {
+	// Captures what Done reads only, which keeps the allocation small.
+	rank, policy, tenant := req.Rank, req.Policy, req.Tenant
 	var released atomic.Bool
 	return func(served, shed bool, took time.Duration) {
 		if released.Swap(true) {
@@ -168,7 +170,7 @@
 		now := g.clock.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.notifyAll(g.discipline.Done(now, req, Result{served, shed, took}))
+		g.notifyAll(g.discipline.Done(now, Request{Rank: rank, Policy: policy, Tenant: tenant}, Result{served, shed, took, started}))
 		g.scheduleWake(now)
 	}
 }
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -36,6 +36,33 @@
 	}
 }
 
+// Guards against tenants that make the fast path much slower: with a free slot, a request with a tenant should cost at most
+// one and a half times as much as one without. Each request is of another of 80 tenants.
+func BenchmarkGateFreeTenants(b *testing.B) {
+	for _, rank := range []int{0, Ranks - 1} {
+		b.Run(fmt.Sprint("rank", rank), func(b *testing.B) {
+			g := NewGate(New(Settings{Slots: 20, WarmStart: true, ExactSlots: true, MoveWhenSlow: true, Shares: map[int]float64{0: 0.3, 7: 0.05}}), clock.System{})
+			ctx := context.Background()
+			req := Request{Policy: "lookup", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)}
+			var names [80]string
+			for i := range names {
+				names[i] = fmt.Sprint("tenant-", i)
+			}
+			for req.Rank = range Ranks - 1 {
+				release, _ := g.Acquire(ctx, req)
+				release(true, false, time.Microsecond)
+			}
+			req.Rank = rank
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				req.Tenant = names[i%len(names)]
+				release, _ := g.Acquire(ctx, req)
+				release(true, false, time.Millisecond)
+			}
+		})
+	}
+}
+
 func BenchmarkGateFreeParallel(b *testing.B) {
 	g := NewGate(New(Settings{Slots: 1 << 12, WarmStart: true}), clock.System{})
 	ctx := context.Background()
--- a/pkg/admission/lend.go
+++ b/pkg/admission/lend.go
@@ -16,8 +16,8 @@
 	if float64(q.inUseFrom(rank)) < max(q.limit.limit-q.reserve(now, rank), 1) {
 		return true
 	}
-	// The reserve limits the slots that a rank borrows, not those that it takes as its share.
-	return q.account(now, rank).belowShare(q.limit.limit)
+	// The reserve limits the slots that a rank borrows, not those that it takes as its share or because it lags.
+	return q.account(now, rank).belowShare(q.limit.limit) || q.rankLags(rank)
 }
 
 // inUseFrom is the number of slots in use by the rank and all less urgent ones.
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -25,6 +25,9 @@
 // a time between two arrivals, and its slot goes to other ranks.
 func (q *Queue) ownPlaces(rank int) int {
 	if q.accounts[rank].share == 0 {
+		if q.rankLags(rank) {
+			return laggingPlaces
+		}
 		return 0
 	}
 	minPlaces := min(q.settings.MinPlaces, q.capacity()/minPlacesDivisor)
@@ -38,30 +41,37 @@
 // oldest one of its rank that cannot. Otherwise the request replaces the newest one of the least urgent rank that has
 // more waiting than its places; this may be a more urgent rank only if the rank of the request has places left. A
 // request within the places that its share guarantees, or the only one of its rank, may also take places that other
-// ranks have through MinPlaces alone.
-func (q *Queue) findPlace(now time.Time, req Request) (Ticket, bool) {
+// ranks have through MinPlaces alone. At last it replaces one of a tenant that holds more of its rank; byTenant reports
+// that.
+func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced Ticket, byTenant, ok bool) {
 	rank := req.Rank
 	if q.queued < q.capacity() {
-		return 0, true
+		return 0, false, true
 	}
 	if t, ok := q.displaceLate(now, req); ok {
-		return t, true
+		return t, false, true
 	}
 	queued := len(q.queues[rank])
-	if t, ok := q.displace(rank, queued < q.ownPlaces(rank), q.ownPlaces); ok || queued >= max(q.sharePlaces(rank), 1) {
-		return t, ok
+	if t, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
+		return t, false, true
+	}
+	if queued < max(q.sharePlaces(rank), 1) {
+		if t, ok := q.displace(now, rank, queued < q.sharePlaces(rank), q.sharePlaces); ok {
+			return t, false, true
+		}
 	}
-	return q.displace(rank, queued < q.sharePlaces(rank), q.sharePlaces)
+	t, ok := q.displaceTenant(now, req, own)
+	return t, true, ok
 }
 
 // displace removes the newest request of the least urgent rank that has more waiting than its places. The rank that the
 // place is for never loses one itself, and a more urgent rank does only if entitled is set.
-func (q *Queue) displace(rank int, entitled bool, places func(int) int) (Ticket, bool) {
+func (q *Queue) displace(now time.Time, rank int, entitled bool, places func(int) int) (Ticket, bool) {
 	for r := Ranks - 1; r >= 0; r-- {
 		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= places(r) {
 			continue
 		}
-		return q.remove(r, len(q.queues[r])-1).ticket, true
+		return q.remove(r, q.newestToDisplace(now, r)).ticket, true
 	}
 	return 0, false
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -10,11 +10,15 @@
 type queuedRequest struct {
 	ticket  Ticket
 	request Request
+	// tenant is nil for a request without a tenant.
+	tenant *tenant
+	// cost is the service time in seconds that was estimated when the request was queued.
+	cost float64
 }
 
 // Queue assigns slots by rank: first to the ranks that have requests waiting and have used less than their guaranteed
-// share, the most urgent first; then to the most urgent rank with requests waiting. A request that can no longer finish
-// in time is refused before it takes a slot.
+// share, the most urgent first; then to the most urgent rank with requests waiting. Within a rank, tenants share the slots
+// equally. A request that can no longer finish in time is refused before it takes a slot.
 type Queue struct {
 	settings        Settings
 	limit           slotLimit
@@ -22,6 +26,10 @@
 	estimates       estimates
 	accounts        [Ranks]account
 	queues          [Ranks][]queuedRequest
+	tenants         tenants
+	served          served
+	returns         returns
+	pace            pace
 	queued          int
 	inUse           int
 	lastTopRankTime time.Time
@@ -47,6 +55,8 @@
 	if req.Rank < q.settings.HeadroomRanks {
 		q.lastTopRankTime = now
 	}
+	t := q.tenants.find(now, req.Tenant)
+	q.countAsked(now, req.Rank, t)
 	switch {
 	case q.limit.announced == 0:
 		return q.refuse(now, metric.RefusedNotReady, req)
@@ -55,12 +65,14 @@
 	case len(q.queues[req.Rank]) == 0 && q.mayStart(now, req.Rank):
 		// Requests waiting in other ranks cannot use this slot: each call that frees a slot assigns it at once. The
 		// exception is a slot that became available when the headroom expired.
-		q.start(now, req.Rank)
+		q.start(now, req, t)
 		return Decision{Verdict: Run}
-	case q.cannotFinishAfterWait(now, req):
+	case q.shouldMove(now, req, q.queued):
+		return q.refuse(now, metric.RefusedBackendSlow, req)
+	case q.cannotFinishAfterWait(now, req, t):
 		return q.refuse(now, metric.RefusedDeadline, req)
 	}
-	displaced, ok := q.findPlace(now, req)
+	displaced, byTenant, ok := q.findPlace(now, req, t)
 	if !ok && !q.rate.available(now) {
 		return q.refuse(now, metric.RefusedRateLimited, req)
 	}
@@ -68,9 +80,8 @@
 		return q.refuse(now, metric.RefusedQueueFull, req)
 	}
 	q.lastTicket++
-	q.queues[req.Rank] = append(q.queues[req.Rank], queuedRequest{q.lastTicket, req})
-	q.queued++
-	return Decision{Verdict: Wait, Ticket: q.lastTicket, Displaced: displaced}
+	q.add(queuedRequest{ticket: q.lastTicket, request: req, tenant: t})
+	return Decision{Verdict: Wait, Ticket: q.lastTicket, Displaced: displaced, DisplacedReason: displacementReason(byTenant)}
 }
 
 // Done releases the slot of a request that has ended and assigns it to the next one.
@@ -84,6 +95,13 @@
 	q.limit.observe(r, q.inUse)
 	a.inUse--
 	q.inUse--
+	if q.settings.MoveWhenSlow {
+		q.pace.end(now, req.Rank, r, a.inUse)
+	}
+	if t := q.tenants.lookup(req.Tenant); t != nil {
+		t.advance(now)
+		t.end(r.ServiceTime)
+	}
 	if r.Served {
 		q.estimates.add(req, r.ServiceTime)
 	}
@@ -111,7 +129,7 @@
 		for i := 0; i < len(q.queues[r]); {
 			if e := q.queues[r][i]; q.expired(now, e.request) {
 				q.remove(r, i)
-				q.notices = append(q.notices, Notice{e.ticket, q.refusal(now, metric.RefusedDeadline, e.request)})
+				q.notices = append(q.notices, Notice{Ticket: e.ticket, Refusal: q.refusal(now, metric.RefusedDeadline, e.request)})
 				continue
 			}
 			i++
@@ -161,20 +179,29 @@
 	return q.notices
 }
 
-// Wake starts the waiting requests that the rate limit allows by now.
+// Wake starts the waiting requests that the rate limit allows by now, and refuses those that should move to another
+// instance.
 func (q *Queue) Wake(now time.Time) []Notice {
 	q.notices = q.notices[:0]
 	q.dispatch(now)
+	q.moveWaiting(now)
 	return q.notices
 }
 
-// NextWake returns how long after now the rate limit lets a waiting request start. It returns false if none waits for
-// that.
+// NextWake returns how long after now the rate limit lets a waiting request start, or the backend server counts as slow
+// so that waiting requests should move, whichever is sooner. It returns false if none waits for either.
 func (q *Queue) NextWake(now time.Time) (time.Duration, bool) {
-	if q.queued == 0 || q.rate.available(now) {
+	if q.queued == 0 {
 		return 0, false
 	}
-	return q.rate.wait(now, 1), true
+	after, ok := q.nextSlow(now)
+	if q.rate.available(now) {
+		return after, ok
+	}
+	if wait := q.rate.wait(now, 1); !ok || wait < after {
+		return wait, true
+	}
+	return after, true
 }
 
 // usableSlots is the number of slots that requests can use at the same time. Under a rate limit, that is the number that
@@ -194,10 +221,31 @@
 	return a
 }
 
-func (q *Queue) start(now time.Time, rank int) {
-	q.account(now, rank).inUse++
+func (q *Queue) start(now time.Time, req Request, t *tenant) {
+	q.account(now, req.Rank).inUse++
 	q.inUse++
 	q.rate.take(now)
+	if q.settings.MoveWhenSlow {
+		q.pace.start(now, req.Rank)
+	}
+	if t != nil {
+		t.advance(now)
+		t.start(q.estimates.lookup(req).mean)
+	}
+	q.countStarted(now, req.Rank)
+}
+
+// add appends a request to the queue of its rank.
+func (q *Queue) add(e queuedRequest) {
+	rank := e.request.Rank
+	if t := e.tenant; t != nil {
+		e.cost = q.estimates.lookup(e.request).mean
+		t.waiting++
+		t.queued[rank]++
+		t.queuedCost[rank] += e.cost
+	}
+	q.queues[rank] = append(q.queues[rank], e)
+	q.queued++
 }
 
 // dispatch assigns free slots to waiting requests.
@@ -209,20 +257,21 @@
 		}
 		e := q.remove(rank, q.selectWaiting(now, rank))
 		if q.expired(now, e.request) {
-			q.notices = append(q.notices, Notice{e.ticket, q.refusal(now, metric.RefusedDeadline, e.request)})
+			q.notices = append(q.notices, Notice{Ticket: e.ticket, Refusal: q.refusal(now, metric.RefusedDeadline, e.request)})
 			continue
 		}
-		q.start(now, rank)
-		q.notices = append(q.notices, Notice{Ticket: e.ticket})
+		q.start(now, e.request, e.tenant)
+		q.notices = append(q.notices, Notice{Ticket: e.ticket, Started: now})
 	}
 }
 
 // nextRank returns the rank that gets the next slot: the starved rank that lags furthest behind its share, else the
-// most urgent rank below its share, else the most urgent rank with requests waiting.
+// most urgent rank that lags behind the service of all ranks, else the most urgent rank below its share, else the most
+// urgent rank with requests waiting.
 func (q *Queue) nextRank(now time.Time) (int, bool) {
 	const none = -1
 	q.subtractCommonLag(now)
-	starved, belowShare, mostUrgent := none, none, none
+	starved, lagging, belowShare, mostUrgent := none, none, none, none
 	var greatestLag float64
 	for r := range q.queues {
 		if len(q.queues[r]) == 0 || !q.mayStart(now, r) {
@@ -231,6 +280,9 @@
 		if mostUrgent == none {
 			mostUrgent = r
 		}
+		if lagging == none && q.rankLags(r) {
+			lagging = r
+		}
 		a := q.account(now, r)
 		if !a.belowShare(q.limit.limit) {
 			continue
@@ -245,6 +297,8 @@
 	switch {
 	case starved != none:
 		return starved, true
+	case lagging != none:
+		return lagging, true
 	case belowShare != none:
 		return belowShare, true
 	}
@@ -278,6 +332,14 @@
 	list[len(list)-1] = queuedRequest{}
 	q.queues[rank] = list[:len(list)-1]
 	q.queued--
+	if t := e.tenant; t != nil {
+		t.waiting--
+		t.queued[rank]--
+		t.queuedCost[rank] -= e.cost
+		if t.queued[rank] == 0 {
+			t.queuedCost[rank] = 0 // removes rounding errors
+		}
+	}
 	return e
 }
 
@@ -288,15 +350,15 @@
 
 // cannotFinishAfterWait reports whether req cannot finish in time after it has waited for the requests that are queued
 // before it.
-func (q *Queue) cannotFinishAfterWait(now time.Time, req Request) bool {
-	return !req.Deadline.IsZero() && !now.Add(q.expectedWait(now, req)).Before(q.LatestStart(req))
+func (q *Queue) cannotFinishAfterWait(now time.Time, req Request, t *tenant) bool {
+	return !req.Deadline.IsZero() && !now.Add(q.expectedWait(now, req, t)).Before(q.LatestStart(req))
 }
 
 // expectedWait estimates how long a new request waits. In a backlog, a request with a target overtakes the others of
 // its rank, so that only more urgent ranks are ahead of it.
-func (q *Queue) expectedWait(now time.Time, req Request) time.Duration {
+func (q *Queue) expectedWait(now time.Time, req Request, t *tenant) time.Duration {
 	if req.Target.IsZero() {
-		return q.rankWait(now, req.Rank)
+		return q.wait(now, req.Rank, q.requestsAhead(req.Rank, t))
 	}
 	return q.rankWait(now, req.Rank-1)
 }
@@ -306,19 +368,25 @@
 // limit to let them and the new one start. The estimate is too low if more urgent requests arrive later; Expire then
 // refuses the request before it takes a slot. Rank -1 stands for a request that no other one is ahead of.
 func (q *Queue) rankWait(now time.Time, rank int) time.Duration {
+	if rank < 0 {
+		return q.rate.wait(now, 1)
+	}
+	return q.wait(now, rank, len(q.queues[rank]))
+}
+
+// wait is rankWait for a request that only ownAhead waiting requests of its rank start before.
+func (q *Queue) wait(now time.Time, rank, ownAhead int) time.Duration {
 	limit := max(q.limit.limit, 1)
+	own := float64(ownAhead) * q.estimates.ranks[rank].mean
 	var ahead float64
-	requests := 1
-	for r := 0; r <= rank; r++ {
+	requests := 1 + ownAhead
+	for r := range rank {
 		ahead += float64(len(q.queues[r])) * q.estimates.ranks[r].mean
 		requests += len(q.queues[r])
 	}
-	wait := ahead / limit
-	if rank >= 0 {
-		if share := q.accounts[rank].share * limit; share > 0 {
-			own := float64(len(q.queues[rank])) * q.estimates.ranks[rank].mean / share
-			wait = min(wait, own)
-		}
+	wait := (ahead + own) / limit
+	if share := q.accounts[rank].share * limit; share > 0 {
+		wait = min(wait, own/share)
 	}
 	return max(seconds(wait), q.rate.wait(now, requests))
 }
@@ -328,8 +396,12 @@
 }
 
 // refusal sets RetryAfter to the time until the current backlog has been worked off, but not below targetRetryDelay. A
-// caller that retries at once meets the same backlog and uses up its attempts.
+// caller that retries at once meets the same backlog and uses up its attempts. Requests of tenants are told different
+// times, so that those refused together do not return together.
 func (q *Queue) refusal(now time.Time, reason metric.Refusal, req Request) Refusal {
+	if req.Tenant != "" {
+		return Refusal{reason, clampRetryAfter(q.spreadReturn(now, req))}
+	}
 	return Refusal{reason, clampRetryAfter(max(q.rankWait(now, Ranks-1), targetRetryDelay(req)))}
 }
 
@@ -344,7 +416,7 @@
 func (q *Queue) refuseAll(reason metric.Refusal) {
 	for r := range q.queues {
 		for len(q.queues[r]) > 0 {
-			q.notices = append(q.notices, Notice{q.remove(r, 0).ticket, Refusal{Reason: reason}})
+			q.notices = append(q.notices, Notice{Ticket: q.remove(r, 0).ticket, Refusal: Refusal{Reason: reason}})
 		}
 	}
 }
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -22,6 +22,8 @@
 	// Target is the time by which the response should arrive; a later response is worth less. Zero means that only the
 	// deadline matters, and that requests of one rank start in order of arrival.
 	Target time.Time
+	// Tenant is the tenant that the request belongs to; empty for none.
+	Tenant string
 }
 
 // Refusal tells why a request got no slot. A refused request has not been run.
@@ -50,18 +52,21 @@
 )
 
 // Decision states what happens to an offered request. Displaced is the waiting request that lost its place in the queue
-// to the offered one.
+// to the offered one, for DisplacedReason.
 type Decision struct {
-	Verdict   Verdict
-	Ticket    Ticket
-	Refusal   Refusal
-	Displaced Ticket
+	Verdict         Verdict
+	Ticket          Ticket
+	Refusal         Refusal
+	Displaced       Ticket
+	DisplacedReason metric.Refusal
 }
 
 // Notice ends the wait of a request: with a slot if Refusal.Reason is empty, otherwise with a refusal.
 type Notice struct {
 	Ticket  Ticket
 	Refusal Refusal
+	// Started is the time at which the request got its slot.
+	Started time.Time
 }
 
 // Granted reports whether the request got a slot.
@@ -74,12 +79,15 @@
 	Served      bool
 	Shed        bool
 	ServiceTime time.Duration
+	// Started is the time at which the request got its slot; if zero, that was ServiceTime ago.
+	Started time.Time
 }
 
 // Discipline is a queueing discipline: it decides which requests get slots. It is not safe for concurrent use. A
 // returned slice is valid until the next call.
 type Discipline interface {
 	Offer(now time.Time, req Request) Decision
+	// Done ends a request that had a slot. It reads the rank, the policy and the tenant of req only.
 	Done(now time.Time, req Request, r Result) []Notice
 	// Cancel removes a waiting request and reports whether it was still waiting.
 	Cancel(now time.Time, t Ticket) bool
@@ -91,8 +99,8 @@
 	SetShares(now time.Time, shares map[int]float64)
 	// SetRate limits the requests that start per second; zero means no limit.
 	SetRate(now time.Time, perSecond float64) []Notice
-	// NextWake returns how long after now Wake must be called for a request that waits for the rate limit. It returns
-	// false if there is none.
+	// NextWake returns how long after now Wake must be called for a request that waits for the rate limit or may have to
+	// move. It returns false if there is none.
 	NextWake(now time.Time) (time.Duration, bool)
 	Wake(now time.Time) []Notice
 	Load() Load
@@ -125,6 +133,9 @@
 	// MinPlaces is the number of places in the queue that a rank with a share keeps, however small the share, but at
 	// most a fifth of the queue.
 	MinPlaces int
+	// MoveWhenSlow refuses waiting requests once the running ones take much longer than usual, if they could still meet
+	// their target at another instance.
+	MoveWhenSlow bool
 	// Deviations is the number of mean deviations that the service time estimate of a waiting request adds to its mean;
 	// a negative value means none.
 	Deviations float64
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -25,7 +25,9 @@
 	RefusedRateLimited         Refusal = "rate_limited" // beyond the limit that the backend server names
 	RefusedBodyMemory          Refusal = "body_memory"  // the memory for bodies is used up
 	RefusedDeadline            Refusal = "deadline"
-	RefusedDisplaced           Refusal = "displaced" // lost its place in the queue to another request
+	RefusedDisplaced           Refusal = "displaced"    // lost its place in the queue to another request
+	RefusedTenantShare         Refusal = "tenant_share" // lost its place in the queue to a tenant that has used less
+	RefusedBackendSlow         Refusal = "backend_slow" // the backend server has turned slow; another one may be in time
 	RefusedDraining            Refusal = "draining"
 	RefusedStopping            Refusal = "stopping" // the node stops before the deadline of the request
 	RefusedWrongService        Refusal = "wrong_service"
@@ -49,7 +51,7 @@
 // Refusals lists all reasons for refusals.
 var Refusals = []Refusal{
 	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
-	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedStopping, RefusedWrongService,
+	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedTenantShare, RefusedBackendSlow, RefusedDraining, RefusedStopping, RefusedWrongService,
 	RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -13,8 +13,10 @@
 
 // AdmissionRequest describes a call that needs a slot of the backend server.
 type AdmissionRequest struct {
-	Rank     int
-	Policy   string
+	Rank   int
+	Policy string
+	// Tenant is the name of the tenant whose request it is, or empty.
+	Tenant   string
 	Arrived  time.Time
 	Deadline time.Time
 	// Target is the time by which the latency target is met; zero means that the call has only a deadline.
