--- a/internal/parts/gate.go
+++ b/internal/parts/gate.go
@@ -19,7 +19,7 @@
 
 // Acquire implements proxy.Gate.
 func (g Gate) Acquire(ctx context.Context, call proxy.AdmissionRequest) (func(served, shed bool, took time.Duration), *proxy.AdmissionRefusal) {
-	request := admission.Request{Rank: call.Rank, Policy: call.Policy, Arrived: call.Arrived, Deadline: call.Deadline, Tenant: call.Tenant}
+	request := admission.Request{Rank: call.Rank, Policy: call.Policy, Arrived: call.Arrived, Deadline: call.Deadline, Tenant: call.Tenant, Moved: call.Moved}
 	if g.PassTargets {
 		request.Target = call.Target
 	}
--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -23,30 +23,35 @@
 
 // selectWaiting returns the index of the waiting request of a rank that starts next: the oldest that can meet its
 // target or, in a backlog, the newest that can. A request that is already late starts only if no other one of its rank
-// can meet its target. If that request has a tenant, the tenant whose turn it is takes its place, in the same order.
+// can meet its target. Of the requests with a tenant, only those of the tenant whose turn it is take part.
 func (q *Queue) selectWaiting(now time.Time, rank int) int {
-	i, onTime := q.selectAmong(now, rank, nil)
-	if q.queues[rank][i].tenant == nil {
-		return i
+	whole := q.selectAmong(now, rank, func(*tenant) bool { return true })
+	if !q.tenants.active() {
+		return whole.index
 	}
-	i, _ = q.selectAmong(now, rank, q.selectTenant(now, rank, onTime))
-	return i
+	turn := q.selectTenant(now, rank, whole.onTime)
+	return q.selectAmong(now, rank, func(t *tenant) bool { return t == nil || t == turn }).index
 }
 
-// selectAmong returns the index of the request that starts next of those of a tenant, or of all if t is nil, and reports
-// whether it can meet its target.
-func (q *Queue) selectAmong(now time.Time, rank int, t *tenant) (index int, onTime bool) {
+// candidate is the waiting request that starts next of some requests of a rank.
+type candidate struct {
+	index  int
+	onTime bool
+}
+
+// selectAmong returns the request that starts next of those that are included, of which there must be one.
+func (q *Queue) selectAmong(now time.Time, rank int, included func(*tenant) bool) candidate {
 	list := q.queues[rank]
-	if t == nil && list[0].request.Target.IsZero() {
-		return 0, true
-	}
 	first, oldest, newest := -1, -1, -1
 	for i := range list {
-		if t != nil && list[i].tenant != t {
+		if !included(list[i].tenant) {
 			continue
 		}
 		if first < 0 {
 			first = i
+			if list[i].request.Target.IsZero() {
+				return candidate{i, true}
+			}
 		}
 		if !q.onTime(now, list[i].request) {
 			continue
@@ -58,11 +63,11 @@
 	}
 	switch {
 	case oldest < 0:
-		return first, false
-	case !list[oldest].request.Target.IsZero() && q.waitIndicatesBacklog(now, list[oldest].request):
-		return newest, true
+		return candidate{first, false}
+	case q.waitIndicatesBacklog(now, list[oldest].request):
+		return candidate{newest, true}
 	}
-	return oldest, true
+	return candidate{oldest, true}
 }
 
 // displaceLate makes room for a request that can meet its target by removing the oldest one of its rank that cannot.
--- a/pkg/admission/floor.go
+++ b/pkg/admission/floor.go
@@ -47,18 +47,18 @@
 	}
 }
 
-// countAsked counts a request. Ranks are compared only while there are tenants: a deployment without them states its
-// guarantees as shares.
-func (q *Queue) countAsked(now time.Time, rank int, t *tenant) {
+// countAsked counts a request, once for all instances that it is offered to: what is refused often is also offered often.
+// Ranks are compared only while there are tenants: a deployment without them states its guarantees as shares.
+func (q *Queue) countAsked(now time.Time, req Request, t *tenant) {
+	if req.Moved || !q.tenants.active() {
+		return
+	}
 	if t != nil {
 		t.served.asked++
 	}
-	if !q.tenants.active() {
-		return
-	}
 	q.served.advance(now)
 	q.served.all.asked++
-	q.served.ranks[rank].asked++
+	q.served.ranks[req.Rank].asked++
 }
 
 // countStarted counts a request that has got a slot.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -56,7 +56,7 @@
 		q.lastTopRankTime = now
 	}
 	t := q.tenants.find(now, req.Tenant)
-	q.countAsked(now, req.Rank, t)
+	q.countAsked(now, req, t)
 	switch {
 	case q.limit.announced == 0:
 		return q.refuse(now, metric.RefusedNotReady, req)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -24,6 +24,8 @@
 	Target time.Time
 	// Tenant is the tenant that the request belongs to; empty for none.
 	Tenant string
+	// Moved is set if the request has been offered to another instance before.
+	Moved bool
 }
 
 // Refusal tells why a request got no slot. A refused request has not been run.
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -212,7 +212,8 @@
 
 // run waits for a slot and sends the call to the backend server.
 func (e *Egress) run(ctx context.Context, c *call, addr string, h http.Header) *reply {
-	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
+	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due,
+		Moved: c.attempt > 0})
 	if refusal != nil {
 		rep := refuse(refusal.Reason)
 		rep.retryAfter, rep.load = refusal.RetryAfter, e.load()
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -21,6 +21,8 @@
 	Deadline time.Time
 	// Target is the time by which the latency target is met; zero means that the call has only a deadline.
 	Target time.Time
+	// Moved is set if the call has been offered to another instance before.
+	Moved bool
 }
 
 // AdmissionRefusal tells why a call got no slot. The backend server has certainly not run the call.
