Limit the wait to a part of the target with tenants, and move requests from a slow server

A request that waits behind others until its target has nearly passed is late wherever it runs then. With Settings.MaxTargetWait it is refused at the door, so that it can start earlier at another instance or come back. Settings.MoveWhenSlow refuses waiting requests when the backend server has turned slow.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -48,6 +48,9 @@
 	zonePreference = 0.3
 	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
 	lateZonePreference = 1.0
+	// maxTargetWait is the fraction of the time to the target that a call of a deployment with tenants may wait at one
+	// instance; docs/design/admission-fairness.md compares it with others.
+	maxTargetWait = 0.25
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
@@ -173,7 +176,7 @@
 // buildBackend creates the components for the local backend server: its admission gate, the connections to it, and the
 // service that accepts its announcements and derives this node's instance record from them.
 func buildBackend(b *builder) {
-	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true}), b.clock)
+	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true, MoveWhenSlow: true, MaxTargetWait: maxTargetWait}), b.clock)
 	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
 	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool}
--- a/pkg/admission/fairness_test.go
+++ b/pkg/admission/fairness_test.go
@@ -12,7 +12,7 @@
 
 // compare runs a load in the order without tenants and by tenant and logs both.
 func compare(t *testing.T, name string, l simulatedLoad, cells func(*simulation) []string) (before, fair *simulation) {
-	l.settings.MoveWhenSlow = true
+	l.settings.MoveWhenSlow, l.settings.MaxTargetWait = true, 0.25
 	l.withoutTenants = true
 	before = simulate(l)
 	logTable(t, name, before, cells(before)...)
--- a/pkg/admission/floor.go
+++ b/pkg/admission/floor.go
@@ -12,8 +12,9 @@
 	// day on which a kind of request or a tenant is served less than a quarter as often as all; the margin is for what a
 	// node cannot see, such as requests refused before they reach it.
 	minServedRatio = 0.35
-	// servedWindow is the time constant over which the fractions are taken, longer than the floods of a few seconds.
-	servedWindow = 5 * time.Second
+	// servedWindow is the time constant over which the fractions are taken. It is longer than the floods of a few seconds:
+	// with 5 s, the least urgent rank counts as lagging during a burst of urgent requests that it can wait for.
+	servedWindow = 20 * time.Second
 	// maxLagRequests is the number of requests by which a rank or tenant may fall short before it lags. Without it, one
 	// with few requests would lag as soon as the first one waits.
 	maxLagRequests = 2
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -45,12 +45,17 @@
 // that.
 func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced Ticket, byTenant, ok bool) {
 	rank := req.Rank
-	if q.queued < q.capacity() {
+	waitsTooLong := q.waitsTooLong(now, req)
+	if q.queued < q.capacity() && !waitsTooLong {
 		return 0, false, true
 	}
 	if t, ok := q.displaceLate(now, req); ok {
 		return t, false, true
 	}
+	if waitsTooLong {
+		t, ok := q.displaceTenant(now, req, own)
+		return t, true, ok
+	}
 	queued := len(q.queues[rank])
 	if t, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
 		return t, false, true
@@ -75,3 +80,13 @@
 	}
 	return 0, false
 }
+
+// waitsTooLong reports whether so many requests of this rank and more urgent ones wait that another one should rather be
+// refused: it can start earlier at another instance, or when its caller returns.
+func (q *Queue) waitsTooLong(now time.Time, req Request) bool {
+	if q.settings.MaxTargetWait == 0 || !q.tenants.active() || req.Target.IsZero() || len(q.queues[req.Rank]) == 0 {
+		return false
+	}
+	left := req.Target.Sub(now) - seconds(q.estimates.lookup(req).mean)
+	return float64(q.rankWait(now, req.Rank)) > float64(left)*q.settings.MaxTargetWait
+}
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -27,11 +27,15 @@
 // return, whatever they are told.
 const honouredWaitDivisor = 3
 
+// tenantRetryDelayDivisor replaces retryDelayDivisor for requests of tenants. Their queues are shorter, and callers count the
+// time to their target from the first attempt: after half of it, there is too little left for many kinds of requests.
+const tenantRetryDelayDivisor = 4
+
 // spreadReturn returns the time after which a refused request should return: when the waiting requests of its rank and of
-// more urgent ones have run, but not before targetRetryDelay, and then after the requests that were told to return
+// more urgent ones have run, but not before a part of its target, and then after the requests that were told to return
 // before it. Returns that do not fit into the time that callers wait start over at its beginning.
 func (q *Queue) spreadReturn(now time.Time, req Request) time.Duration {
-	after := max(q.rankWait(now, req.Rank), targetRetryDelay(req))
+	after := max(q.rankWait(now, req.Rank), targetRetryDelay(req)*retryDelayDivisor/tenantRetryDelayDivisor)
 	q.returns.advance(now, max(q.limit.limit, 1))
 	var ahead float64
 	for r := 0; r <= req.Rank; r++ {
--- a/pkg/admission/simulation_test.go
+++ b/pkg/admission/simulation_test.go
@@ -62,7 +62,9 @@
 	noRetries bool
 	// returnAfter replaces the time to return that refusals state, if set.
 	returnAfter func(left, target time.Duration) time.Duration
-	seed        uint64
+	// blind picks instances without regard to their load.
+	blind bool
+	seed  uint64
 }
 
 // tally counts requests by their end. Each counts once, with all its attempts.
@@ -93,6 +95,7 @@
 	// hops counts the instances that refused this attempt; excluded lists them.
 	hops     int
 	excluded []int
+	refusal  Refusal
 	instance int
 	admitted Request
 	at       time.Time // of the next event
@@ -222,6 +225,9 @@
 		return -1
 	}
 	a, b := open[s.random.IntN(len(open))], open[s.random.IntN(len(open))]
+	if s.blind {
+		return a
+	}
 	la, lb := s.instances[a].queue.Load(), s.instances[b].queue.Load()
 	if lb.InUse+lb.Queued < la.InUse+la.Queued {
 		return b
@@ -232,7 +238,7 @@
 func (s *simulation) offer(r *simulatedRequest) {
 	i := s.pick(r)
 	if i < 0 {
-		s.refuse(r, Refusal{Reason: metric.RefusedNoInstance, RetryAfter: max(targetRetryDelay(s.request(r)), minRetryAfter)})
+		s.refuse(r, r.refusal)
 		return
 	}
 	inst := s.instances[i]
@@ -272,7 +278,7 @@
 	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedTenantShare, metric.RefusedBackendSlow, metric.RefusedRateLimited:
 		s.instances[r.instance].fullUntil[r.sender][r.kind.rank] = s.now.Add(250 * time.Millisecond)
 	}
-	r.excluded = append(r.excluded, r.instance)
+	r.excluded, r.refusal = append(r.excluded, r.instance), refusal
 	r.hops++
 	if r.hops > 4 || !s.now.Before(r.deadline.Add(-20*time.Millisecond)) {
 		s.refuse(r, refusal)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -132,6 +132,9 @@
 	Reserve float64
 	// QueueFactor limits the waiting requests to this multiple of the announced slots; a negative value means no queue.
 	QueueFactor float64
+	// MaxTargetWait is the fraction of the time to its target, less its service time, that a request may have to wait
+	// behind others of its rank and more urgent ones while there are requests of tenants; zero means no limit.
+	MaxTargetWait float64
 	// MinPlaces is the number of places in the queue that a rank with a share keeps, however small the share, but at
 	// most a fifth of the queue.
 	MinPlaces int
@@ -164,6 +167,7 @@
 	}
 	s.Reserve = min(s.Reserve, maxReserve)
 	s.QueueFactor = min(orDefault(s.QueueFactor, DefaultQueueFactor), maxQueueFactor)
+	s.MaxTargetWait = orDefault(s.MaxTargetWait, 0)
 	s.Deviations = orDefault(s.Deviations, DefaultDeviations)
 	if s.HeadroomRanks <= 0 || s.HeadroomRanks > Ranks {
 		s.HeadroomRanks = DefaultHeadroomRanks
