--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -71,14 +71,14 @@
 }
 
 // displaceLate makes room for a request that can meet its target by removing the oldest one of its rank that cannot.
-func (q *Queue) displaceLate(now time.Time, req Request) (Ticket, bool) {
+func (q *Queue) displaceLate(now time.Time, req Request) (queuedRequest, bool) {
 	if req.Target.IsZero() || !q.onTime(now, req) {
-		return 0, false
+		return queuedRequest{}, false
 	}
 	for i, e := range q.queues[req.Rank] {
 		if !q.onTime(now, e.request) {
-			return q.remove(req.Rank, i).ticket, true
+			return q.remove(req.Rank, i), true
 		}
 	}
-	return 0, false
+	return queuedRequest{}, false
 }
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -58,7 +58,7 @@
 	wt := &waiter{ready: make(chan Notice, 1), request: req}
 	g.waiters[d.Ticket] = wt
 	if d.Displaced != 0 {
-		g.displace(d.Displaced, d.DisplacedReason)
+		g.notify(Notice{Ticket: d.Displaced, Refusal: d.DisplacedRefusal})
 	}
 	latest := g.discipline.LatestStart(req)
 	g.scheduleWake(now)
@@ -86,13 +86,6 @@
 	g.scheduleWake(now)
 }
 
-// displace refuses a request that has lost its place in the queue to another one.
-func (g *Gate) displace(t Ticket, reason metric.Refusal) {
-	if wt := g.waiters[t]; wt != nil {
-		g.notify(Notice{Ticket: t, Refusal: Refusal{reason, clampRetryAfter(targetRetryDelay(wt.request))}})
-	}
-}
-
 func (g *Gate) wait(ctx context.Context, req Request, t Ticket, wt *waiter, latest time.Time) (func(bool, bool, time.Duration), *Refusal) {
 	var timeout <-chan time.Time
 	if !latest.IsZero() {
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -43,42 +43,42 @@
 // request within the places that its share guarantees, or the only one of its rank, may also take places that other
 // ranks have through MinPlaces alone. At last it replaces one of a tenant that holds more of its rank; byTenant reports
 // that.
-func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced Ticket, byTenant, ok bool) {
+func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced queuedRequest, byTenant, ok bool) {
 	rank := req.Rank
 	waitsTooLong := q.waitsTooLong(now, req)
 	if q.queued < q.capacity() && !waitsTooLong {
-		return 0, false, true
+		return queuedRequest{}, false, true
 	}
-	if t, ok := q.displaceLate(now, req); ok {
-		return t, false, true
+	if e, ok := q.displaceLate(now, req); ok {
+		return e, false, true
 	}
 	if waitsTooLong {
-		t, ok := q.displaceTenant(now, req, own)
-		return t, true, ok
+		e, ok := q.displaceTenant(now, req, own)
+		return e, true, ok
 	}
 	queued := len(q.queues[rank])
-	if t, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
-		return t, false, true
+	if e, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
+		return e, false, true
 	}
 	if queued < max(q.sharePlaces(rank), 1) {
-		if t, ok := q.displace(now, rank, queued < q.sharePlaces(rank), q.sharePlaces); ok {
-			return t, false, true
+		if e, ok := q.displace(now, rank, queued < q.sharePlaces(rank), q.sharePlaces); ok {
+			return e, false, true
 		}
 	}
-	t, ok := q.displaceTenant(now, req, own)
-	return t, true, ok
+	e, ok := q.displaceTenant(now, req, own)
+	return e, true, ok
 }
 
 // displace removes the newest request of the least urgent rank that has more waiting than its places. The rank that the
 // place is for never loses one itself, and a more urgent rank does only if entitled is set.
-func (q *Queue) displace(now time.Time, rank int, entitled bool, places func(int) int) (Ticket, bool) {
+func (q *Queue) displace(now time.Time, rank int, entitled bool, places func(int) int) (queuedRequest, bool) {
 	for r := Ranks - 1; r >= 0; r-- {
 		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= places(r) {
 			continue
 		}
-		return q.remove(r, q.newestToDisplace(now, r)).ticket, true
+		return q.remove(r, q.newestToDisplace(now, r)), true
 	}
-	return 0, false
+	return queuedRequest{}, false
 }
 
 // waitsTooLong reports whether so many requests of this rank and more urgent ones wait that another one should rather be
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -20,21 +20,24 @@
 // share, the most urgent first; then to the most urgent rank with requests waiting. Within a rank, tenants share the slots
 // equally. A request that can no longer finish in time is refused before it takes a slot.
 type Queue struct {
-	settings        Settings
-	limit           slotLimit
-	rate            rateLimit
-	estimates       estimates
-	accounts        [Ranks]account
-	queues          [Ranks][]queuedRequest
-	tenants         tenants
-	served          served
-	returns         returns
-	pace            pace
-	queued          int
-	inUse           int
-	lastTopRankTime time.Time
-	lastTicket      Ticket
-	notices         []Notice
+	settings  Settings
+	limit     slotLimit
+	rate      rateLimit
+	estimates estimates
+	accounts  [Ranks]account
+	queues    [Ranks][]queuedRequest
+	tenants   tenants
+	served    served
+	returns   returns
+	// displacedByShare and moved count the waiting requests that were refused for the share of their tenant, and because
+	// the backend server was slow.
+	displacedByShare, moved uint64
+	pace                    pace
+	queued                  int
+	inUse                   int
+	lastTopRankTime         time.Time
+	lastTicket              Ticket
+	notices                 []Notice
 }
 
 var _ Discipline = (*Queue)(nil)
@@ -81,7 +84,11 @@
 	}
 	q.lastTicket++
 	q.add(queuedRequest{ticket: q.lastTicket, request: req, tenant: t})
-	return Decision{Verdict: Wait, Ticket: q.lastTicket, Displaced: displaced, DisplacedReason: displacementReason(byTenant)}
+	d := Decision{Verdict: Wait, Ticket: q.lastTicket, Displaced: displaced.ticket}
+	if d.Displaced != 0 {
+		d.DisplacedRefusal = q.displacement(now, displaced.request, byTenant)
+	}
+	return d
 }
 
 // Done releases the slot of a request that has ended and assigns it to the next one.
--- a/pkg/admission/simulation_test.go
+++ b/pkg/admission/simulation_test.go
@@ -247,7 +247,7 @@
 	if d.Displaced != 0 {
 		displaced := inst.waiting[d.Displaced]
 		delete(inst.waiting, d.Displaced)
-		defer s.turnAway(displaced, Refusal{d.DisplacedReason, clampRetryAfter(targetRetryDelay(displaced.admitted))})
+		defer s.turnAway(displaced, d.DisplacedRefusal)
 	}
 	switch d.Verdict {
 	case Run:
--- a/pkg/admission/slow.go
+++ b/pkg/admission/slow.go
@@ -108,6 +108,7 @@
 				continue
 			}
 			e := q.remove(r, i)
+			q.moved++
 			q.notices = append(q.notices, Notice{Ticket: e.ticket, Refusal: q.refusal(now, metric.RefusedBackendSlow, e.request)})
 		}
 	}
--- a/pkg/admission/tenant.go
+++ b/pkg/admission/tenant.go
@@ -167,9 +167,9 @@
 
 // displaceTenant makes room for a request in a queue that is full of its rank. It removes the newest request of the tenant
 // that holds most there, if that tenant still holds more afterwards than the tenant of the new request does with it.
-func (q *Queue) displaceTenant(now time.Time, req Request, own *tenant) (Ticket, bool) {
+func (q *Queue) displaceTenant(now time.Time, req Request, own *tenant) (queuedRequest, bool) {
 	if !q.tenants.active() {
-		return 0, false
+		return queuedRequest{}, false
 	}
 	limit := q.equalPart(req.Rank)
 	if own != nil {
@@ -180,9 +180,9 @@
 		return e.tenant != own && held >= limit && (e.tenant.queued[req.Rank] > laggingPlaces || !q.lags(e.tenant.served))
 	})
 	if i < 0 {
-		return 0, false
+		return queuedRequest{}, false
 	}
-	return q.remove(req.Rank, i).ticket, true
+	return q.remove(req.Rank, i), true
 }
 
 // equalPart is the cost of an equal part of the waiting requests of a rank, for each tenant and for the requests without
@@ -258,10 +258,15 @@
 	return ahead
 }
 
-// displacementReason tells a displaced request why it lost its place.
-func displacementReason(byTenant bool) metric.Refusal {
+// displacement is the refusal of a request that has lost its place to another one.
+func (q *Queue) displacement(now time.Time, req Request, byTenant bool) Refusal {
+	reason := metric.RefusedDisplaced
 	if byTenant {
-		return metric.RefusedTenantShare
+		reason = metric.RefusedTenantShare
+		q.displacedByShare++
 	}
-	return metric.RefusedDisplaced
+	if req.Tenant != "" {
+		return q.refusal(now, reason, req)
+	}
+	return Refusal{reason, clampRetryAfter(targetRetryDelay(req))}
 }
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -54,13 +54,13 @@
 )
 
 // Decision states what happens to an offered request. Displaced is the waiting request that lost its place in the queue
-// to the offered one, for DisplacedReason.
+// to the offered one, and DisplacedRefusal what its caller is told.
 type Decision struct {
-	Verdict         Verdict
-	Ticket          Ticket
-	Refusal         Refusal
-	Displaced       Ticket
-	DisplacedReason metric.Refusal
+	Verdict          Verdict
+	Ticket           Ticket
+	Refusal          Refusal
+	Displaced        Ticket
+	DisplacedRefusal Refusal
 }
 
 // Notice ends the wait of a request: with a slot if Refusal.Reason is empty, otherwise with a refusal.
