--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -79,6 +79,9 @@
 	if !ok && !q.rate.available(now) {
 		return q.refuse(now, metric.RefusedRateLimited, req)
 	}
+	if !ok && q.overShare(req.Rank, t) {
+		return q.refuse(now, metric.RefusedTenantShare, req)
+	}
 	if !ok {
 		return q.refuse(now, metric.RefusedQueueFull, req)
 	}
--- a/pkg/admission/tenant.go
+++ b/pkg/admission/tenant.go
@@ -185,6 +185,12 @@
 	return q.remove(req.Rank, i), true
 }
 
+// overShare reports whether the waiting requests of a tenant take more than an equal part of its rank. Others may find
+// room where such a tenant does not.
+func (q *Queue) overShare(rank int, t *tenant) bool {
+	return t != nil && t.queuedCost[rank] > q.equalPart(rank)
+}
+
 // equalPart is the cost of an equal part of the waiting requests of a rank, for each tenant and for the requests without
 // one. A request without a tenant displaces only a tenant that holds more.
 func (q *Queue) equalPart(rank int) float64 {
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -165,7 +165,7 @@
 // stops too early for this call; less urgent ones mostly have more time.
 func queueFull(rep *reply) bool {
 	switch rep.reason {
-	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedTenantShare, metric.RefusedBackendSlow, metric.RefusedRateLimited, metric.RefusedStopping:
+	case metric.RefusedQueueFull, metric.RefusedDisplaced, metric.RefusedBackendSlow, metric.RefusedRateLimited, metric.RefusedStopping:
 		return true
 	}
 	return false
