--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -48,8 +48,8 @@
 	zonePreference = 0.3
 	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
 	lateZonePreference = 1.0
-	// maxTargetWait is the fraction of the time to the target that a call of a deployment with tenants may wait at one
-	// instance; docs/design/admission-fairness.md compares it with others.
+	// maxTargetWait is the fraction of the time to its target, less its service time, that a call may wait at one instance;
+	// docs/design/admission-fairness.md compares it with others.
 	maxTargetWait = 0.25
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
--- a/pkg/admission/fairness_test.go
+++ b/pkg/admission/fairness_test.go
@@ -13,13 +13,12 @@
 // sidecarSettings are those that the node on the users' platform sets, as far as they matter here.
 var sidecarSettings = Settings{MoveWhenSlow: true, MaxTargetWait: 0.25}
 
-// compare runs a load in the order without tenants and by tenant and logs both.
+// compare runs a load with the settings and the order before tenants, and with those of today, and logs both.
 func compare(t *testing.T, name string, l simulatedLoad, cells func(*simulation) []string) (before, fair *simulation) {
-	l.settings = sidecarSettings
 	l.withoutTenants = true
 	before = simulateSeeds(l)
 	logTable(t, name, before, cells(before)...)
-	l.withoutTenants = false
+	l.withoutTenants, l.settings = false, sidecarSettings
 	fair = simulateSeeds(l)
 	logTable(t, name, fair, cells(fair)...)
 	return before, fair
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -84,7 +84,7 @@
 // waitsTooLong reports whether so many requests of this rank and more urgent ones wait that another one should rather be
 // refused: it can start earlier at another instance, or when its caller returns.
 func (q *Queue) waitsTooLong(now time.Time, req Request) bool {
-	if q.settings.MaxTargetWait == 0 || !q.tenants.active() || req.Target.IsZero() || len(q.queues[req.Rank]) == 0 {
+	if q.settings.MaxTargetWait == 0 || req.Target.IsZero() || len(q.queues[req.Rank]) == 0 {
 		return false
 	}
 	left := req.Target.Sub(now) - seconds(q.estimates.lookup(req).mean)
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -133,7 +133,7 @@
 	// QueueFactor limits the waiting requests to this multiple of the announced slots; a negative value means no queue.
 	QueueFactor float64
 	// MaxTargetWait is the fraction of the time to its target, less its service time, that a request may have to wait
-	// behind others of its rank and more urgent ones while there are requests of tenants; zero means no limit.
+	// behind others of its rank and more urgent ones; zero means no limit.
 	MaxTargetWait float64
 	// MinPlaces is the number of places in the queue that a rank with a share keeps, however small the share, but at
 	// most a fifth of the queue.
