--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -176,7 +176,7 @@
 // buildBackend creates the components for the local backend server: its admission gate, the connections to it, and the
 // service that accepts its announcements and derives this node's instance record from them.
 func buildBackend(b *builder) {
-	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true, MoveWhenSlow: true, MaxTargetWait: maxTargetWait}), b.clock)
+	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true, MaxTargetWait: maxTargetWait}), b.clock)
 	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
 	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool}
--- a/pkg/admission/fairness_test.go
+++ b/pkg/admission/fairness_test.go
@@ -11,7 +11,7 @@
 func within(at, from, to time.Duration) bool { return at >= from && at < to }
 
 // sidecarSettings are those that the node on the users' platform sets, as far as they matter here.
-var sidecarSettings = Settings{MoveWhenSlow: true, MaxTargetWait: 0.25}
+var sidecarSettings = Settings{MaxTargetWait: 0.25}
 
 // compare runs a load with the settings and the order before tenants, and with those of today, and logs both.
 func compare(t *testing.T, name string, l simulatedLoad, cells func(*simulation) []string) (before, fair *simulation) {
@@ -165,7 +165,7 @@
 	wide[0].spread = 0.8
 	for name, kinds := range map[string][]kind{"narrow": viewKinds(), "wide": wide, "mixed": meshKinds()} {
 		l := simulatedLoad{kinds: kinds, speeds: []float64{0.7, 0.7, 1.6, 1}, weights: skewed(83), length: 12 * time.Second, seed: 6,
-			settings: sidecarSettings, factor: func(time.Duration, kind, int) float64 { return 1.4 }}
+			settings: Settings{MoveWhenSlow: true, MaxTargetWait: sidecarSettings.MaxTargetWait}, factor: func(time.Duration, kind, int) float64 { return 1.4 }}
 		s := simulateSeeds(l)
 		moved, asked := s.reasons["backend_slow"], s.total(all).asked
 		t.Logf("%s: %d of %d requests moved", name, moved, asked)
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -37,25 +37,24 @@
 // minPlacesDivisor divides the capacity of the queue; MinPlaces gives one rank at most the result.
 const minPlacesDivisor = 5
 
-// findPlace finds a place in the queue for a request. In a full queue, a request that can meet its target replaces the
+// findPlace finds a place in the queue for a request. If requests wait too long already, only one of a tenant that holds
+// more of its rank gives way; byTenant reports that. In a full queue, a request that can meet its target replaces the
 // oldest one of its rank that cannot. Otherwise the request replaces the newest one of the least urgent rank that has
 // more waiting than its places; this may be a more urgent rank only if the rank of the request has places left. A
 // request within the places that its share guarantees, or the only one of its rank, may also take places that other
-// ranks have through MinPlaces alone. At last it replaces one of a tenant that holds more of its rank; byTenant reports
-// that.
+// ranks have through MinPlaces alone. At last, such a tenant gives way as well.
 func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced queuedRequest, byTenant, ok bool) {
 	rank := req.Rank
-	waitsTooLong := q.waitsTooLong(now, req)
-	if q.queued < q.capacity() && !waitsTooLong {
+	if q.waitsTooLong(now, req) {
+		e, ok := q.displaceTenant(now, req, own)
+		return e, true, ok
+	}
+	if q.queued < q.capacity() {
 		return queuedRequest{}, false, true
 	}
 	if e, ok := q.displaceLate(now, req); ok {
 		return e, false, true
 	}
-	if waitsTooLong {
-		e, ok := q.displaceTenant(now, req, own)
-		return e, true, ok
-	}
 	queued := len(q.queues[rank])
 	if e, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
 		return e, false, true
@@ -82,11 +81,21 @@
 }
 
 // waitsTooLong reports whether so many requests of this rank and more urgent ones wait that another one should rather be
-// refused: it can start earlier at another instance, or when its caller returns.
+// refused: it can start earlier at another instance, or when its caller returns. Late requests of its rank are not ahead
+// of it. If it is late itself, it may wait: an answer is worth less, but a return is too late as well.
 func (q *Queue) waitsTooLong(now time.Time, req Request) bool {
-	if q.settings.MaxTargetWait == 0 || req.Target.IsZero() || len(q.queues[req.Rank]) == 0 {
+	if q.settings.MaxTargetWait == 0 || req.Target.IsZero() || !q.onTime(now, req) {
+		return false
+	}
+	ahead := 0
+	for _, e := range q.queues[req.Rank] {
+		if q.onTime(now, e.request) {
+			ahead++
+		}
+	}
+	if ahead == 0 {
 		return false
 	}
 	left := req.Target.Sub(now) - seconds(q.estimates.lookup(req).mean)
-	return float64(q.rankWait(now, req.Rank)) > float64(left)*q.settings.MaxTargetWait
+	return float64(q.wait(now, req.Rank, ahead)) > float64(left)*q.settings.MaxTargetWait
 }
--- a/pkg/admission/tenant_test.go
+++ b/pkg/admission/tenant_test.go
@@ -181,3 +181,22 @@
 		}
 	})
 }
+
+// Guards against a late request that is refused although there are places, such as one whose node stops while it waits: no
+// return of its caller would be in time.
+func TestLateRequestMayWait(t *testing.T) {
+	q := New(Settings{Slots: 1, WarmStart: true, QueueFactor: 8, MaxTargetWait: 0.25})
+	request := func(target time.Duration) Request {
+		return Request{Rank: 1, Policy: "view", Arrived: epoch, Target: epoch.Add(target), Deadline: epoch.Add(time.Hour)}
+	}
+	q.Offer(epoch, request(time.Second))
+	q.Done(epoch, request(time.Second), Result{Served: true, ServiceTime: 100 * time.Millisecond})
+	for i, c := range []struct {
+		target time.Duration
+		want   Verdict
+	}{{time.Second, Run}, {time.Second, Wait}, {time.Second, Wait}, {time.Second, Wait}, {time.Second, Refuse}, {50 * time.Millisecond, Wait}, {50 * time.Millisecond, Wait}, {time.Second, Refuse}} {
+		if d := q.Offer(epoch, request(c.target)); d.Verdict != c.want {
+			t.Errorf("request %d, target in %v: %+v, want verdict %v", i, c.target, d, c.want)
+		}
+	}
+}
