--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -41,7 +41,7 @@
 func BenchmarkGateFreeTenants(b *testing.B) {
 	for _, rank := range []int{0, Ranks - 1} {
 		b.Run(fmt.Sprint("rank", rank), func(b *testing.B) {
-			g := NewGate(New(Settings{Slots: 20, WarmStart: true, ExactSlots: true, MoveWhenSlow: true, Shares: map[int]float64{0: 0.3, 7: 0.05}}), clock.System{})
+			g := NewGate(New(Settings{Slots: 20, WarmStart: true, ExactSlots: true, MaxTargetWait: sidecarSettings.MaxTargetWait, Shares: map[int]float64{0: 0.3, 7: 0.05}}), clock.System{})
 			ctx := context.Background()
 			req := Request{Policy: "lookup", Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)}
 			var names [80]string
