--- a/pkg/admission/fairness_test.go
+++ b/pkg/admission/fairness_test.go
@@ -236,3 +236,20 @@
 	}
 	checkNoneStarved(t, "rate limit", fair)
 }
+
+// Guards against requests without a tenant, which keep their place in the order by arrival, that push out all tenants: a
+// public route of the same rank floods with four times the capacity.
+func TestFloodWithoutTenant(t *testing.T) {
+	public := viewKinds()[0]
+	public.name, public.tenantless, public.perSecond = "public", true, 6
+	l := simulatedLoad{kinds: append(viewKinds(), public), speeds: equal(1, 4), weights: skewed(83), length: 12 * time.Second, seed: 10,
+		factor: func(at time.Duration, k kind, _ int) float64 {
+			if k.name == "public" && within(at, 3*time.Second, 9*time.Second) {
+				return 40
+			}
+			return 0.7
+		}}
+	const name = "a public route of the same rank floods with four times the capacity"
+	_, fair := compare(t, name, l, kindCells)
+	checkNoneStarved(t, name, fair)
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -12,7 +12,7 @@
 	request Request
 	// tenant is nil for a request without a tenant.
 	tenant *tenant
-	// cost is the service time in seconds that was estimated when the request was queued.
+	// cost is the service time in seconds that was estimated when the request was queued; zero without tenants.
 	cost float64
 }
 
@@ -248,8 +248,10 @@
 // add appends a request to the queue of its rank.
 func (q *Queue) add(e queuedRequest) {
 	rank := e.request.Rank
-	if t := e.tenant; t != nil {
+	if q.tenants.active() {
 		e.cost = q.estimates.lookup(e.request).mean
+	}
+	if t := e.tenant; t != nil {
 		t.waiting++
 		t.queued[rank]++
 		t.queuedCost[rank] += e.cost
--- a/pkg/admission/tenant.go
+++ b/pkg/admission/tenant.go
@@ -38,7 +38,7 @@
 	queuedCost [Ranks]float64
 	waiting    int
 	served     servedFraction
-	// counted is used by Queue.requestsAhead only.
+	// counted is used within one pass over the waiting requests of a rank; see Queue.resetCounted.
 	counted int
 	updated time.Time
 }
@@ -166,23 +166,28 @@
 const laggingPlaces = 2
 
 // displaceTenant makes room for a request in a queue that is full of its rank. It removes the newest request of the tenant
-// that holds most there, if that tenant still holds more afterwards than the tenant of the new request does with it.
+// that holds most there, if that tenant still holds more afterwards than the tenant of the new request does with it. A
+// request without a tenant replaces one of a tenant whose waiting requests take more than an equal part without it.
 func (q *Queue) displaceTenant(now time.Time, req Request, own *tenant) (queuedRequest, bool) {
 	if !q.tenants.active() {
 		return queuedRequest{}, false
 	}
-	limit := q.equalPart(req.Rank)
-	if own != nil {
-		limit = own.held(req.Rank) + q.estimates.lookup(req).mean
-	}
-	i := q.heaviestTenant(now, req.Rank, func(e queuedRequest) bool {
-		held := e.tenant.held(req.Rank) - e.cost
-		return e.tenant != own && held >= limit && (e.tenant.queued[req.Rank] > laggingPlaces || !q.lags(e.tenant.served))
+	rank, cost := req.Rank, q.estimates.lookup(req).mean
+	equalPart := q.equalPart(rank)
+	i := q.heaviestTenant(now, rank, func(e queuedRequest) bool {
+		t := e.tenant
+		switch {
+		case t == own || (t.queued[rank] <= laggingPlaces && q.lags(t.served)):
+			return false
+		case own == nil:
+			return t.queuedCost[rank]-e.cost >= equalPart
+		}
+		return t.held(rank)-e.cost >= own.held(rank)+cost
 	})
 	if i < 0 {
 		return queuedRequest{}, false
 	}
-	return q.remove(req.Rank, i), true
+	return q.remove(rank, i), true
 }
 
 // overShare reports whether the waiting requests of a tenant take more than an equal part of its rank. Others may find
@@ -192,25 +197,27 @@
 }
 
 // equalPart is the cost of an equal part of the waiting requests of a rank, for each tenant and for the requests without
-// one. A request without a tenant displaces only a tenant that holds more.
+// one.
 func (q *Queue) equalPart(rank int) float64 {
-	parts, cost := 1.0, 0.0
-	for i, e := range q.queues[rank] {
+	parts, cost := 1, 0.0
+	for _, e := range q.queues[rank] {
 		cost += e.cost
-		if e.tenant != nil && !tenantIn(q.queues[rank][:i], e.tenant) {
+		if t := e.tenant; t != nil && t.counted == 0 {
+			t.counted++
 			parts++
 		}
 	}
-	return cost / parts
+	q.resetCounted(rank)
+	return cost / float64(parts)
 }
 
-func tenantIn(list []queuedRequest, t *tenant) bool {
-	for _, e := range list {
-		if e.tenant == t {
-			return true
+// resetCounted ends a pass over the waiting requests of a rank that has counted requests of tenants.
+func (q *Queue) resetCounted(rank int) {
+	for _, e := range q.queues[rank] {
+		if e.tenant != nil {
+			e.tenant.counted = 0
 		}
 	}
-	return false
 }
 
 // heaviestTenant returns the index of the newest waiting request of the tenant that holds most of those whose requests
@@ -256,11 +263,7 @@
 			ahead++
 		}
 	}
-	for _, e := range q.queues[rank] {
-		if e.tenant != nil {
-			e.tenant.counted = 0
-		}
-	}
+	q.resetCounted(rank)
 	return ahead
 }
 
