Limit the wait only in deployments with tenants

Settings.WaitLimitNeedsTenants applies MaxTargetWait only while requests of tenants are active; the sidecar sets it. TestWaitLimitNeedsTenants fails without the condition.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -48,7 +48,8 @@
 	zonePreference = 0.3
 	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
 	lateZonePreference = 1.0
-	// maxTargetWait is the fraction of the time to its target, less its service time, that a call may wait at one instance;
+	// maxTargetWait is the fraction of the time to its target, less its service time, that a call may wait at one instance
+	// while the deployment has tenants;
 	// docs/design/admission-fairness.md compares it with others.
 	maxTargetWait = 0.25
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
@@ -176,7 +177,7 @@
 // buildBackend creates the components for the local backend server: its admission gate, the connections to it, and the
 // service that accepts its announcements and derives this node's instance record from them.
 func buildBackend(b *builder) {
-	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true, MaxTargetWait: maxTargetWait}), b.clock)
+	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true, MaxTargetWait: maxTargetWait, WaitLimitNeedsTenants: true}), b.clock)
 	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
 	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool}
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -84,7 +84,7 @@
 // refused: it can start earlier at another instance, or when its caller returns. Late requests of its rank are not ahead
 // of it. If it is late itself, it may wait: an answer is worth less, but a return is too late as well.
 func (q *Queue) waitsTooLong(now time.Time, req Request) bool {
-	if q.settings.MaxTargetWait == 0 || req.Target.IsZero() || !q.onTime(now, req) {
+	if q.settings.MaxTargetWait == 0 || q.settings.WaitLimitNeedsTenants && !q.tenants.active() || req.Target.IsZero() || !q.onTime(now, req) {
 		return false
 	}
 	ahead := 0
--- a/pkg/admission/tenant_test.go
+++ b/pkg/admission/tenant_test.go
@@ -200,3 +200,18 @@
 		}
 	}
 }
+
+// Guards against a limit of the wait that changes what deployments without tenants get.
+func TestWaitLimitNeedsTenants(t *testing.T) {
+	for tenant, want := range map[string]Verdict{"": Wait, "mill": Refuse} {
+		q := New(Settings{Slots: 1, WarmStart: true, QueueFactor: 8, MaxTargetWait: 0.25, WaitLimitNeedsTenants: true})
+		req := Request{Rank: 1, Policy: "view", Tenant: tenant, Arrived: epoch, Target: epoch.Add(time.Second), Deadline: epoch.Add(time.Hour)}
+		q.Offer(epoch, req)
+		q.Done(epoch, req, Result{Served: true, ServiceTime: 400 * time.Millisecond})
+		q.Offer(epoch, req)
+		q.Offer(epoch, req)
+		if d := q.Offer(epoch, req); d.Verdict != want {
+			t.Errorf("tenant %q: %+v, want verdict %v", tenant, d, want)
+		}
+	}
+}
--- a/pkg/admission/types.go
+++ b/pkg/admission/types.go
@@ -135,6 +135,8 @@
 	// MaxTargetWait is the fraction of the time to its target, less its service time, that a request may have to wait
 	// behind others of its rank and more urgent ones; zero means no limit.
 	MaxTargetWait float64
+	// WaitLimitNeedsTenants applies MaxTargetWait only while requests of tenants are in progress or were recently.
+	WaitLimitNeedsTenants bool
 	// MinPlaces is the number of places in the queue that a rank with a share keeps, however small the share, but at
 	// most a fifth of the queue.
 	MinPlaces int
