--- a/pkg/admission/backlog.go
+++ b/pkg/admission/backlog.go
@@ -23,14 +23,36 @@
 
 // selectWaiting returns the index of the waiting request of a rank that starts next: the oldest that can meet its
 // target or, in a backlog, the newest that can. A request that is already late starts only if no other one of its rank
-// can meet its target.
+// can meet its target. Of the requests with a tenant, only those of the tenant whose turn it is take part.
 func (q *Queue) selectWaiting(now time.Time, rank int) int {
-	list := q.queues[rank]
-	if list[0].request.Target.IsZero() {
-		return 0
+	whole := q.selectAmong(now, rank, func(*tenant) bool { return true })
+	if !q.tenants.active() {
+		return whole.index
 	}
-	oldest, newest := -1, -1
+	turn := q.selectTenant(now, rank, whole.onTime)
+	return q.selectAmong(now, rank, func(t *tenant) bool { return t == nil || t == turn }).index
+}
+
+// candidate is the waiting request that starts next of some requests of a rank.
+type candidate struct {
+	index  int
+	onTime bool
+}
+
+// selectAmong returns the request that starts next of those that are included, of which there must be one.
+func (q *Queue) selectAmong(now time.Time, rank int, included func(*tenant) bool) candidate {
+	list := q.queues[rank]
+	first, oldest, newest := -1, -1, -1
 	for i := range list {
+		if !included(list[i].tenant) {
+			continue
+		}
+		if first < 0 {
+			first = i
+			if list[i].request.Target.IsZero() {
+				return candidate{i, true}
+			}
+		}
 		if !q.onTime(now, list[i].request) {
 			continue
 		}
@@ -41,22 +63,22 @@
 	}
 	switch {
 	case oldest < 0:
-		return 0
+		return candidate{first, false}
 	case q.waitIndicatesBacklog(now, list[oldest].request):
-		return newest
+		return candidate{newest, true}
 	}
-	return oldest
+	return candidate{oldest, true}
 }
 
 // displaceLate makes room for a request that can meet its target by removing the oldest one of its rank that cannot.
-func (q *Queue) displaceLate(now time.Time, req Request) (Ticket, bool) {
+func (q *Queue) displaceLate(now time.Time, req Request) (queuedRequest, bool) {
 	if req.Target.IsZero() || !q.onTime(now, req) {
-		return 0, false
+		return queuedRequest{}, false
 	}
 	for i, e := range q.queues[req.Rank] {
 		if !q.onTime(now, e.request) {
-			return q.remove(req.Rank, i).ticket, true
+			return q.remove(req.Rank, i), true
 		}
 	}
-	return 0, false
+	return queuedRequest{}, false
 }
--- a/pkg/admission/places.go
+++ b/pkg/admission/places.go
@@ -25,6 +25,9 @@
 // a time between two arrivals, and its slot goes to other ranks.
 func (q *Queue) ownPlaces(rank int) int {
 	if q.accounts[rank].share == 0 {
+		if q.rankLags(rank) {
+			return laggingPlaces
+		}
 		return 0
 	}
 	minPlaces := min(q.settings.MinPlaces, q.capacity()/minPlacesDivisor)
@@ -34,34 +37,65 @@
 // minPlacesDivisor divides the capacity of the queue; MinPlaces gives one rank at most the result.
 const minPlacesDivisor = 5
 
-// findPlace finds a place in the queue for a request. In a full queue, a request that can meet its target replaces the
+// findPlace finds a place in the queue for a request. If requests wait too long already, only one of a tenant that holds
+// more of its rank gives way; byTenant reports that. In a full queue, a request that can meet its target replaces the
 // oldest one of its rank that cannot. Otherwise the request replaces the newest one of the least urgent rank that has
 // more waiting than its places; this may be a more urgent rank only if the rank of the request has places left. A
 // request within the places that its share guarantees, or the only one of its rank, may also take places that other
-// ranks have through MinPlaces alone.
-func (q *Queue) findPlace(now time.Time, req Request) (Ticket, bool) {
+// ranks have through MinPlaces alone. At last, such a tenant gives way as well.
+func (q *Queue) findPlace(now time.Time, req Request, own *tenant) (displaced queuedRequest, byTenant, ok bool) {
 	rank := req.Rank
+	if q.waitsTooLong(now, req) {
+		e, ok := q.displaceTenant(now, req, own)
+		return e, true, ok
+	}
 	if q.queued < q.capacity() {
-		return 0, true
+		return queuedRequest{}, false, true
 	}
-	if t, ok := q.displaceLate(now, req); ok {
-		return t, true
+	if e, ok := q.displaceLate(now, req); ok {
+		return e, false, true
 	}
 	queued := len(q.queues[rank])
-	if t, ok := q.displace(rank, queued < q.ownPlaces(rank), q.ownPlaces); ok || queued >= max(q.sharePlaces(rank), 1) {
-		return t, ok
+	if e, ok := q.displace(now, rank, queued < q.ownPlaces(rank), q.ownPlaces); ok {
+		return e, false, true
 	}
-	return q.displace(rank, queued < q.sharePlaces(rank), q.sharePlaces)
+	if queued < max(q.sharePlaces(rank), 1) {
+		if e, ok := q.displace(now, rank, queued < q.sharePlaces(rank), q.sharePlaces); ok {
+			return e, false, true
+		}
+	}
+	e, ok := q.displaceTenant(now, req, own)
+	return e, true, ok
 }
 
 // displace removes the newest request of the least urgent rank that has more waiting than its places. The rank that the
 // place is for never loses one itself, and a more urgent rank does only if entitled is set.
-func (q *Queue) displace(rank int, entitled bool, places func(int) int) (Ticket, bool) {
+func (q *Queue) displace(now time.Time, rank int, entitled bool, places func(int) int) (queuedRequest, bool) {
 	for r := Ranks - 1; r >= 0; r-- {
 		if r == rank || (r < rank && !entitled) || len(q.queues[r]) <= places(r) {
 			continue
 		}
-		return q.remove(r, len(q.queues[r])-1).ticket, true
+		return q.remove(r, q.newestToDisplace(now, r)), true
+	}
+	return queuedRequest{}, false
+}
+
+// waitsTooLong reports whether so many requests of this rank and more urgent ones wait that another one should rather be
+// refused: it can start earlier at another instance, or when its caller returns. Late requests of its rank are not ahead
+// of it. If it is late itself, it may wait: an answer is worth less, but a return is too late as well.
+func (q *Queue) waitsTooLong(now time.Time, req Request) bool {
+	if q.settings.MaxTargetWait == 0 || q.settings.WaitLimitNeedsTenants && !q.tenants.active() || req.Target.IsZero() || !q.onTime(now, req) {
+		return false
+	}
+	ahead := 0
+	for _, e := range q.queues[req.Rank] {
+		if q.onTime(now, e.request) {
+			ahead++
+		}
+	}
+	if ahead == 0 {
+		return false
 	}
-	return 0, false
+	left := req.Target.Sub(now) - seconds(q.estimates.lookup(req).mean)
+	return float64(q.wait(now, req.Rank, ahead)) > float64(left)*q.settings.MaxTargetWait
 }
