--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -202,6 +202,7 @@
 		return
 	}
 	b.checker.recordRun(id, b.id)
+	b.checker.checkTenant(id, r.Header)
 	if r.Header.Get("X-Caller-Service") == "" {
 		b.checker.addViolation("unasked", "request %s arrived without the header X-Caller-Service", id)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -50,16 +50,16 @@
 		if i%2 == 1 {
 			method, path = http.MethodPost, "/lodge/x"
 		}
-		if status := c.call(ctx, method, path); status == http.StatusNotFound {
+		if status := c.call(ctx, method, path, lasting); status == http.StatusNotFound {
 			c.checker.addViolation("denied", "node %s has no route for %s", c.vm.name, path)
 		}
 		clock.Sleep(ctx, requestPause)
 	}
 }
 
-// call sends one request and checks its response. It returns the status, or 0 if there was no complete
+// call sends one request with an API key and checks its response. It returns the status, or 0 if there was no complete
 // response.
-func (c *caller) call(ctx context.Context, method, path string) int {
+func (c *caller) call(ctx context.Context, method, path string, as credential) int {
 	c.requests++
 	id := fmt.Sprintf("%s-%d", c.name, c.requests)
 	var written atomic.Int64
@@ -79,14 +79,16 @@
 	req.Host = routeHost
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.Itoa(int(requestTimeout.Milliseconds())))
+	req.Header.Set("Authorization", "Bearer "+as.key)
+	req.Header.Set("X-Tenant", "forged")
 	atMostOnce := method == http.MethodPost
-	c.checker.recordRequest(id, atMostOnce)
+	c.checker.recordRequest(id, atMostOnce, as.tenant)
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
 		var body []byte
 		if body, err = io.ReadAll(resp.Body); err == nil {
-			c.checkResponse(id, path, resp, string(body))
+			c.checkResponse(id, path, as, resp, string(body))
 			return resp.StatusCode
 		}
 	}
@@ -99,7 +101,7 @@
 
 // checkResponse checks that a response belongs to its request, is complete and agrees with what the backend servers
 // ran.
-func (c *caller) checkResponse(id, path string, resp *http.Response, body string) {
+func (c *caller) checkResponse(id, path string, as credential, resp *http.Response, body string) {
 	status, seal := resp.StatusCode, resp.Header.Get("X-Server-Seal")
 	c.checker.countOutcome(strconv.Itoa(status))
 	switch {
@@ -116,6 +118,7 @@
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable,
 		status == http.StatusRequestTimeout, status == http.StatusMisdirectedRequest:
 		c.checker.recordRefusal(id, status)
+	case status == http.StatusUnauthorized && as != lasting:
 	case status/100 != 5 && status != http.StatusNotFound:
 		c.checker.addViolation("denied", "request %s received the unexpected status %d", id, status)
 	}
@@ -140,6 +143,7 @@
 type prober struct {
 	*caller
 	publisher *publisher
+	rounds    int
 }
 
 // run checks that configurations are applied in time and are never replaced by older ones.
@@ -152,11 +156,12 @@
 		}
 		latest, published := p.publisher.latest()
 		generation := latest
-		if served > 0 && p.requests%2 == 0 {
+		p.rounds++
+		if served > 0 && p.rounds%2 == 0 {
 			generation = served
 		}
 		start := time.Now()
-		status := p.call(ctx, http.MethodGet, generationPath(generation))
+		status := p.call(ctx, http.MethodGet, generationPath(generation), lasting)
 		sameNodeStart := p.vm.nodeStarts.Load() == nodeStart && p.vm.running()
 		switch {
 		case status == http.StatusOK && sameNodeStart:
@@ -170,6 +175,27 @@
 			p.checker.addViolation("config", "generation %d is not in force at node %s %v after it was published",
 				generation, p.vm.name, start.Sub(published).Round(time.Millisecond))
 		}
+		p.probeKeys(ctx, latest, published)
 		clock.Sleep(ctx, 2*requestPause)
 	}
 }
+
+// probeKeys checks that keys are added and revoked in time: the newest key of the rotating workspace must be known, and the
+// one that the latest generation has dropped must not run a request.
+func (p *prober) probeKeys(ctx context.Context, latest int, published time.Time) {
+	start := time.Now()
+	generation := latest
+	if p.rounds%2 == 0 {
+		generation = latest - 2
+	}
+	status := p.call(ctx, http.MethodGet, "/safe/key", rotating(generation))
+	wrong := status == http.StatusUnauthorized
+	if generation < latest {
+		wrong = status == http.StatusOK
+	}
+	if wrong && start.Sub(published) > applyLimit && p.checker.undisturbed(&p.vm.disturbance, start, settleTime) &&
+		!p.vm.stallDetector.stalledBetween(published, start) {
+		p.checker.addViolation("config", "node %s answered %d to the key of generation %d, %v after generation %d was published",
+			p.vm.name, status, generation, start.Sub(published).Round(time.Millisecond), latest)
+	}
+}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,9 @@
 // requestRecord is the record of one request of a caller.
 type requestRecord struct {
 	atMostOnce bool
-	runs       int
+	// tenant is the workspace whose API key the request carries.
+	tenant string
+	runs   int
 	// refused states that the caller was told that the request will not run. It stays false unless atMostOnce is set.
 	refused bool
 }
@@ -56,11 +59,11 @@
 		Detail: fmt.Sprintf(format, args...)})
 }
 
-// recordRequest records a request before it is sent; atMostOnce states that it must run at most once.
-func (c *checker) recordRequest(id string, atMostOnce bool) {
+// recordRequest records a request of a workspace before it is sent; atMostOnce states that it must run at most once.
+func (c *checker) recordRequest(id string, atMostOnce bool, tenant string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id] = &requestRecord{atMostOnce: atMostOnce}
+	c.requests[id] = &requestRecord{atMostOnce: atMostOnce, tenant: tenant}
 }
 
 // recordRun records that a backend server starts to run a request.
@@ -82,6 +85,22 @@
 	}
 }
 
+// checkTenant checks that a backend server was told the workspace of a request, and not its key.
+func (c *checker) checkTenant(id string, h http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.requests[id]
+	if a == nil {
+		return // recordRun reports it.
+	}
+	if got := h["X-Tenant"]; len(got) != 1 || got[0] != a.tenant {
+		c.addViolationLocked("unasked", "request %s of workspace %s runs for %q", id, a.tenant, got)
+	}
+	if h["Authorization"] != nil {
+		c.addViolationLocked("unasked", "request %s arrived with its API key", id)
+	}
+}
+
 // recordRefusal records that the caller of a request was told "not run". A request that must run at most once must
 // neither have run before nor run later.
 func (c *checker) recordRefusal(id string, status int) {
--- a/internal/soak/publisher.go
+++ b/internal/soak/publisher.go
@@ -18,6 +18,20 @@
 	published  time.Time
 }
 
+// keyPrefix begins all API keys of a run, so that a search finds each of them in the logs.
+const keyPrefix = "soak-key-"
+
+// credential is an API key and the workspace that holds it.
+type credential struct{ key, tenant string }
+
+// lasting is the credential that all generations have.
+var lasting = credential{keyPrefix + "lasting", "lasting"}
+
+// rotating returns the credential that only the given generation and the next one have.
+func rotating(generation int) credential {
+	return credential{fmt.Sprintf("%s%d", keyPrefix, generation), "rotating"}
+}
+
 func generationPath(n int) string { return fmt.Sprintf("/generation/%d/", n) }
 
 // publish writes the next generation to the store. Its version exceeds the one before by 1 or 4.
@@ -47,6 +61,12 @@
 				`"timeoutMs":1900,"targetLatencyMs":400,"priority":1,"service":%q,"maxAttempts":3}}`,
 			name, routeHost, path, kind, service))
 	}
+	tenant := func(c credential, keys ...string) {
+		resources = append(resources, fmt.Sprintf(`{"type":"tenants","metadata":{"name":%q},"spec":{"apiKeys":["%s"],"priority":1,"ratePerS":0,"burst":0}}`,
+			c.tenant, strings.Join(keys, `","`)))
+	}
+	tenant(lasting, lasting.key)
+	tenant(rotating(generation), rotating(generation).key, rotating(generation-1).key)
 	route("safe", "/safe/", "safe", "desk")
 	route("lodge", "/lodge/", "unsafe", "office")
 	for n := 1; n <= generation; n++ {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -72,6 +73,7 @@
 	r.checkRecovery(ctx, callers)
 	stopCallers()
 	r.stopAll()
+	r.checkLogs()
 	return r.report(), ctx.Err()
 }
 
@@ -279,6 +281,19 @@
 	wg.Wait()
 }
 
+// checkLogs checks that no node has written an API key to its log.
+func (r *run) checkLogs() {
+	for _, v := range r.vms {
+		text, err := os.ReadFile(v.logPath())
+		if err != nil {
+			r.checker.addViolation("soak", "read the log of %s: %v", v.name, err)
+		}
+		if bytes.Contains(text, []byte(keyPrefix)) {
+			r.checker.addViolation("unasked", "the log of node %s contains an API key", v.name)
+		}
+	}
+}
+
 // killAll kills the nodes that still run and closes the backend servers and the links.
 func (r *run) killAll() {
 	for _, v := range r.vms {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,10 +74,17 @@
 		{"run after a refusal", "refused", func(c *checker) { c.recordRefusal("once", 503); c.recordRun("once", "a") }},
 		{"refusal without a run", "", func(c *checker) { c.recordRefusal("once", 503) }},
 		{"run of a request that was not sent", "unasked", func(c *checker) { c.recordRun("other", "a") }},
+		{"right workspace", "", func(c *checker) { c.checkTenant("any", http.Header{"X-Tenant": {"lasting"}}) }},
+		{"wrong workspace", "unasked", func(c *checker) { c.checkTenant("any", http.Header{"X-Tenant": {"forged"}}) }},
+		{"two workspaces", "unasked", func(c *checker) { c.checkTenant("any", http.Header{"X-Tenant": {"lasting", "forged"}}) }},
+		{"no workspace", "unasked", func(c *checker) { c.checkTenant("any", http.Header{}) }},
+		{"key passed on", "unasked", func(c *checker) {
+			c.checkTenant("any", http.Header{"X-Tenant": {"lasting"}, "Authorization": {"Bearer x"}})
+		}},
 	} {
 		check := newChecker(time.Now())
-		check.recordRequest("once", true)
-		check.recordRequest("any", false)
+		check.recordRequest("once", true, "lasting")
+		check.recordRequest("any", false, "lasting")
 		c.play(check)
 		rule := ""
 		if v := check.violations(); len(v) > 0 {
@@ -110,6 +117,7 @@
 		}},
 		{"without seal", "mixed", func(w http.ResponseWriter, _, body string) { _, _ = io.WriteString(w, body) }},
 		{"denied", "denied", func(w http.ResponseWriter, _, _ string) { w.WriteHeader(http.StatusForbidden) }},
+		{"known key refused", "denied", func(w http.ResponseWriter, _, _ string) { w.WriteHeader(http.StatusUnauthorized) }},
 		{"dropped", "lost", func(http.ResponseWriter, string, string) { panic(http.ErrAbortHandler) }},
 	} {
 		check := newChecker(time.Now().Add(-time.Minute))
@@ -129,7 +137,60 @@
 		srv.Listener.Close()
 		srv.Listener = ln
 		srv.Start()
-		newCaller(v, "caller").call(context.Background(), http.MethodPost, "/lodge/x")
+		newCaller(v, "caller").call(context.Background(), http.MethodPost, "/lodge/x", lasting)
+		srv.Close()
+		rule := ""
+		if v := check.violations(); len(v) > 0 {
+			rule = v[0].Rule
+		}
+		if rule != c.rule {
+			t.Errorf("%s: rule %q, want %q: %v", c.name, rule, c.rule, check.violations())
+		}
+	}
+}
+
+// Guards against a prober that misses a new key which is refused or a revoked one which runs, or that reports a node which
+// has time left for the latest configuration.
+func TestProberChecksKeys(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		newest, revoked int
+		age             time.Duration
+		rule            string
+	}{
+		{"in force", 200, 401, time.Minute, ""},
+		{"not confirmed", 503, 503, time.Minute, ""},
+		{"new key refused", 401, 401, time.Minute, "config"},
+		{"revoked key runs", 200, 200, time.Minute, "config"},
+		{"just published", 401, 200, 0, ""},
+	} {
+		check := newChecker(time.Now().Add(-time.Minute))
+		publicIP, nodeIP := vmAddresses(os.Getpid(), 121)
+		v := &vm{name: "vm", publicIP: publicIP, nodeIP: nodeIP, checker: check, stallDetector: newStallDetector(t.Context())}
+		ln, err := net.Listen("tcp", v.address(portCallers))
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id, status := r.Header.Get("X-Attempt-Id"), c.revoked
+			if r.Header.Get("Authorization") == "Bearer "+rotating(5).key {
+				status = c.newest
+			}
+			if status == http.StatusOK {
+				check.recordRun(id, "instance")
+				w.Header().Set("X-Server-Seal", "seal-"+id)
+				_, _ = io.WriteString(w, expectedBody(id, r.URL.Path))
+				return
+			}
+			w.WriteHeader(status)
+		}))
+		srv.Listener.Close()
+		srv.Listener = ln
+		srv.Start()
+		p := &prober{caller: newCaller(v, "prober")}
+		for p.rounds = range 2 {
+			p.probeKeys(context.Background(), 5, time.Now().Add(-c.age))
+		}
 		srv.Close()
 		rule := ""
 		if v := check.violations(); len(v) > 0 {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -149,6 +149,8 @@
 retryBudgetRatio = 0.2
 retryBudgetSlack = 60
 budgetWindowS = 10
+revokeMs = 5000
+revokeFailClosed = false
 `, v.name, v.publicIP, v.zone, v.backendAddress(), v.service, portControl, portControl,
 		v.publicAddress(portPeers), v.publicAddress(portCallers), v.publicAddress(portReady),
 		v.publicAddress(portAnnouncements), heartbeatInterval.Milliseconds(), v.publicAddress(portStore),
