--- a/pkg/directory/confirm_test.go
+++ b/pkg/directory/confirm_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
 // Guards against a node without access to the store and to fresh nodes that goes on to believe that its configuration is the
@@ -103,6 +104,7 @@
 	if err := b.State.validateAndAccept(&log, 6, withTenants, nil, "store"); err != nil {
 		t.Fatal(err)
 	}
+	b.State.Merge(instance("x", 1, 1, membership.StateReady))
 	c.modifyReply = func(r *PullReply) {
 		r.Format, r.Confirmed, r.ConfirmedAge = 0, false, 0
 		r.Changes, r.Configuration.Tenants = nil, nil
@@ -110,6 +112,9 @@
 	if a.pullFrom(t.Context(), "b:81") || a.State.Version() != 5 || !a.State.Current().HasTenants() {
 		t.Errorf("version %d with tenants %v is in force, want version 5 with tenants and no fresh reply", a.State.Version(), a.State.Current().HasTenants())
 	}
+	if len(a.State.All()) != 1 {
+		t.Error("the instance records of the earlier build were ignored too")
+	}
 	c.modifyReply = nil
 	if !a.pullFrom(t.Context(), "b:81") || a.State.Version() != 6 || !a.State.Current().HasTenants() {
 		t.Errorf("version %d with tenants %v is in force, want version 6 with tenants", a.State.Version(), a.State.Current().HasTenants())
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -292,7 +292,7 @@
 	}
 	if reply.Version != 0 && reply.Format < configurationFormat {
 		event.PeerFormatOld.Write(event.PeerFormatOld.Log(&p.Log).Str("peer", addr).Uint64("version", uint64(reply.Version)).Int("format", reply.Format))
-		return PullReply{}, true
+		reply.Version, reply.Heard, reply.Fresh, reply.Confirmed = 0, false, false, false
 	}
 	if reply.Heard {
 		p.lastDirectReply.Set(time.Now())
