--- a/pkg/directory/confirm_test.go
+++ b/pkg/directory/confirm_test.go
@@ -74,6 +74,12 @@
 				t.Errorf("%s: age %v, want the 10 s since the store confirmed the configuration", p.Self, age)
 			}
 		}
+		old := newPeer(c, "c1", "c:81", time.Hour)
+		old.State.confirm(time.Now().Add(-time.Hour))
+		a.pullFrom(t.Context(), "c:81")
+		if age := a.State.ConfigurationAge(); age != 10*time.Second {
+			t.Errorf("age %v after a node gave an older confirmation, want still 10 s", age)
+		}
 		log := zerolog.Nop()
 		if err := b.State.validateAndAccept(&log, 5, config.Configuration{}, nil, "store"); err != nil {
 			t.Fatal(err)
