--- a/pkg/directory/confirm_test.go
+++ b/pkg/directory/confirm_test.go
@@ -37,6 +37,20 @@
 	})
 }
 
+// Guards against a listing that may be seconds old and counts as a confirmation.
+func TestStaleListingConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(testConfigurationKind, "main", "3")
+		m.hangWatches = true
+		f := startFollower(t, m, neverSkipWatch)
+		time.Sleep(500 * time.Millisecond)
+		if age := f.State.ConfigurationAge(); f.State.Version() != 3 || age != math.MaxInt64 {
+			t.Errorf("age %v of version %d after a listing that may be old", age, f.State.Version())
+		}
+	})
+}
+
 // Guards against a newest configuration that could not be put in force, after which the older one counts as confirmed.
 func TestRefusedConfigurationIsNotConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/proxy/pipeline_test.go
+++ b/pkg/proxy/pipeline_test.go
@@ -217,3 +217,24 @@
 		}
 	}
 }
+
+// Guards against a request that runs after its client has closed the connection, behind one that runs to its end since it may
+// not be cancelled.
+func TestNothingRunsForAClientThatLeft(t *testing.T) {
+	m := newMesh(t, "desk", "office")
+	for _, n := range m.nodes {
+		before, deposits := m.nodes[0].standin.Counts().Total, m.nodes[1].standin.Counts().Total
+		conn, answers := n.pipe(t)
+		fmt.Fprint(conn, pipelined("POST", "/deposits", "one", backend.HeaderServiceTime, "100ms"))
+		waitUntil(func() bool { return m.nodes[1].standin.Counts().Total == deposits+1 })
+		fmt.Fprint(conn, pipelined("GET", "/lookups/behind", ""), pipelined("GET", "/lookups/behind", ""))
+		// The end of the connection arrives, but the reset that follows a close is still on its way.
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(answers) // The node may reset the connection.
+		if total := m.nodes[0].standin.Counts().Total; total != before {
+			t.Errorf("%d requests ran for a client that had left", total-before)
+		}
+	}
+}
