--- a/pkg/directory/confirm_test.go
+++ b/pkg/directory/confirm_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
 // Guards against a node without access to the store and to fresh nodes that goes on to believe that its configuration is the
@@ -36,6 +37,20 @@
 	})
 }
 
+// Guards against a listing that may be seconds old and counts as a confirmation.
+func TestStaleListingConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(testConfigurationKind, "main", "3")
+		m.hangWatches = true
+		f := startFollower(t, m, neverSkipWatch)
+		time.Sleep(500 * time.Millisecond)
+		if age := f.State.ConfigurationAge(); f.State.Version() != 3 || age != math.MaxInt64 {
+			t.Errorf("age %v of version %d after a listing that may be old", age, f.State.Version())
+		}
+	})
+}
+
 // Guards against a newest configuration that could not be put in force, after which the older one counts as confirmed.
 func TestRefusedConfigurationIsNotConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -73,6 +88,12 @@
 				t.Errorf("%s: age %v, want the 10 s since the store confirmed the configuration", p.Self, age)
 			}
 		}
+		old := newPeer(c, "c1", "c:81", time.Hour)
+		old.State.confirm(time.Now().Add(-time.Hour))
+		a.pullFrom(t.Context(), "c:81")
+		if age := a.State.ConfigurationAge(); age != 10*time.Second {
+			t.Errorf("age %v after a node gave an older confirmation, want still 10 s", age)
+		}
 		log := zerolog.Nop()
 		if err := b.State.validateAndAccept(&log, 5, config.Configuration{}, nil, "store"); err != nil {
 			t.Fatal(err)
@@ -103,6 +124,7 @@
 	if err := b.State.validateAndAccept(&log, 6, withTenants, nil, "store"); err != nil {
 		t.Fatal(err)
 	}
+	b.State.Merge(instance("x", 1, 1, membership.StateReady))
 	c.modifyReply = func(r *PullReply) {
 		r.Format, r.Confirmed, r.ConfirmedAge = 0, false, 0
 		r.Changes, r.Configuration.Tenants = nil, nil
@@ -110,6 +132,9 @@
 	if a.pullFrom(t.Context(), "b:81") || a.State.Version() != 5 || !a.State.Current().HasTenants() {
 		t.Errorf("version %d with tenants %v is in force, want version 5 with tenants and no fresh reply", a.State.Version(), a.State.Current().HasTenants())
 	}
+	if len(a.State.All()) != 1 {
+		t.Error("the instance records of the earlier build were ignored too")
+	}
 	c.modifyReply = nil
 	if !a.pullFrom(t.Context(), "b:81") || a.State.Version() != 6 || !a.State.Current().HasTenants() {
 		t.Errorf("version %d with tenants %v is in force, want version 6 with tenants", a.State.Version(), a.State.Current().HasTenants())
