Choose instances with few slots by expected completion

Services whose instances have at most eight slots are served by the instance that is expected to answer first: its service time by route, the requests that go first there, cold starts, errors and the transfer of the answer. A request leaves its zone only to meet its target or deadline, and only if the time gained is in proportion to the bytes moved. Nodes of a zone exchange the newest loads in requests and responses. Attempts and bytes are counted by the relation to the own zone.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -48,6 +48,9 @@
 	zonePreference = 0.3
 	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
 	lateZonePreference = 1.0
+	// completionSlots is the number of slots up to which instances are chosen by expected completion, and from which the
+	// loads of instances are exchanged between nodes.
+	completionSlots = 8
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
@@ -235,9 +238,10 @@
 	state := find[*directory.State](b, nameDirectoryState)
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
-		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
-		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
-		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
+		Peers: upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference,
+			Self: b.self(), Completion: balance.Completion{MaxSlots: completionSlots}}),
+		Retry: retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
 }
 
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -50,6 +51,10 @@
 	LateZonePreference float64
 	FailureThreshold   int
 	BaseEjection       time.Duration
+	// Completion configures the choice by expected completion; its zero value turns it off.
+	Completion Completion
+	// Self is the instance on the same VM, if any: answers of it are not transferred between VMs.
+	Self membership.InstanceID
 	// Random chooses a random ready instance, whatever its load, zone or failures, as a baseline for comparison.
 	Random       bool
 	RandomSource rand.Source
@@ -63,6 +68,12 @@
 	// TargetLeft is the time left until the latency target, negative if it has been missed; zero means that the request
 	// has no target.
 	TargetLeft time.Duration
+	// DeadlineLeft is the time left until the deadline; zero means that it is not known.
+	DeadlineLeft time.Duration
+	// Route tells requests of one rank apart whose service times or response sizes differ; it may be empty.
+	Route string
+	// Bytes is the size of the request body.
+	Bytes int
 	// Exclude lists the instances that were tried before.
 	Exclude []membership.InstanceID
 }
@@ -95,6 +106,11 @@
 	InUse  int
 	Limit  int
 	Queued int
+	// Waiting is the number of waiting requests by rank, if ByRank is set.
+	Waiting [config.MaxRank + 1]int
+	ByRank  bool
+	// SlotTime is the average time that a request has used a slot lately; zero if unknown.
+	SlotTime time.Duration
 }
 
 // Observation is the result of an attempt.
@@ -107,6 +123,11 @@
 	// Rank is the rank of the request.
 	Rank    int
 	Latency time.Duration
+	// Route and Bytes are the route of the request, and the size of its body and of that of the response.
+	Route string
+	Bytes int64
+	// RouteTime is the average time that requests of the route have used a slot of the instance lately; zero if unknown.
+	RouteTime time.Duration
 	// Load is nil if the response reported none.
 	Load *Load
 }
@@ -118,6 +139,8 @@
 	services map[string][]*instance
 	byID     map[membership.InstanceID]*instance
 	zones    map[string]*zoneState
+	known    map[string]*service
+	choice   choice
 	// updates counts the calls of Update.
 	updates uint64
 }
@@ -139,7 +162,9 @@
 	if s.RandomSource == nil {
 		s.RandomSource = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
+	s.Completion = s.Completion.withDefaults()
 	return &Picker{
+		known:    make(map[string]*service),
 		settings: s, rng: rand.New(s.RandomSource),
 		services: make(map[string][]*instance),
 		byID:     make(map[membership.InstanceID]*instance),
@@ -165,6 +190,7 @@
 		list = append(list, in)
 	}
 	p.services[service] = list
+	p.service(service).setCompact(list, p.settings.Completion.MaxSlots)
 	for _, in := range old {
 		if in.listedBy != p.updates {
 			delete(p.byID, in.record.ID)
@@ -189,19 +215,45 @@
 // other one, so that false failure detection cannot leave a service without instances. A retry is not sent to an
 // ejected or unreachable instance, because it would only wait for a failure that is expected.
 func (p *Picker) Pick(now time.Time, r Request) (membership.Instance, error) {
-	var in *instance
-	list := p.services[r.Service]
-	if p.settings.Random {
-		in = p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) })
-	} else {
-		in = p.choose(now, list, &r)
-	}
+	in, _, err := p.PickRelated(now, r)
+	return in, err
+}
+
+// PickRelated is like Pick. It also returns the relation of the instance to the own zone.
+func (p *Picker) PickRelated(now time.Time, r Request) (membership.Instance, Relation, error) {
+	in, relation := p.decide(now, &r)
 	if in == nil {
-		return membership.Instance{}, ErrNoInstance
+		return membership.Instance{}, relation, ErrNoInstance
 	}
 	in.inFlight++
+	in.notePick(now)
 	p.notePicked(now, in)
-	return in.record, nil
+	return in.record, relation, nil
+}
+
+// decide chooses an instance by the policy that applies to the service.
+func (p *Picker) decide(now time.Time, r *Request) (*instance, Relation) {
+	list := p.services[r.Service]
+	if p.settings.Random {
+		return p.related(p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) }))
+	}
+	if s := p.known[r.Service]; s == nil || !s.compact {
+		return p.related(p.choose(now, list, r))
+	} else if in, relation := p.byCompletion(now, list, s, r); in != nil {
+		return in, relation
+	}
+	if len(r.Exclude) > 0 {
+		return nil, InZone
+	}
+	return p.related(p.pickRandom(list, func(i *instance) bool { return i.ready(nil) }))
+}
+
+// related adds the relation to an instance that was chosen by its load.
+func (p *Picker) related(in *instance) (*instance, Relation) {
+	if in == nil || in.record.AvailabilityZone == p.settings.AvailabilityZone {
+		return in, InZone
+	}
+	return in, LeftForLoad
 }
 
 // Reserve counts a request in flight at an instance that was chosen by other means.
@@ -305,6 +357,9 @@
 		return
 	}
 	in.observe(now, o)
+	if o.Event == EventAnswered {
+		p.observeRoute(in, o)
+	}
 	p.observeZone(now, in, o)
 	if o.Event == EventUnreachable {
 		in.setUnreachable(now, p.settings.BaseEjection)
--- /dev/null
+++ b/pkg/balance/completion.go
@@ -0,0 +1,373 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// Choice by expected completion. Two random choices by load suit instances with many slots. With few slots, instances of
+// different speed and loads that are reported a second ago, they leave requests in a queue beside an idle slot.
+
+const (
+	// DefaultSpread is the default of Completion.Spread.
+	DefaultSpread = 0.3
+	// DefaultGainPerKB is the default of Completion.GainPerKB.
+	DefaultGainPerKB = 20 * time.Millisecond
+	// headBytes is what the heads of a request and of its response between two nodes take together.
+	headBytes = 900
+	// maxRoutes bounds the routes of a service whose requests are observed one by one; requests of further routes are
+	// treated by their rank. The table has an entry for each instance.
+	maxRoutes = 32
+	// routeWeight is the inverse of the weight of one response in the average of the response sizes of a route.
+	routeWeight = 32
+	// recentPicks is the number of picks that are remembered for each instance. A report is newer than the others.
+	recentPicks = 8
+	// minSpread is the least difference between expected completions that counts. The way between two nodes varies by more
+	// than a millisecond.
+	minSpread = 3 * time.Millisecond
+	// exploreAfter is the time without an answer from an instance after which its service times count as unknown. Otherwise
+	// an instance that was slow once would never be tried again.
+	exploreAfter = 3 * time.Second
+	// unknownServiceTime is the service time that is assumed while a service has not answered any request.
+	unknownServiceTime = 50 * time.Millisecond
+)
+
+// Completion configures the choice by expected completion.
+type Completion struct {
+	// MaxSlots turns the choice on for services whose instances all have at most so many slots; zero turns it off. An
+	// instance with many slots has a free one nearly always, whatever the reports miss.
+	MaxSlots int
+	// Spread is the fraction of the shortest service time by which an expected completion may exceed the best one. The
+	// choice among these is random, because several senders know the same reports.
+	Spread float64
+	// GainPerKB is the time that a caller must gain for each kilobyte that is moved to another availability zone and back.
+	GainPerKB time.Duration
+}
+
+func (c Completion) withDefaults() Completion {
+	if c.Spread == 0 {
+		c.Spread = DefaultSpread
+	}
+	if c.GainPerKB == 0 {
+		c.GainPerKB = DefaultGainPerKB
+	}
+	return c
+}
+
+// Relation is the reason for which a request was sent where it was.
+type Relation uint8
+
+// Relations of a chosen instance to the zone of the sender.
+const (
+	// InZone: the instance is in the zone of the sender.
+	InZone Relation = iota
+	// LeftForTarget: the own zone is expected to miss the latency target of the request, the other one to meet it.
+	LeftForTarget
+	// LeftForDeadline: the own zone is expected to miss the deadline of the request.
+	LeftForDeadline
+	// LeftForLoad: the other instance is less loaded; only without the choice by expected completion.
+	LeftForLoad
+	// LeftWithoutInstance: no instance of the own zone can take the request.
+	LeftWithoutInstance
+)
+
+// Relations holds the names of all relations.
+var Relations = [...]string{InZone: "in_zone", LeftForTarget: "target", LeftForDeadline: "deadline", LeftForLoad: "load", LeftWithoutInstance: "no_instance"}
+
+// route is what is known of the requests of one route, over all instances.
+type route struct {
+	index int
+	// bytes is the moving average of the sizes of requests and responses without their heads.
+	bytes float64
+}
+
+// service is what is known of the requests of one service.
+type service struct {
+	routes map[string]*route
+	// compact reports that all instances have at most Completion.MaxSlots slots.
+	compact bool
+}
+
+func (p *Picker) service(name string) *service {
+	s := p.known[name]
+	if s == nil {
+		s = &service{routes: make(map[string]*route)}
+		p.known[name] = s
+	}
+	return s
+}
+
+// setCompact notes whether the choice by expected completion applies to the service.
+func (s *service) setCompact(list []*instance, maxSlots int) {
+	s.compact = maxSlots > 0
+	for _, in := range list {
+		s.compact = s.compact && in.record.Slots <= maxSlots
+	}
+}
+
+// observeRoute notes the size and the service time of an answered request.
+func (p *Picker) observeRoute(in *instance, o Observation) {
+	if o.Route == "" || p.settings.Completion.MaxSlots == 0 {
+		return
+	}
+	s := p.service(in.record.Service)
+	r := s.routes[o.Route]
+	if r == nil {
+		if len(s.routes) >= maxRoutes {
+			return
+		}
+		r = &route{index: len(s.routes), bytes: float64(o.Bytes)}
+		s.routes[o.Route] = r
+	}
+	r.bytes += (float64(o.Bytes) - r.bytes) / routeWeight
+	if o.RouteTime <= 0 {
+		return
+	}
+	if r.index >= len(in.routeTimes) {
+		in.routeTimes = append(in.routeTimes, make([]time.Duration, r.index+1-len(in.routeTimes))...)
+	}
+	in.routeTimes[r.index] = o.RouteTime
+}
+
+// candidate is an instance that may be chosen, with the time after which it is expected to have answered.
+type candidate struct {
+	in         *instance
+	service    time.Duration
+	completion time.Duration
+}
+
+// choice collects the candidates of one request. The slices are reused.
+type choice struct{ own, other []candidate }
+
+// byCompletion chooses the instance that is expected to answer first, or one that is nearly as good. A request stays in its
+// zone if it meets its target there, or its deadline if no zone meets the target. Beyond that, it leaves if the time that
+// its caller gains is in proportion to the bytes that are moved.
+func (p *Picker) byCompletion(now time.Time, list []*instance, s *service, r *Request) (*instance, Relation) {
+	rt := s.routes[r.Route]
+	retry := len(r.Exclude) > 0
+	p.collect(now, list, rt, r, retry)
+	own, other := p.nearBest(p.choice.own), p.nearBest(p.choice.other)
+	switch {
+	case own == nil && other != nil:
+		return other.in, LeftWithoutInstance
+	case own == nil:
+		return nil, InZone
+	case other == nil || own.completion <= other.completion:
+		return own.in, InZone
+	}
+	gain := own.completion - other.completion
+	if float64(gain) < float64(p.settings.Completion.GainPerKB)*rt.kilobytes(r.Bytes) {
+		return own.in, InZone
+	}
+	target := time.Duration(targetMargin * float64(r.TargetLeft))
+	switch {
+	case own.completion <= target && r.TargetLeft > 0:
+		return own.in, InZone
+	case r.TargetLeft > 0 && other.completion <= target:
+		return other.in, LeftForTarget
+	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && other.completion <= r.DeadlineLeft:
+		return other.in, LeftForDeadline
+	case r.TargetLeft == 0 && r.DeadlineLeft == 0:
+		return other.in, LeftForLoad
+	}
+	return own.in, InZone
+}
+
+// kilobytes returns the traffic that a request of the route causes between two nodes. A route without an answered request
+// counts with the heads and the request only.
+func (r *route) kilobytes(requestBytes int) float64 {
+	n := headBytes + float64(requestBytes)
+	if r != nil {
+		n += r.bytes
+	}
+	return n / 1024
+}
+
+// collect fills p.choice with the usable instances.
+func (p *Picker) collect(now time.Time, list []*instance, rt *route, r *Request, retry bool) {
+	p.choice.own, p.choice.other = p.choice.own[:0], p.choice.other[:0]
+	typical := typicalServiceTime(list, rt, r.Rank)
+	for _, in := range list {
+		if !in.usable(now, r.Exclude) {
+			continue
+		}
+		full := in.full(now, r.Rank)
+		own := in.record.AvailabilityZone == p.settings.AvailabilityZone
+		if full && (retry || !own) || !own && !p.mayTry(now, in) {
+			continue
+		}
+		c := p.candidate(now, in, rt, r, typical)
+		if own {
+			p.choice.own = append(p.choice.own, c)
+		} else {
+			p.choice.other = append(p.choice.other, c)
+		}
+	}
+}
+
+// candidate estimates when the instance would have answered the request: its service time for requests of the route,
+// longer while the instance is cold or fails requests, the time until a slot is free, and the transfer of the answer.
+func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, typical time.Duration) candidate {
+	serviceTime := in.routeTime(rt, r.Rank)
+	if serviceTime == 0 || in.inFlight == 0 && now.Sub(in.answeredAt) > exploreAfter {
+		serviceTime = min(typical, orMax(serviceTime))
+	}
+	capacity := in.slowStartFactor(now, p.settings.SlowStart) * in.healthFactor()
+	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
+	c.completion = c.service + time.Duration(float64(in.expectedWait(now, r.Rank, serviceTime))/capacity)
+	if rt != nil && in.record.Link > 0 && in.record.ID != p.settings.Self {
+		c.completion += time.Duration(rt.bytes * 8 / float64(in.record.Link) * float64(time.Microsecond))
+	}
+	return c
+}
+
+// orMax returns the longest duration in place of zero.
+func orMax(d time.Duration) time.Duration {
+	if d == 0 {
+		return math.MaxInt64
+	}
+	return d
+}
+
+// routeTime returns the time that the instance needs for a request of the route without a queue, or zero if unknown.
+func (in *instance) routeTime(rt *route, rank int) time.Duration {
+	if rt != nil && rt.index < len(in.routeTimes) && in.routeTimes[rt.index] > 0 {
+		return in.routeTimes[rt.index]
+	}
+	return in.serviceTime(rank)
+}
+
+// typicalServiceTime returns the average service time of the instances for which it is known. It stands in for the others.
+func typicalServiceTime(list []*instance, rt *route, rank int) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, in := range list {
+		if t := in.routeTime(rt, rank); t > 0 {
+			sum += t
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownServiceTime
+	}
+	return sum / time.Duration(n)
+}
+
+// expectedWait returns the time until a slot is free for a request of the rank, behind the requests that go first.
+func (in *instance) expectedWait(now time.Time, rank int, serviceTime time.Duration) time.Duration {
+	capacity, ahead := in.record.Slots, in.inFlight
+	if now.Sub(in.reportedAt) < maxLoadAge {
+		ahead = max(ahead, in.reported.InUse+in.reported.ahead(rank)+in.pickedSince(in.reportedAt))
+		if in.reported.Limit > 0 {
+			capacity = in.reported.Limit
+		}
+		if in.reported.SlotTime > 0 {
+			serviceTime = in.reported.SlotTime
+		}
+	}
+	capacity = max(capacity, 1)
+	if ahead < capacity {
+		return 0
+	}
+	return serviceTime * time.Duration(ahead-capacity+1) / time.Duration(capacity)
+}
+
+// ahead returns the number of waiting requests that a new one of the rank waits for.
+func (l *Load) ahead(rank int) int {
+	if !l.ByRank {
+		return l.Queued
+	}
+	n := 0
+	for _, w := range l.Waiting[:clampRank(rank)+1] {
+		n += w
+	}
+	return n
+}
+
+// notePick remembers the time of a pick.
+func (in *instance) notePick(now time.Time) {
+	in.picks[in.nextPick] = now
+	in.nextPick = (in.nextPick + 1) % recentPicks
+}
+
+// pickedSince returns the number of requests that were sent to the instance after the given time, at most recentPicks.
+func (in *instance) pickedSince(t time.Time) int {
+	n := 0
+	for _, at := range in.picks {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// nearBest returns one of the candidates whose expected completion is close to the best one, or nil if there are none.
+func (p *Picker) nearBest(list []candidate) *candidate {
+	if len(list) == 0 {
+		return nil
+	}
+	best := 0
+	for i := range list {
+		if list[i].completion < list[best].completion {
+			best = i
+		}
+	}
+	limit := list[best].completion + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(list[best].service)))
+	n := 0
+	for i := range list {
+		if list[i].completion > limit {
+			continue
+		}
+		n++
+		if p.rng.IntN(n) == 0 {
+			best = i
+		}
+	}
+	return &list[best]
+}
+
+// ExchangesNews reports whether the choice of instances uses reports that come by way of other nodes.
+func (p *Picker) ExchangesNews() bool { return p.settings.Completion.MaxSlots > 0 }
+
+// News is a report of an instance that reached the sender by way of another node.
+type News struct {
+	ID   membership.InstanceID
+	Load Load
+	Age  time.Duration
+}
+
+// Learn takes over reports that are newer than the known ones.
+func (p *Picker) Learn(now time.Time, news []News) {
+	for i := range news {
+		in, at := p.byID[news[i].ID], now.Add(-news[i].Age)
+		if in != nil && at.After(in.reportedAt) && news[i].Age < maxLoadAge {
+			in.reported, in.reportedAt = news[i].Load, at
+			in.inFlightAtReport = max(0, in.inFlight-in.pickedSince(at))
+		}
+	}
+}
+
+// Tell appends the newest reports of instances in the own zone to news, at most limit of them. Ages start at now.
+func (p *Picker) Tell(now time.Time, name string, news []News, limit int) []News {
+	list := p.services[name]
+	if len(list) == 0 || !p.service(name).compact {
+		return news
+	}
+	start := p.rng.IntN(len(list))
+	for i := range list {
+		in := list[(start+i)%len(list)]
+		age := now.Sub(in.reportedAt)
+		if age >= maxNewsAge || in.record.AvailabilityZone != p.settings.AvailabilityZone {
+			continue
+		}
+		if news = append(news, News{in.record.ID, in.reported, max(age, 0)}); len(news) == limit {
+			break
+		}
+	}
+	return news
+}
+
+// maxNewsAge is the age from which a report is not told to other nodes any more.
+const maxNewsAge = 200 * time.Millisecond
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -24,6 +24,13 @@
 	latency time.Duration
 	// serviceTimes holds for each rank the moving average of the response time that the instance needs without a queue.
 	serviceTimes [config.MaxRank + 1]time.Duration
+	// routeTimes holds for each route of the service the service time that the instance has reported; zero if unknown.
+	routeTimes []time.Duration
+	// answeredAt is the time of the last answer.
+	answeredAt time.Time
+	// picks holds the times of the last picks.
+	picks    [recentPicks]time.Time
+	nextPick int
 	// fullAt holds for each rank the time at which a request of the rank was last refused because the queue was full.
 	fullAt [config.MaxRank + 1]time.Time
 	// errorRate is the moving average of the fraction of EventErrored among the attempts that ended with EventErrored or
@@ -43,7 +50,7 @@
 		in.failures, in.ejections, in.errorRate = 0, 0, 0
 		in.ejectedUntil, in.unreachableUntil = time.Time{}, time.Time{}
 		in.reportedAt = time.Time{}
-		in.serviceTimes = [config.MaxRank + 1]time.Duration{}
+		in.serviceTimes, in.routeTimes = [config.MaxRank + 1]time.Duration{}, nil
 	}
 	if rec.State == membership.StateReady && (in.record.State != membership.StateReady || restarted) {
 		in.readySince = time.Time{}
@@ -125,6 +132,7 @@
 		return
 	}
 	in.failures, in.ejections = 0, 0
+	in.answeredAt = now
 	if in.latency == 0 {
 		in.latency = o.Latency
 	}
--- a/pkg/metric/text.go
+++ b/pkg/metric/text.go
@@ -18,6 +18,14 @@
 	BackendLimit = "backend.rate_limit"
 )
 
+// Prefixes of the counters of the traffic between an ingress and the instances. The name of the relation to the own
+// availability zone follows; see balance.Relations.
+const (
+	ZoneAttempts      = "zone.attempts."
+	ZoneRequestBytes  = "zone.request_bytes."
+	ZoneResponseBytes = "zone.response_bytes."
+)
+
 // Names of the latency histograms.
 const (
 	// CallTime is the time from the arrival of a caller's request to the end of the response.
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -62,6 +63,10 @@
 	requestRetry func() bool
 	// sendProcessing, set by the egress, sends status 102 (Processing) to the ingress, which then keeps waiting.
 	sendProcessing func()
+	// relation is that of the instance of the last attempt to the own availability zone.
+	relation balance.Relation
+	// news is the value of HeaderNews in a request from another node.
+	news string
 	// retryTarget is the instance chosen for a retry that the budget has allowed and that is not sent yet.
 	retryTarget *membership.Instance
 }
@@ -138,6 +143,7 @@
 	delete(h, HeaderWindow)
 	delete(h, HeaderCaller)
 	delete(h, HeaderDue)
+	delete(h, HeaderNews)
 }
 
 // digest hashes the parts that must be equal in two requests with the same idempotency key. Each part is preceded by
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -27,20 +27,31 @@
 	view         membership.View
 	// nodeCount returns the number of nodes in the mesh; nil means that the retry budget does not depend on it.
 	nodeCount func() int
+	// exchangesNews is set if the choice of instances uses reports that come by way of other nodes.
+	exchangesNews bool
+	// ownLoad, if set, returns the load of the local instance.
+	ownLoad func() balance.News
 }
 
 // pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
 // first attempt of a request, which is counted in the retry budget.
-func (s *selector) pick(now time.Time, r balance.Request) (membership.Instance, error) {
+func (s *selector) pick(now time.Time, r balance.Request) (membership.Instance, balance.Relation, error) {
+	var own [1]balance.News
+	if s.ownLoad != nil {
+		own[0] = s.ownLoad()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ownLoad != nil {
+		s.picker.Learn(now, own[:])
+	}
 	if len(r.Exclude) == 0 {
 		s.retryBudgets.Request(r.Service)
 	}
 	if !s.picker.HasService(r.Service) {
 		s.loadInstances(now, r.Service)
 	}
-	return s.picker.Pick(now, r)
+	return s.picker.PickRelated(now, r)
 }
 
 // reserve counts an attempt in flight at an instance that was not chosen by pick.
@@ -111,7 +122,8 @@
 
 // observe reports the end of an attempt at an instance to the load balancer, and a success to the retry budget.
 func (s *selector) observe(now time.Time, c *call, id membership.InstanceID, rep *reply, took time.Duration) {
-	o := balance.Observation{Event: classify(rep), Silent: silent(rep), Full: queueFull(rep), Rank: c.rank, Latency: took, Load: rep.load}
+	o := balance.Observation{Event: classify(rep), Silent: silent(rep), Full: queueFull(rep), Rank: c.rank, Latency: took, Load: rep.load,
+		Route: c.route, Bytes: int64(len(c.body)) + rep.bodyBytes(), RouteTime: rep.routeTime}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Observe(now, id, o)
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -53,6 +53,9 @@
 	tracker callTracker
 	stop    stopTime
 	advice  advice
+	times   slotTimes
+	// board holds the loads of other instances that this node knows; nil if its choice of instances does not use them.
+	board newsBoard
 	// sent counts the calls sent to the backend server.
 	sent metrics.Counter
 }
@@ -100,6 +103,9 @@
 			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
 	set(w.Header(), HeaderLoad, l.String())
+	if c.news != "" {
+		set(w.Header(), HeaderNews, e.answerNews(e.Clock.Now(), c, c.news, l))
+	}
 	// Without the entry, net/http adds a date to each response; the caller's node adds its own.
 	w.Header()["Date"] = nil
 	e.compareVersions(w, r, c.version)
@@ -136,7 +142,7 @@
 	c := &call{id: first(h, HeaderRequestID), method: r.Method, url: r.URL, host: r.Host, header: h, arrived: now,
 		service: unescapeName(first(h, HeaderService)), route: unescapeName(first(h, HeaderRoute)), policy: unescapeName(first(h, HeaderPolicy)),
 		idempotent: first(h, HeaderIdempotent) == "1", key: first(h, headerKey), retried: first(h, HeaderRetried) == "1",
-		caller: unescapeName(first(h, HeaderCaller))}
+		caller: unescapeName(first(h, HeaderCaller)), news: first(h, HeaderNews)}
 	remaining, ok1 := parseInt(h, HeaderRemaining, int64(maxRemaining/time.Microsecond))
 	rank, ok2 := parseInt(h, HeaderRank, config.MaxRank)
 	hops, ok3 := parseCount(h, HeaderHops, MaxHops)
@@ -212,7 +218,10 @@
 
 // run waits for a slot and sends the call to the backend server.
 func (e *Egress) run(ctx context.Context, c *call, addr string, h http.Header) *reply {
+	waiting := &e.times.waiting[min(max(c.rank, 0), config.MaxRank)]
+	waiting.Add(1)
 	release, refusal := e.Gate.Acquire(ctx, AdmissionRequest{Rank: c.rank, Policy: c.policy, Arrived: c.arrived, Deadline: c.deadline, Target: c.due})
+	waiting.Add(-1)
 	if refusal != nil {
 		rep := refuse(refusal.Reason)
 		rep.retryAfter, rep.load = refusal.RetryAfter, e.load()
@@ -233,13 +242,21 @@
 	e.Metrics.Observe(metric.BackendTime, e.Clock.Now().Sub(start))
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedBackendShed
 	if rep.rest == nil {
-		release(served, shed, e.Clock.Now().Sub(start))
+		took := e.Clock.Now().Sub(start)
+		if served {
+			e.times.observe(c.route, took)
+		}
+		release(served, shed, took)
 	} else {
 		rep.rest = &closeNotifier{ReadCloser: rep.rest, onClose: func(ended bool) {
-			release(ended, false, e.Clock.Now().Sub(start))
+			took := e.Clock.Now().Sub(start)
+			if ended {
+				e.times.observe(c.route, took)
+			}
+			release(ended, false, took)
 		}}
 	}
-	rep.load = e.load()
+	rep.load, rep.routeTime = e.load(), e.times.route(c.route)
 	return rep
 }
 
@@ -366,6 +383,6 @@
 }
 
 func (e *Egress) load() *balance.Load {
-	l := balance.Load(e.Gate.Load())
+	l := e.times.complete(e.Gate.Load())
 	return &l
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -136,7 +136,9 @@
 func (in *Ingress) pickInstance(c *call) (membership.Instance, bool) {
 	if !c.keyed() {
 		now := in.Clock.Now()
-		target, err := in.selector.pick(now, balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now), Exclude: c.tried})
+		target, relation, err := in.selector.pick(now, balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now),
+			DeadlineLeft: c.deadline.Sub(now), Route: c.route, Bytes: len(c.body), Exclude: c.tried})
+		c.relation = relation
 		return target, err == nil
 	}
 	home, ok := in.Guard.Home(c.service, c.key)
@@ -159,6 +161,7 @@
 	}
 	now := in.Clock.Now()
 	in.selector.observe(now, c, target.ID, rep, now.Sub(start))
+	in.zones.count(c.relation, c, rep)
 	return rep
 }
 
@@ -181,6 +184,9 @@
 func (in *Ingress) send(ctx context.Context, c *call, target membership.Instance, now time.Time) *reply {
 	setCommonHeaders(c.header, c.outgoing(now))
 	c.setPeerHeaders(c.header, now)
+	if news := in.selector.newsForPeer(now, c.service, c.relation == balance.InZone); news != "" {
+		set(c.header, HeaderNews, news)
+	}
 	ex := &upstream.Exchange{Request: c.request(c.header), RequestID: c.id, RequireEcho: true,
 		Idempotent: c.idempotent, Deadline: c.deadline.Add(responseGrace)}
 	if c.requestRetry != nil {
@@ -200,7 +206,9 @@
 		}
 		return replyFromFailure(res)
 	}
+	news := first(res.Response.Header, HeaderNews)
 	rep := replyFromPeer(res.Response)
+	in.selector.learn(now, rep.takeNews(news))
 	if in.OnNewerVersion != nil && rep.version > c.version {
 		in.OnNewerVersion(target.ControlAddress)
 	}
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -50,6 +50,9 @@
 	HeaderReason  = "Ml-Reason"
 	// HeaderLoad is the load of the local backend server that an egress reports; see Load.
 	HeaderLoad = "Ml-Load"
+	// HeaderNews carries the loads of instances that the sender knows; see formatNews. In a response, the own load and
+	// service time come first. It is sent only by nodes whose choice of instances uses it.
+	HeaderNews = "Ml-News"
 	// HeaderReplayed, set to 1, marks the stored response of an earlier run.
 	HeaderReplayed = "Ml-Replayed"
 
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -57,6 +57,7 @@
 	selector selector
 	splitter balance.Splitter
 	stop     stopTime
+	zones    *zoneTraffic
 }
 
 // NewIngress returns an ingress that accepts calls immediately. Run must be started to keep its list of instances up
@@ -65,7 +66,18 @@
 	if s.Dialect == nil {
 		s.Dialect = Native{}
 	}
-	return &Ingress{IngressSettings: s, selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
+	in := &Ingress{IngressSettings: s, zones: newZoneTraffic(s.Metrics),
+		selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
+	if s.Picker != nil && s.Picker.ExchangesNews() {
+		in.selector.exchangesNews = true
+		if s.Egress != nil {
+			s.Egress.board = &in.selector
+			in.selector.ownLoad = func() balance.News {
+				return balance.News{ID: s.Self, Load: s.Egress.times.complete(s.Egress.Gate.Load())}
+			}
+		}
+	}
+	return in
 }
 
 // Run updates the list of instances when the membership changes, until ctx ends.
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -28,7 +28,9 @@
 	rest     io.ReadCloser
 	replayed bool
 
-	load         *balance.Load
+	load *balance.Load
+	// routeTime is the average time that requests of the route use a slot of the instance; zero if unknown.
+	routeTime    time.Duration
 	retriedBelow bool
 	// late is set if the deadline of the request has passed.
 	late bool
