Weigh policies of choice in virtual time, count the delay for others, release slots before long transfers

Instances without a fresh report count with the load of their zone or the usual one, so that ignorance does not draw requests to another zone. Errors decide between zones only if an instance fails nearly all requests. Bodies of known length up to 256 KiB are read from the backend server before they are sent on.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -51,6 +51,9 @@
 	// completionSlots is the number of slots up to which instances are chosen by expected completion, and from which the
 	// loads of instances are exchanged between nodes.
 	completionSlots = 8
+	// maxKnownBody is the size up to which a response is read from the backend server before it is sent on. Otherwise its
+	// slot would be in use until the last byte has left on the VM's link, which takes as long as the work itself.
+	maxKnownBody = 256 << 10
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
@@ -177,7 +180,7 @@
 // service that accepts its announcements and derives this node's instance record from them.
 func buildBackend(b *builder) {
 	gate := admission.NewGate(admission.New(admission.Settings{WarmStart: true, ExactSlots: true}), b.clock)
-	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout})
+	backendPool := upstream.NewPool(upstream.Settings{Clock: b.clock, IdleTimeout: backendIdleTimeout, MaxKnownBody: maxKnownBody})
 	publisher, follower, peers := find[*directory.Publisher](b, namePublisher), find[*directory.Follower](b, nameFollower), find[*directory.Peers](b, namePeers)
 	health := &healthChecker{source: find[*directory.State](b, nameDirectoryState), backend: backendPool}
 	if b.Err != nil {
--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -22,6 +22,13 @@
 	maxRoutes = 32
 	// routeWeight is the inverse of the weight of one response in the average of the response sizes of a route.
 	routeWeight = 32
+	// freeLoad is the load from which a request is expected to delay others, and loadCost the part of its service time by
+	// which it does so for each full load beyond that. Without them requests queue at a fast instance beside idle slow ones.
+	freeLoad = 0.8
+	loadCost = 2
+	// failingRatio is the ratio of the health factors of two instances from which errors are a reason to leave the zone. It
+	// is so large because a failure that hits all zones is seen first where most requests go.
+	failingRatio = 10
 	// recentPicks is the number of picks that are remembered for each instance. A report is newer than the others.
 	recentPicks = 8
 	// minSpread is the least difference between expected completions that counts. The way between two nodes varies by more
@@ -67,6 +74,8 @@
 	LeftForTarget
 	// LeftForDeadline: the own zone is expected to miss the deadline of the request.
 	LeftForDeadline
+	// LeftForErrors: the best instance of the own zone fails nearly all requests.
+	LeftForErrors
 	// LeftForLoad: the other instance is less loaded; only without the choice by expected completion.
 	LeftForLoad
 	// LeftWithoutInstance: no instance of the own zone can take the request.
@@ -74,7 +83,7 @@
 )
 
 // Relations holds the names of all relations.
-var Relations = [...]string{InZone: "in_zone", LeftForTarget: "target", LeftForDeadline: "deadline", LeftForLoad: "load", LeftWithoutInstance: "no_instance"}
+var Relations = [...]string{InZone: "in_zone", LeftForTarget: "target", LeftForDeadline: "deadline", LeftForErrors: "errors", LeftForLoad: "load", LeftWithoutInstance: "no_instance"}
 
 // route is what is known of the requests of one route, over all instances.
 type route struct {
@@ -88,6 +97,10 @@
 	routes map[string]*route
 	// compact reports that all instances have at most Completion.MaxSlots slots.
 	compact bool
+	// zoneLoad is the average load of the own zone's instances with fresh reports, as a fraction of their slots; usualLoad
+	// is its moving average over usualTime, updated at usualAt.
+	zoneLoad, usualLoad float64
+	usualAt             time.Time
 }
 
 func (p *Picker) service(name string) *service {
@@ -136,6 +149,9 @@
 	in         *instance
 	service    time.Duration
 	completion time.Duration
+	// cost is the service time with the delay that the request causes to others, longer if the instance fails requests. It
+	// decides between the instances of a zone. Errors do not count in completion: those of other zones are hardly known.
+	cost time.Duration
 }
 
 // choice collects the candidates of one request. The slices are reused.
@@ -147,13 +163,16 @@
 func (p *Picker) byCompletion(now time.Time, list []*instance, s *service, r *Request) (*instance, Relation) {
 	rt := s.routes[r.Route]
 	retry := len(r.Exclude) > 0
-	p.collect(now, list, rt, r, retry)
+	s.updateLoad(now, list, p.settings.AvailabilityZone)
+	p.collect(now, list, s, rt, r, retry)
 	own, other := p.nearBest(p.choice.own), p.nearBest(p.choice.other)
 	switch {
 	case own == nil && other != nil:
 		return other.in, LeftWithoutInstance
 	case own == nil:
 		return nil, InZone
+	case other != nil && failingRatio*own.in.healthFactor() < other.in.healthFactor():
+		return other.in, LeftForErrors
 	case other == nil || own.completion <= other.completion:
 		return own.in, InZone
 	}
@@ -186,7 +205,7 @@
 }
 
 // collect fills p.choice with the usable instances.
-func (p *Picker) collect(now time.Time, list []*instance, rt *route, r *Request, retry bool) {
+func (p *Picker) collect(now time.Time, list []*instance, s *service, rt *route, r *Request, retry bool) {
 	p.choice.own, p.choice.other = p.choice.own[:0], p.choice.other[:0]
 	typical := typicalServiceTime(list, rt, r.Rank)
 	for _, in := range list {
@@ -198,7 +217,11 @@
 		if full && (retry || !own) || !own && !p.mayTry(now, in) {
 			continue
 		}
-		c := p.candidate(now, in, rt, r, typical)
+		assumed := s.zoneLoad
+		if !own {
+			assumed = s.usualLoad
+		}
+		c := p.candidate(now, in, rt, r, typical, assumed)
 		if own {
 			p.choice.own = append(p.choice.own, c)
 		} else {
@@ -207,18 +230,49 @@
 	}
 }
 
+// usualTime is the time constant of the usual load. It is longer than a burst, and shorter than a lasting overload.
+const usualTime = 5 * time.Second
+
+// updateLoad updates the loads that are assumed for instances without a fresh report: for those of the own zone its present
+// average, for those of other zones the usual one, since a burst in one zone says little about the others, and a lasting
+// overload is mostly one of all.
+func (s *service) updateLoad(now time.Time, list []*instance, zone string) {
+	used, slots := 0, 0
+	for _, in := range list {
+		if in.record.AvailabilityZone == zone && now.Sub(in.reportedAt) < maxLoadAge && in.reported.Limit > 0 {
+			used += in.reported.InUse + in.reported.Queued
+			slots += in.reported.Limit
+		}
+	}
+	if slots == 0 {
+		s.zoneLoad = 0
+		return
+	}
+	s.zoneLoad = float64(used) / float64(slots)
+	if s.usualAt.IsZero() {
+		s.usualLoad, s.usualAt = s.zoneLoad, now
+	}
+	weight := 1 - math.Exp(-now.Sub(s.usualAt).Seconds()/usualTime.Seconds())
+	s.usualLoad, s.usualAt = s.usualLoad+weight*(s.zoneLoad-s.usualLoad), now
+}
+
 // candidate estimates when the instance would have answered the request: its service time for requests of the route,
-// longer while the instance is cold or fails requests, the time until a slot is free, and the transfer of the answer.
-func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, typical time.Duration) candidate {
+// longer while the instance is cold, the time until a slot is free, and the transfer of the answer.
+func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, typical time.Duration, assumed float64) candidate {
 	serviceTime := in.routeTime(rt, r.Rank)
 	if serviceTime == 0 || in.inFlight == 0 && now.Sub(in.answeredAt) > exploreAfter {
 		serviceTime = min(typical, orMax(serviceTime))
 	}
-	capacity := in.slowStartFactor(now, p.settings.SlowStart) * in.healthFactor()
+	capacity, health := in.slowStartFactor(now, p.settings.SlowStart), in.healthFactor()
 	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
-	c.completion = c.service + time.Duration(float64(in.expectedWait(now, r.Rank, serviceTime))/capacity)
+	wait, load := in.expectedWait(now, r.Rank, serviceTime, assumed)
+	c.completion = c.service + time.Duration(float64(wait)/capacity)
+	c.cost = c.service + time.Duration(float64(c.service)*loadCost*max(0, load-freeLoad)/capacity)
+	c.cost = time.Duration(float64(c.cost) / health)
 	if rt != nil && in.record.Link > 0 && in.record.ID != p.settings.Self {
-		c.completion += time.Duration(rt.bytes * 8 / float64(in.record.Link) * float64(time.Microsecond))
+		transfer := time.Duration(rt.bytes * 8 / float64(in.record.Link) * float64(time.Microsecond))
+		c.completion += transfer
+		c.cost += transfer
 	}
 	return c
 }
@@ -256,22 +310,29 @@
 }
 
 // expectedWait returns the time until a slot is free for a request of the rank, behind the requests that go first.
-func (in *instance) expectedWait(now time.Time, rank int, serviceTime time.Duration) time.Duration {
+func (in *instance) expectedWait(now time.Time, rank int, serviceTime time.Duration, assumed float64) (time.Duration, float64) {
 	capacity, ahead := in.record.Slots, in.inFlight
+	total := ahead
 	if now.Sub(in.reportedAt) < maxLoadAge {
-		ahead = max(ahead, in.reported.InUse+in.reported.ahead(rank)+in.pickedSince(in.reportedAt))
+		since := in.pickedSince(in.reportedAt)
+		total = max(ahead, in.reported.InUse+in.reported.Queued+since)
+		ahead = max(ahead, in.reported.InUse+in.reported.ahead(rank)+since)
 		if in.reported.Limit > 0 {
 			capacity = in.reported.Limit
 		}
 		if in.reported.SlotTime > 0 {
 			serviceTime = in.reported.SlotTime
 		}
+	} else {
+		total = max(total, int(assumed*float64(capacity)))
+		ahead = max(ahead, total)
 	}
 	capacity = max(capacity, 1)
+	load := float64(total) / float64(capacity)
 	if ahead < capacity {
-		return 0
+		return 0, load
 	}
-	return serviceTime * time.Duration(ahead-capacity+1) / time.Duration(capacity)
+	return serviceTime * time.Duration(ahead-capacity+1) / time.Duration(capacity), load
 }
 
 // ahead returns the number of waiting requests that a new one of the rank waits for.
@@ -310,14 +371,14 @@
 	}
 	best := 0
 	for i := range list {
-		if list[i].completion < list[best].completion {
+		if list[i].cost < list[best].cost {
 			best = i
 		}
 	}
-	limit := list[best].completion + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(list[best].service)))
+	limit := list[best].cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(list[best].service)))
 	n := 0
 	for i := range list {
-		if list[i].completion > limit {
+		if list[i].cost > limit {
 			continue
 		}
 		n++
@@ -359,7 +420,7 @@
 	for i := range list {
 		in := list[(start+i)%len(list)]
 		age := now.Sub(in.reportedAt)
-		if age >= maxNewsAge || in.record.AvailabilityZone != p.settings.AvailabilityZone {
+		if age >= maxNewsAge {
 			continue
 		}
 		if news = append(news, News{in.record.ID, in.reported, max(age, 0)}); len(news) == limit {
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -320,6 +320,9 @@
 func (c *conn) readBody(ctx context.Context, resp *http.Response, ex *Exchange) Result {
 	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	limit := c.host.pool.settings.MaxBufferedBody
+	if known := c.host.pool.settings.MaxKnownBody; resp.ContentLength > 0 && resp.ContentLength <= int64(known) {
+		limit = max(limit, known)
+	}
 	body, complete, err := readBounded(resp, limit)
 	if err != nil {
 		return failedResult(c.classifyError(ctx, err, FailCut), c.bytesSent.Load(), err)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -31,7 +31,9 @@
 	DialTimeout          time.Duration
 	// MaxBufferedBody is the size in bytes up to which a response body is read completely before the response is
 	// returned.
-	MaxBufferedBody     int
+	MaxBufferedBody int
+	// MaxKnownBody replaces MaxBufferedBody for a response whose length is known, if it is larger.
+	MaxKnownBody        int
 	MaxIdleConnsPerHost int
 	// MaxConnsPerHost is the maximum number of connections to one address; 0 means no limit.
 	MaxConnsPerHost int
