--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -13,6 +13,8 @@
 const (
 	// DefaultSpread is the default of Completion.Spread.
 	DefaultSpread = 0.3
+	// DefaultSample is the default of Completion.Sample.
+	DefaultSample = 6
 	// DefaultGainPerKB is the default of Completion.GainPerKB.
 	DefaultGainPerKB = 20 * time.Millisecond
 	// headBytes is what the heads of a request and of its response between two nodes take together.
@@ -26,9 +28,9 @@
 	// which it does so for each full load beyond that. Without them requests queue at a fast instance beside idle slow ones.
 	freeLoad = 0.8
 	loadCost = 2
-	// failingRatio is the ratio of the health factors of two instances from which errors are a reason to leave the zone. It
-	// is so large because a failure that hits all zones is seen first where most requests go.
-	failingRatio = 10
+	// failingRate is the error rate of the best instance of the own zone from which a request leaves the zone. It is so high
+	// because a failure that hits all zones is seen first where most requests go.
+	failingRate = 0.7
 	// recentPicks is the number of picks that are remembered for each instance. A report is newer than the others.
 	recentPicks = 8
 	// minSpread is the least difference between expected completions that counts. The way between two nodes varies by more
@@ -49,6 +51,9 @@
 	// Spread is the fraction of the shortest service time by which an expected completion may exceed the best one. The
 	// choice among these is random, because several senders know the same reports.
 	Spread float64
+	// Sample is the number of random instances of a zone among which the choice is made, a negative
+	// value means all. Senders with the same reports draw different ones, so that not all of them send to one idle instance.
+	Sample int
 	// GainPerKB is the time that a caller must gain for each kilobyte that is moved to another availability zone and back.
 	GainPerKB time.Duration
 }
@@ -57,6 +62,9 @@
 	if c.Spread == 0 {
 		c.Spread = DefaultSpread
 	}
+	if c.Sample == 0 {
+		c.Sample = DefaultSample
+	}
 	if c.GainPerKB == 0 {
 		c.GainPerKB = DefaultGainPerKB
 	}
@@ -90,6 +98,8 @@
 	index int
 	// bytes is the moving average of the sizes of requests and responses without their heads.
 	bytes float64
+	// time is the moving average of the service time.
+	time time.Duration
 }
 
 // service is what is known of the requests of one service.
@@ -138,6 +148,10 @@
 	if o.RouteTime <= 0 {
 		return
 	}
+	if r.time == 0 {
+		r.time = o.RouteTime
+	}
+	r.time += (o.RouteTime - r.time) / routeWeight
 	if r.index >= len(in.routeTimes) {
 		in.routeTimes = append(in.routeTimes, make([]time.Duration, r.index+1-len(in.routeTimes))...)
 	}
@@ -154,41 +168,45 @@
 	cost time.Duration
 }
 
-// choice collects the candidates of one request. The slices are reused.
-type choice struct{ own, other []candidate }
+// choice collects what is considered for one request. The slices are reused.
+type choice struct {
+	own, other []*instance
+	candidates []candidate
+}
 
 // byCompletion chooses the instance that is expected to answer first, or one that is nearly as good. A request stays in its
 // zone if it meets its target there, or its deadline if no zone meets the target. Beyond that, it leaves if the time that
 // its caller gains is in proportion to the bytes that are moved.
 func (p *Picker) byCompletion(now time.Time, list []*instance, s *service, r *Request) (*instance, Relation) {
 	rt := s.routes[r.Route]
-	retry := len(r.Exclude) > 0
 	s.updateLoad(now, list, p.settings.AvailabilityZone)
-	p.collect(now, list, s, rt, r, retry)
-	own, other := p.nearBest(p.choice.own), p.nearBest(p.choice.other)
+	p.collect(now, list, r)
+	own, ok := p.nearBest(now, p.choice.own, rt, r, s.zoneLoad)
+	target := time.Duration(targetMargin * float64(r.TargetLeft))
+	if ok && own.in.errorRate < failingRate && own.completion <= target {
+		return own.in, InZone
+	}
+	other, otherOK := p.nearBest(now, p.choice.other, rt, r, s.usualLoad)
 	switch {
-	case own == nil && other != nil:
+	case !ok && otherOK:
 		return other.in, LeftWithoutInstance
-	case own == nil:
+	case !ok:
 		return nil, InZone
-	case other != nil && failingRatio*own.in.healthFactor() < other.in.healthFactor():
-		return other.in, LeftForErrors
-	case other == nil || own.completion <= other.completion:
+	case !otherOK:
 		return own.in, InZone
+	case own.in.errorRate >= failingRate && other.in.errorRate < failingRate/2:
+		return other.in, LeftForErrors
 	}
 	gain := own.completion - other.completion
 	if float64(gain) < float64(p.settings.Completion.GainPerKB)*rt.kilobytes(r.Bytes) {
 		return own.in, InZone
 	}
-	target := time.Duration(targetMargin * float64(r.TargetLeft))
 	switch {
-	case own.completion <= target && r.TargetLeft > 0:
-		return own.in, InZone
 	case r.TargetLeft > 0 && other.completion <= target:
 		return other.in, LeftForTarget
 	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && other.completion <= r.DeadlineLeft:
 		return other.in, LeftForDeadline
-	case r.TargetLeft == 0 && r.DeadlineLeft == 0:
+	case r.TargetLeft == 0:
 		return other.in, LeftForLoad
 	}
 	return own.in, InZone
@@ -205,38 +223,37 @@
 }
 
 // collect fills p.choice with the usable instances.
-func (p *Picker) collect(now time.Time, list []*instance, s *service, rt *route, r *Request, retry bool) {
-	p.choice.own, p.choice.other = p.choice.own[:0], p.choice.other[:0]
-	typical := typicalServiceTime(list, rt, r.Rank)
+func (p *Picker) collect(now time.Time, list []*instance, r *Request) {
+	c, retry := &p.choice, len(r.Exclude) > 0
+	c.own, c.other = c.own[:0], c.other[:0]
 	for _, in := range list {
 		if !in.usable(now, r.Exclude) {
 			continue
 		}
-		full := in.full(now, r.Rank)
-		own := in.record.AvailabilityZone == p.settings.AvailabilityZone
-		if full && (retry || !own) || !own && !p.mayTry(now, in) {
-			continue
-		}
-		assumed := s.zoneLoad
-		if !own {
-			assumed = s.usualLoad
-		}
-		c := p.candidate(now, in, rt, r, typical, assumed)
-		if own {
-			p.choice.own = append(p.choice.own, c)
-		} else {
-			p.choice.other = append(p.choice.other, c)
+		if in.record.AvailabilityZone == p.settings.AvailabilityZone {
+			if !retry || !in.full(now, r.Rank) {
+				c.own = append(c.own, in)
+			}
+		} else if !in.full(now, r.Rank) && p.mayTry(now, in) {
+			c.other = append(c.other, in)
 		}
 	}
 }
 
-// usualTime is the time constant of the usual load. It is longer than a burst, and shorter than a lasting overload.
-const usualTime = 5 * time.Second
+const (
+	// usualTime is the time constant of the usual load. It is longer than a burst, and shorter than a lasting overload.
+	usualTime = 5 * time.Second
+	// loadInterval is the time between two updates of the loads. They change in tens of milliseconds.
+	loadInterval = 20 * time.Millisecond
+)
 
 // updateLoad updates the loads that are assumed for instances without a fresh report: for those of the own zone its present
 // average, for those of other zones the usual one, since a burst in one zone says little about the others, and a lasting
 // overload is mostly one of all.
 func (s *service) updateLoad(now time.Time, list []*instance, zone string) {
+	if now.Sub(s.usualAt) < loadInterval {
+		return
+	}
 	used, slots := 0, 0
 	for _, in := range list {
 		if in.record.AvailabilityZone == zone && now.Sub(in.reportedAt) < maxLoadAge && in.reported.Limit > 0 {
@@ -244,11 +261,7 @@
 			slots += in.reported.Limit
 		}
 	}
-	if slots == 0 {
-		s.zoneLoad = 0
-		return
-	}
-	s.zoneLoad = float64(used) / float64(slots)
+	s.zoneLoad = float64(used) / float64(max(slots, 1))
 	if s.usualAt.IsZero() {
 		s.usualLoad, s.usualAt = s.zoneLoad, now
 	}
@@ -257,58 +270,34 @@
 }
 
 // candidate estimates when the instance would have answered the request: its service time for requests of the route,
-// longer while the instance is cold, the time until a slot is free, and the transfer of the answer.
-func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, typical time.Duration, assumed float64) candidate {
-	serviceTime := in.routeTime(rt, r.Rank)
-	if serviceTime == 0 || in.inFlight == 0 && now.Sub(in.answeredAt) > exploreAfter {
-		serviceTime = min(typical, orMax(serviceTime))
-	}
-	capacity, health := in.slowStartFactor(now, p.settings.SlowStart), in.healthFactor()
-	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
+// longer while the instance is cold, the time until a slot is free, and the transfer of the answer. assumed is the load of
+// an instance without a fresh report.
+func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, serviceTime time.Duration, assumed float64) candidate {
+	capacity := in.slowStartFactor(now, p.settings.SlowStart)
 	wait, load := in.expectedWait(now, r.Rank, serviceTime, assumed)
+	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
 	c.completion = c.service + time.Duration(float64(wait)/capacity)
 	c.cost = c.service + time.Duration(float64(c.service)*loadCost*max(0, load-freeLoad)/capacity)
-	c.cost = time.Duration(float64(c.cost) / health)
 	if rt != nil && in.record.Link > 0 && in.record.ID != p.settings.Self {
 		transfer := time.Duration(rt.bytes * 8 / float64(in.record.Link) * float64(time.Microsecond))
 		c.completion += transfer
 		c.cost += transfer
 	}
+	c.cost = time.Duration(float64(c.cost) / in.healthFactor())
 	return c
 }
 
-// orMax returns the longest duration in place of zero.
-func orMax(d time.Duration) time.Duration {
-	if d == 0 {
-		return math.MaxInt64
-	}
-	return d
-}
-
 // routeTime returns the time that the instance needs for a request of the route without a queue, or zero if unknown.
-func (in *instance) routeTime(rt *route, rank int) time.Duration {
+func (in *instance) routeTime(now time.Time, rt *route, rank int) time.Duration {
+	if in.inFlight == 0 && now.Sub(in.answeredAt) > exploreAfter {
+		return 0
+	}
 	if rt != nil && rt.index < len(in.routeTimes) && in.routeTimes[rt.index] > 0 {
 		return in.routeTimes[rt.index]
 	}
 	return in.serviceTime(rank)
 }
 
-// typicalServiceTime returns the average service time of the instances for which it is known. It stands in for the others.
-func typicalServiceTime(list []*instance, rt *route, rank int) time.Duration {
-	var sum time.Duration
-	n := 0
-	for _, in := range list {
-		if t := in.routeTime(rt, rank); t > 0 {
-			sum += t
-			n++
-		}
-	}
-	if n == 0 {
-		return unknownServiceTime
-	}
-	return sum / time.Duration(n)
-}
-
 // expectedWait returns the time until a slot is free for a request of the rank, behind the requests that go first.
 func (in *instance) expectedWait(now time.Time, rank int, serviceTime time.Duration, assumed float64) (time.Duration, float64) {
 	capacity, ahead := in.record.Slots, in.inFlight
@@ -364,21 +353,42 @@
 	return n
 }
 
-// nearBest returns one of the candidates whose expected completion is close to the best one, or nil if there are none.
-func (p *Picker) nearBest(list []candidate) *candidate {
+// nearBest returns one of the instances whose cost is close to the best one among a random sample. It reports false if there
+// are none. An instance whose service time is unknown counts with the shortest known one, so that it is tried.
+func (p *Picker) nearBest(now time.Time, list []*instance, rt *route, r *Request, assumed float64) (candidate, bool) {
 	if len(list) == 0 {
-		return nil
+		return candidate{}, false
 	}
-	best := 0
-	for i := range list {
-		if list[i].cost < list[best].cost {
+	list = p.sample(list)
+	shortest := time.Duration(math.MaxInt64)
+	for _, in := range list {
+		if t := in.routeTime(now, rt, r.Rank); t > 0 {
+			shortest = min(shortest, t)
+		}
+	}
+	switch {
+	case shortest < math.MaxInt64:
+	case rt != nil && rt.time > 0:
+		shortest = rt.time
+	default:
+		shortest = unknownServiceTime
+	}
+	candidates, best := p.choice.candidates[:0], 0
+	for i, in := range list {
+		serviceTime := in.routeTime(now, rt, r.Rank)
+		if serviceTime == 0 {
+			serviceTime = shortest
+		}
+		candidates = append(candidates, p.candidate(now, in, rt, r, serviceTime, assumed))
+		if candidates[i].cost < candidates[best].cost {
 			best = i
 		}
 	}
-	limit := list[best].cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(list[best].service)))
+	p.choice.candidates = candidates
+	limit := candidates[best].cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(candidates[best].service)))
 	n := 0
-	for i := range list {
-		if list[i].cost > limit {
+	for i := range candidates {
+		if candidates[i].cost > limit {
 			continue
 		}
 		n++
@@ -386,7 +396,20 @@
 			best = i
 		}
 	}
-	return &list[best]
+	return candidates[best], true
+}
+
+// sample moves a random sample to the front of the list and returns it.
+func (p *Picker) sample(list []*instance) []*instance {
+	n := p.settings.Completion.Sample
+	if n < 0 || n >= len(list) {
+		return list
+	}
+	for i := range n {
+		j := i + p.rng.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:n]
 }
 
 // ExchangesNews reports whether the choice of instances uses reports that come by way of other nodes.
--- a/pkg/balance/policies_test.go
+++ b/pkg/balance/policies_test.go
@@ -45,6 +45,7 @@
 	completion bool
 	joinIdle   bool
 	spread     float64
+	sample     int
 	// newsEvery is the time between two exchanges of reports within a zone; zero means that there is none.
 	newsEvery time.Duration
 }
@@ -118,7 +119,7 @@
 		for i := range simSenders {
 			s := Settings{AvailabilityZone: zone, ZonePreference: 0.3, LateZonePreference: 1, RandomSource: rand.NewPCG(uint64(z), uint64(i))}
 			if p.completion {
-				s.Completion = Completion{MaxSlots: simSlots, Spread: p.spread}
+				s.Completion = Completion{MaxSlots: simSlots, Spread: p.spread, Sample: p.sample}
 			}
 			from := &sender{Picker: New(s), zone: zone}
 			from.Update(w.now, "desk", records)
@@ -310,9 +311,10 @@
 var simPolicies = []policy{
 	{name: "two choices, stale"}, {name: "two choices, fresh", newsEvery: fresh},
 	{name: "join idle, stale", joinIdle: true}, {name: "join idle, fresh", joinIdle: true, newsEvery: fresh},
-	{name: "least completion, stale", completion: true, spread: 1e-9}, {name: "least completion, fresh", completion: true, spread: 1e-9, newsEvery: fresh},
-	{name: "near least completion, stale", completion: true}, {name: "near least completion, fresh", completion: true, newsEvery: fresh},
-	{name: "near least (0.6), fresh", completion: true, spread: 0.6, newsEvery: fresh},
+	{name: "least completion of all, stale", completion: true, spread: 1e-9, sample: -1},
+	{name: "least completion of all, fresh", completion: true, spread: 1e-9, sample: -1, newsEvery: fresh},
+	{name: "near least of six, stale", completion: true},
+	{name: "near least of six, fresh", completion: true, newsEvery: fresh},
 }
 
 var simLoads = []load{
