--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -204,7 +204,7 @@
 	switch {
 	case r.TargetLeft > 0 && other.completion <= target:
 		return other.in, LeftForTarget
-	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && other.completion <= r.DeadlineLeft:
+	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && float64(other.completion) <= targetMargin*float64(r.DeadlineLeft):
 		return other.in, LeftForDeadline
 	case r.TargetLeft == 0:
 		return other.in, LeftForLoad
