--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -111,6 +111,8 @@
 	ByRank  bool
 	// SlotTime is the average time that a request has used a slot lately; zero if unknown.
 	SlotTime time.Duration
+	// LinkWait is the time that the VM's link needs for the responses that are on their way to other nodes.
+	LinkWait time.Duration
 }
 
 // Observation is the result of an attempt.
--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -204,7 +204,7 @@
 	switch {
 	case r.TargetLeft > 0 && other.completion <= target:
 		return other.in, LeftForTarget
-	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && float64(other.completion) <= targetMargin*float64(r.DeadlineLeft):
+	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && other.completion <= r.DeadlineLeft:
 		return other.in, LeftForDeadline
 	case r.TargetLeft == 0:
 		return other.in, LeftForLoad
@@ -278,15 +278,22 @@
 	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
 	c.completion = c.service + time.Duration(float64(wait)/capacity)
 	c.cost = c.service + time.Duration(float64(c.service)*loadCost*max(0, load-freeLoad)/capacity)
-	if rt != nil && in.record.Link > 0 && in.record.ID != p.settings.Self {
-		transfer := time.Duration(rt.bytes * 8 / float64(in.record.Link) * float64(time.Microsecond))
-		c.completion += transfer
-		c.cost += transfer
-	}
+	transfer := p.transferTime(now, in, rt)
+	c.completion += transfer
+	c.cost += transfer
 	c.cost = time.Duration(float64(c.cost) / in.healthFactor())
 	return c
 }
 
+// transferTime returns the time that the answer of an instance on another VM waits for the VM's link and uses it.
+func (p *Picker) transferTime(now time.Time, in *instance, rt *route) time.Duration {
+	if rt == nil || in.record.Link == 0 || in.record.ID == p.settings.Self {
+		return 0
+	}
+	wait := max(0, in.reported.LinkWait-now.Sub(in.reportedAt))
+	return wait + time.Duration(rt.bytes*8/float64(in.record.Link)*float64(time.Microsecond))
+}
+
 // routeTime returns the time that the instance needs for a request of the route without a queue, or zero if unknown.
 func (in *instance) routeTime(now time.Time, rt *route, rank int) time.Duration {
 	if in.inFlight == 0 && now.Sub(in.answeredAt) > exploreAfter {
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -103,6 +103,10 @@
 			Dur("left_ms", c.deadline.Sub(now)).Int("in_use", l.InUse).Int("limit", l.Limit).Int("queued", l.Queued).AnErr("error", rep.err))
 	}
 	set(w.Header(), HeaderLoad, l.String())
+	if rep.reason == "" {
+		own, _ := e.Local.Instance()
+		e.times.sent(e.Clock.Now(), rep.bodyBytes(), own.Link)
+	}
 	if c.news != "" {
 		set(w.Header(), HeaderNews, e.answerNews(e.Clock.Now(), c, c.news, l))
 	}
@@ -383,6 +387,6 @@
 }
 
 func (e *Egress) load() *balance.Load {
-	l := e.times.complete(e.Gate.Load())
+	l := e.times.complete(e.Clock.Now(), e.Gate.Load())
 	return &l
 }
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -73,7 +73,7 @@
 		if s.Egress != nil {
 			s.Egress.board = &in.selector
 			in.selector.ownLoad = func() balance.News {
-				return balance.News{ID: s.Self, Load: s.Egress.times.complete(s.Egress.Gate.Load())}
+				return balance.News{ID: s.Self, Load: s.Egress.times.complete(s.Clock.Now(), s.Egress.Gate.Load())}
 			}
 		}
 	}
--- a/pkg/proxy/news.go
+++ b/pkg/proxy/news.go
@@ -35,6 +35,8 @@
 	mu      sync.Mutex
 	all     time.Duration
 	routes  map[string]time.Duration
+	// linkFree is the time at which the VM's link has sent the responses that it was given so far.
+	linkFree time.Time
 }
 
 // observe adds a request that the backend server has answered.
@@ -63,14 +65,27 @@
 	return t.routes[name]
 }
 
+// sent notes a response to another node. link is the bandwidth of the VM in Mbit/s; 0 if unknown.
+func (t *slotTimes) sent(now time.Time, bytes int64, link int) {
+	if link <= 0 || bytes <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.linkFree.Before(now) {
+		t.linkFree = now
+	}
+	t.linkFree = t.linkFree.Add(time.Duration(bytes) * 8 * time.Microsecond / time.Duration(link))
+}
+
 // complete adds what the gate does not know to its load.
-func (t *slotTimes) complete(l Load) balance.Load {
+func (t *slotTimes) complete(now time.Time, l Load) balance.Load {
 	out := balance.Load{InUse: l.InUse, Limit: l.Limit, Queued: l.Queued, ByRank: true}
 	for i := range t.waiting {
 		out.Waiting[i] = int(t.waiting[i].Load())
 	}
 	t.mu.Lock()
-	out.SlotTime = t.all
+	out.SlotTime, out.LinkWait = t.all, max(0, t.linkFree.Sub(now))
 	t.mu.Unlock()
 	return out
 }
@@ -99,7 +114,7 @@
 }
 
 // formatNews encodes reports as the value of HeaderNews: for each one the instance, slots in use, limit, slot time in
-// microseconds, age in milliseconds, and the waiting requests of the ranks up to the last that has any.
+// microseconds, age in milliseconds, the wait for its link in microseconds, and the waiting requests of the ranks up to the last that has any.
 func formatNews(b []byte, news []balance.News) []byte {
 	for i := range news {
 		if len(b) > 0 {
@@ -118,6 +133,7 @@
 	b = strconv.AppendInt(append(b, '/'), int64(l.Limit), 10)
 	b = strconv.AppendInt(append(b, '/'), l.SlotTime.Microseconds(), 10)
 	b = strconv.AppendInt(append(b, '/'), last, 10)
+	b = strconv.AppendInt(append(b, '/'), l.LinkWait.Microseconds(), 10)
 	for r := range l.Waiting {
 		if rest := l.Waiting[r:]; sum(rest) == 0 {
 			break
@@ -174,15 +190,17 @@
 			l.SlotTime = time.Duration(n) * time.Microsecond
 		case i == 3:
 			last = n
-		case i-4 < len(l.Waiting):
-			l.Waiting[i-4] = int(n)
+		case i == 4:
+			l.LinkWait = time.Duration(n) * time.Microsecond
+		case i-5 < len(l.Waiting):
+			l.Waiting[i-5] = int(n)
 			l.Queued += int(n)
 		default:
 			return l, 0, false
 		}
 		i++
 	}
-	return l, last, i >= 4
+	return l, last, i >= 5
 }
 
 // newsForPeer returns the value of HeaderNews for a request to an instance; empty if the choice of instances does not use
@@ -203,7 +221,7 @@
 // the time that requests of the route take here, then reports of other instances. asked is empty if the caller's node does
 // not use them.
 func (e *Egress) answerNews(now time.Time, c *call, asked string, l Load) string {
-	load := e.times.complete(l)
+	load := e.times.complete(now, l)
 	b := appendReport(make([]byte, 0, 160), &load, e.times.route(c.route).Microseconds())
 	if e.board != nil && asked != noNews {
 		e.board.learn(now, parseNews(asked))
