--- a/pkg/balance/policies_test.go
+++ b/pkg/balance/policies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -327,10 +328,12 @@
 	{name: "overload", perZone: 700, noisy: 0.15, bytes: 1500},
 }
 
-// Prints the table of docs/design/balance.md: go test -run TestPolicyTable -v ./pkg/balance
-func TestPolicyTable(t *testing.T) {
-	if !testing.Verbose() {
-		t.Skip("prints a table only")
+var printTable = flag.Bool("table", false, "print the table of policies of docs/design/balance.md")
+
+// Prints the table of docs/design/balance.md: go test -run TestPolicyTable ./pkg/balance -table
+func TestPolicyTable(*testing.T) {
+	if !*printTable {
+		return
 	}
 	for _, l := range simLoads {
 		for _, p := range simPolicies {
