--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -50,9 +50,11 @@
 	// lateZonePreference replaces zonePreference for a call that would miss its target in the other zone too.
 	lateZonePreference = 1.0
 	// maxTargetWait is the fraction of the time to its target, less its service time, that a call may wait at one instance
-	// while the deployment has tenants;
-	// docs/design/admission-fairness.md compares it with others.
+	// while the deployment has tenants; docs/design/admission-fairness.md compares it with others.
 	maxTargetWait = 0.25
+	// completionSlots is the number of slots up to which instances are chosen by expected completion, and from which the
+	// loads of instances are exchanged between nodes.
+	completionSlots = 8
 	// bodyMemoryDivisor is the divisor that yields the memory for request bodies from the memory limit of the process.
 	// The socket buffers of the operating system may hold the same amount again.
 	bodyMemoryDivisor = 4
@@ -260,9 +262,10 @@
 	b.Provide(nameKeyRules, rules)
 	b.Provide(nameIngress, proxy.NewIngress(proxy.IngressSettings{Self: b.self(), Source: state, View: state,
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
-		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
-		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
-		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
+		Peers: upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
+		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference,
+			Self: b.self(), Completion: balance.Completion{MaxSlots: completionSlots}}),
+		Retry: retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget),
 		Quota: tenantQuota{find[*quota.Service](b, nameQuota)}, KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge}))
 }
