Bound what unadmitted requests hold in a process

Cause: each connection may send a head of up to 1 MiB, which takes many times its bytes once it is parsed, into receive buffers that the kernel lets grow to megabytes, and nothing bounds the sum. Frames of the control server were allocated as announced, up to 4 MiB, before their bytes arrived.

Change: package intake, one budget for all listeners of a process, derived from the memory and the descriptors of the VM. It counts bytes and lines of heads as they are read and closes the largest unfinished one when all together exceed an eighth of the memory; large heads of requests that handlers work on have another eighth, and one beyond is refused with 503. Ordinary heads touch no shared counter. Receive buffers have a fixed size, and connections whose unread bytes nobody reads are closed when these exceed an eighth. Each listener has a bound on connections; over it, the connection that has waited longest for its first request is closed, else the one that has been idle longest, else the new one. A request whose connection was closed in its head never runs. Answers of which a client takes nothing for 15 s end. Unused memory goes back to the operating system after a crowd. maxHeaderBytes (431) and headerTimeoutMs (408) of the configuration apply. Frames take memory as their bytes arrive.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -80,6 +81,7 @@
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
 	nameReloader       = "reload"
+	nameIntake         = "intake" // as returned by intake.Budget.Name
 )
 
 // builder assembles the node. Each component finds the components that it needs by name.
@@ -95,7 +97,7 @@
 
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
 // the drainer first, the control server last.
-var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildEgress, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
+var builders = []func(*builder){buildIntake, buildControl, buildDirectory, buildBackend, buildEgress, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
 
 // newNode builds all components. It returns the first error.
 func newNode(s *Settings, vm platform.VMSettings, log zerolog.Logger, metrics *metric.Set) (*kernel.Kernel, error) {
@@ -139,11 +141,23 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// buildIntake creates the budget for requests that have not been admitted, which all listeners share.
+func buildIntake(b *builder) {
+	state := directory.NewState()
+	b.Provide(nameDirectoryState, state)
+	b.Register(intake.New(intake.Settings{Memory: b.vm.MemoryBytes, Descriptors: b.vm.Descriptors, Metrics: b.metrics(), Log: b.log,
+		Limits: func() intake.Limits { return intake.LimitsOf(state.Current()) }}))
+}
+
 // buildControl creates the server and the connection pool for RPC calls between nodes.
 func buildControl(b *builder) {
 	anyNetwork, err := network.Parse([]string{"0.0.0.0/0"})
 	b.RecordError(err)
-	server := rpcwire.NewServer(rpcwire.ServerSettings{Address: b.listenAddress(b.controlAddress()), Networks: anyNetwork}, b.log, b.metrics())
+	budget := find[*intake.Budget](b, nameIntake)
+	if b.Err != nil {
+		return
+	}
+	server := rpcwire.NewServer(rpcwire.ServerSettings{Address: b.listenAddress(b.controlAddress()), Networks: anyNetwork, Class: budget.Nodes()}, b.log, b.metrics())
 	b.Provide(nameRPCPool, rpcwire.NewPool(rpcwire.PoolSettings{Dial: b.dialPeer, DialTimeout: peerDialTimeout}, b.metrics()))
 	b.Register(server)
 }
@@ -151,7 +165,7 @@
 // buildDirectory creates the components that watch the store, synchronise with other nodes, and publish this
 // node's instance record.
 func buildDirectory(b *builder) {
-	store, state := platform.NewStore(b.vm.StoreAddress), directory.NewState()
+	store, state := platform.NewStore(b.vm.StoreAddress), find[*directory.State](b, nameDirectoryState)
 	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: b.self(), Clock: b.clock, Log: b.log,
 		Metrics: b.metrics()}
 	follower.SetApplyBound(b.vm.Bounds.Apply)
@@ -164,7 +178,6 @@
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
 	b.Provide(nameStore, store)
-	b.Provide(nameDirectoryState, state)
 	b.Provide(nameFollower, follower)
 	b.Provide(namePeers, peers)
 	b.Provide(namePublisher, publisher)
@@ -264,14 +277,20 @@
 	callContext, endCalls := context.WithCancel(context.Background())
 	callers.BaseContext = func(net.Listener) context.Context { return callContext }
 	b.Provide(nameEndCalls, endCalls)
-	listen := func(name, address string, s *http.Server, tasks ...func(context.Context)) {
-		b.Register(parts.NewListener(name, b.listenAddress(address), nil, s, b.log, tasks...))
+	budget := find[*intake.Budget](b, nameIntake)
+	if b.Err != nil {
+		return
+	}
+	local := budget.Local()
+	listen := func(name, address string, s *http.Server, class *intake.Class, refuse intake.Refuser, tasks ...func(context.Context)) {
+		class.Protect(s, refuse)
+		b.Register(parts.NewListener(name, address, nil, s, class, b.log, tasks...))
 	}
-	listen("inbound", b.vm.Peers.String(), proxy.NewPeerServer(find[*proxy.Egress](b, nameEgress)))
-	listen("announcements", b.vm.Announcements.String(), newHTTPServer(&platform.Announcements{Receiver: announcer, Backend: b.vm.Backend.String()}))
-	listen("callers", b.vm.Callers.String(), callers, idleCloser.run)
-	listen("ready", b.vm.Ready.String(), newHTTPServer(ready))
-	b.Register(parts.NewListener("operators", b.settings.Metrics, nil, newHTTPServer(http.HandlerFunc(b.metrics().ServeText)), b.log))
+	listen("inbound", b.listenAddress(b.vm.Peers.String()), proxy.NewPeerServer(find[*proxy.Egress](b, nameEgress)), budget.Nodes(), proxy.Refuser(proxy.Native{}))
+	listen("announcements", b.listenAddress(b.vm.Announcements.String()), newHTTPServer(&platform.Announcements{Receiver: announcer, Backend: b.vm.Backend.String()}), local, nil)
+	listen("callers", b.listenAddress(b.vm.Callers.String()), callers, budget.Callers(), proxy.Refuser(platform.Dialect{}), idleCloser.run)
+	listen("ready", b.listenAddress(b.vm.Ready.String()), newHTTPServer(ready), local, nil)
+	listen("operators", b.settings.Metrics, newHTTPServer(http.HandlerFunc(b.metrics().ServeText)), budget.Local(), nil)
 }
 
 // buildLifecycle creates the reloader of the settings and the drainer.
--- a/cmd/monsoonlatchd/control.go
+++ b/cmd/monsoonlatchd/control.go
@@ -4,6 +4,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
@@ -30,8 +31,12 @@
 func buildControl(b *builder) {
 	metrics := find[*metric.Set](b, nameMetrics)
 	b.Provide(nameRPCPool, rpcwire.NewPool(rpcwire.PoolSettings{Dial: find[dialFunc](b, nameDial)}, metrics))
+	budget := find[*intake.Budget](b, nameIntake)
+	if b.Err != nil {
+		return
+	}
 	b.Register(rpcwire.NewServer(rpcwire.ServerSettings{
-		Address: b.settings.Control, Networks: find[network.Set](b, namePeerNetworks),
+		Address: b.settings.Control, Networks: find[network.Set](b, namePeerNetworks), Class: budget.Nodes(),
 	}, b.log, metrics))
 }
 
--- a/cmd/monsoonlatchd/datapath.go
+++ b/cmd/monsoonlatchd/datapath.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
@@ -68,7 +71,7 @@
 	}}
 	b.Provide(nameCalls, calls)
 	b.Provide(nameEgress, egress)
-	b.Register(parts.NewListener("peers", b.settings.Peers, peerFilter, proxy.NewPeerServer(egress), b.log, announcer.Run, backend.Run))
+	b.listen("peers", b.settings.Peers, peerFilter, proxy.NewPeerServer(egress), (*intake.Budget).Nodes, announcer.Run, backend.Run)
 }
 
 // buildIngress creates the ingress, which accepts callers' requests, and its listener.
@@ -85,7 +88,18 @@
 	})
 	b.Provide(nameIngress, ingress)
 	updater := &shareUpdater{source: nodeSyncer, gate: find[*admission.Gate](b, nameGate)}
-	b.Register(parts.NewListener("callers", s.Callers, nil, proxy.NewServer(ingress), b.log, ingress.Run, peers.Run, runPeriodically(shareUpdatePeriod, updater.update)))
+	b.listen("callers", s.Callers, nil, proxy.NewServer(ingress), (*intake.Budget).Callers, ingress.Run, peers.Run, runPeriodically(shareUpdatePeriod, updater.update))
+}
+
+// listen registers a listener for calls, whose connections belong to the given class.
+func (b *builder) listen(name, address string, filter *network.Listener, s *http.Server, class func(*intake.Budget) *intake.Class, tasks ...func(context.Context)) {
+	budget := find[*intake.Budget](b, nameIntake)
+	if b.Err != nil {
+		return
+	}
+	c := class(budget)
+	c.Protect(s, proxy.Refuser(proxy.Native{}))
+	b.Register(parts.NewListener(name, address, filter, s, c, b.log, tasks...))
 }
 
 // shareUpdatePeriod is the interval between checks for changed guaranteed shares, and thus the longest time until a
--- a/cmd/monsoonlatchd/node.go
+++ b/cmd/monsoonlatchd/node.go
@@ -11,11 +11,13 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
+	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
 
 // Names by which the components of the node find each other. The name of a kernel service is the one that its Name
@@ -36,6 +38,7 @@
 	nameCalls        = "calls"
 	nameEgress       = "egress"
 	nameIngress      = "ingress"
+	nameIntake       = "intake"
 )
 
 // dialFunc opens a connection to another node.
@@ -51,7 +54,7 @@
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
 // the drainer first, the control server last.
 var builders = []func(*builder){
-	buildCommon, buildPlatform, buildControl, buildSyncer, buildRelay, buildIdempotency,
+	buildCommon, buildIntake, buildPlatform, buildControl, buildSyncer, buildRelay, buildIdempotency,
 	buildAnnounce, buildEgress, buildIngress, buildAdmin, buildDrainer,
 }
 
@@ -86,6 +89,18 @@
 	b.Provide(nameDial, newDialFunc(netip.MustParseAddrPort(b.settings.Peers).Addr()))
 }
 
+// buildIntake creates the budget for requests that have not been admitted, which all listeners share. The syncer, which
+// has the limits of the configuration, is built later.
+func buildIntake(b *builder) {
+	b.Register(intake.New(intake.Settings{Metrics: find[*metric.Set](b, nameMetrics), Log: b.log, Limits: func() intake.Limits {
+		nodeSyncer, err := kernel.Find[*syncer.Syncer](b.Kernel, nameSyncer)
+		if err != nil {
+			return intake.Limits{}
+		}
+		return intake.LimitsOf(nodeSyncer.Current())
+	}}))
+}
+
 // newDialFunc returns a function that opens connections from the given address of the VM, so that other nodes can
 // recognise the source if the VM has several addresses.
 func newDialFunc(source netip.Addr) dialFunc {
--- a/cmd/monsoonlatchd/status.go
+++ b/cmd/monsoonlatchd/status.go
@@ -7,6 +7,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/relay"
@@ -29,9 +30,13 @@
 		kernel: b.Kernel, syncer: find[*syncer.Syncer](b, nameSyncer), relay: find[*relay.Relay](b, nameRelay),
 		clock: find[clock.Clock](b, nameClock), settlingTime: max(b.settings.MembershipLag, idempotency.DefaultSettlingTime),
 	}
+	budget := find[*intake.Budget](b, nameIntake)
+	if b.Err != nil {
+		return
+	}
 	b.Register(admin.New(admin.Settings{
 		Listen: b.settings.Admin, Operators: b.networks(b.settings.OperatorNetworks), State: st.state, Ready: st.ready,
-		Announce: find[*announce.BackendTracker](b, nameAnnounce), Metrics: find[*metric.Set](b, nameMetrics), Log: b.log,
+		Announce: find[*announce.BackendTracker](b, nameAnnounce), Metrics: find[*metric.Set](b, nameMetrics), Class: budget.Local(), Log: b.log,
 	}))
 }
 
--- a/internal/parts/listener.go
+++ b/internal/parts/listener.go
@@ -11,6 +11,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
@@ -21,16 +22,17 @@
 	address string
 	filter  *network.Listener
 	server  *http.Server
+	class   *intake.Class
 	tasks   []func(context.Context)
 	log     zerolog.Logger
 	cancel  context.CancelFunc
 }
 
 // NewListener returns a service that accepts connections from the networks of filter, or from everywhere if filter is
-// nil.
-func NewListener(name, address string, filter *network.Listener, server *http.Server, log zerolog.Logger,
+// nil. Its connections belong to class, for which the server must be set up with Class.Protect.
+func NewListener(name, address string, filter *network.Listener, server *http.Server, class *intake.Class, log zerolog.Logger,
 	tasks ...func(context.Context)) *Listener {
-	return &Listener{name: name, address: address, filter: filter, server: server, tasks: tasks, log: log}
+	return &Listener{name: name, address: address, filter: filter, server: server, class: class, tasks: tasks, log: log}
 }
 
 // Name implements kernel.Service.
@@ -45,6 +47,7 @@
 	if l.filter != nil {
 		l.filter.Listener, ln = ln, l.filter
 	}
+	ln = l.class.Listener(ln)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	for _, task := range l.tasks {
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
@@ -54,7 +55,9 @@
 	Ready    func() bool
 	Announce http.Handler
 	Metrics  *metric.Set
-	Log      zerolog.Logger
+	// Class bounds the connections; nil means no bound.
+	Class *intake.Class
+	Log   zerolog.Logger
 }
 
 // Server runs the endpoint as a kernel service.
@@ -77,6 +80,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.Class.Protect(srv.http, nil)
 	return srv
 }
 
@@ -90,6 +94,7 @@
 		return err
 	}
 	s.addr = l.Addr().String()
+	l = s.settings.Class.Listener(l)
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			event.ListenerFailed.Write(event.ListenerFailed.Log(&s.settings.Log).Err(err).Str("listener", "admin"))
--- a/pkg/config/types.go
+++ b/pkg/config/types.go
@@ -76,7 +76,7 @@
 }
 
 // Limits restricts the size of requests to a node and how long a connection may wait for a header or stay idle. For a
-// zero value the node's own limit applies. Nodes apply only MaxBodyBytes and IdleTimeout.
+// zero value the node's own limit applies.
 type Limits struct {
 	MaxHeaderBytes int      `json:"maxHeaderBytes,omitempty" yaml:"maxHeaderBytes,omitempty"`
 	MaxBodyBytes   int64    `json:"maxBodyBytes,omitempty" yaml:"maxBodyBytes,omitempty"`
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -44,6 +44,9 @@
 	RefusedAnswerNotKept       Refusal = "answer_not_kept" // the request has run before, but its response was not stored
 	RefusedVersionMismatch     Refusal = "version_mismatch"
 	RefusedSyncLimited         Refusal = "sync_limited" // a relay told the node to poll later
+	RefusedHeadTooLarge        Refusal = "head_too_large"
+	RefusedHeadTimeout         Refusal = "head_timeout"
+	RefusedHeadMemory          Refusal = "head_memory" // the memory for request heads is used up
 )
 
 // Refusals lists all reasons for refusals.
@@ -54,6 +57,7 @@
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
 	RefusedAnswerNotKept, RefusedVersionMismatch, RefusedSyncLimited,
+	RefusedHeadTooLarge, RefusedHeadTimeout, RefusedHeadMemory,
 }
 
 // NotRun reports whether the reason guarantees that the backend server has not run the request.
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -91,13 +91,15 @@
 // refusalStatus maps refusal reasons to HTTP statuses. For all other reasons the status is 503 if the request was not
 // run, and 502 if the outcome is unknown.
 var refusalStatus = map[metric.Refusal]int{
-	metric.RefusedDeadline:    http.StatusGatewayTimeout,
-	metric.RefusedKeyRunning:  http.StatusConflict,
-	metric.RefusedKeyMismatch: http.StatusUnprocessableEntity,
-	metric.RefusedNoRoute:     http.StatusNotFound,
-	metric.RefusedTooLarge:    http.StatusRequestEntityTooLarge,
-	metric.RefusedMalformed:   http.StatusBadRequest,
-	metric.RefusedForbidden:   http.StatusForbidden,
+	metric.RefusedDeadline:     http.StatusGatewayTimeout,
+	metric.RefusedKeyRunning:   http.StatusConflict,
+	metric.RefusedKeyMismatch:  http.StatusUnprocessableEntity,
+	metric.RefusedNoRoute:      http.StatusNotFound,
+	metric.RefusedTooLarge:     http.StatusRequestEntityTooLarge,
+	metric.RefusedMalformed:    http.StatusBadRequest,
+	metric.RefusedForbidden:    http.StatusForbidden,
+	metric.RefusedHeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	metric.RefusedHeadTimeout:  http.StatusRequestTimeout,
 }
 
 func refusalStatusOf(reason metric.Refusal, outcome idempotency.Outcome) int {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"runtime/debug"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
 
 // Limits of the HTTP servers.
@@ -34,6 +36,14 @@
 	return &http.Server{Handler: h, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
+// Refuser returns a function that refuses a request, before its handler runs, in the given dialect.
+func Refuser(d Dialect) func(http.ResponseWriter, *http.Request, metric.Refusal) {
+	return func(w http.ResponseWriter, r *http.Request, reason metric.Refusal) {
+		// Fails only while a response is streamed, which a refusal is not.
+		_ = refuseUnread(reason).write(w, r, d, d.ParseIncoming(r).ID, time.Time{})
+	}
+}
+
 // Tuning holds the Go runtime settings of a node. Zero values keep the defaults of the runtime.
 type Tuning struct {
 	Procs       int
--- a/pkg/rpcwire/codec.go
+++ b/pkg/rpcwire/codec.go
@@ -63,10 +63,15 @@
 	return err
 }
 
-func (c *serverCodec) ReadRequestBody(body any) error { return c.decode(body) }
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.decode(body)
+	c.beginCall()
+	return err
+}
 
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	<-c.inProgress
+	c.endCall()
 	method := r.ServiceMethod
 	r.ServiceMethod = ""
 	return c.write(method, r, body)
--- a/pkg/rpcwire/frame.go
+++ b/pkg/rpcwire/frame.go
@@ -131,11 +131,7 @@
 		return f.fail(fault.New(fault.Limited, "receive frame", fmt.Sprintf("frame of %d bytes exceeds the limit of %d", size, f.maxFrame),
 			"check that the peer is a node of this mesh"))
 	}
-	if cap(f.buf) < size || cap(f.buf) > maxRetainedBuffer {
-		f.buf = make([]byte, size)
-	}
-	f.buf = f.buf[:size]
-	if _, err := io.ReadFull(f.conn, f.buf); err != nil {
+	if err := f.readBody(size); err != nil {
 		return f.fail(err)
 	}
 	f.in.Reset(f.buf)
@@ -144,6 +140,59 @@
 	return nil
 }
 
+// readBody reads the rest of a frame of size bytes into f.buf. The buffer grows as the bytes arrive, and is charged to the
+// budget of the process before: otherwise a peer that announces long frames takes memory without sending them.
+func (f *frameConn) readBody(size int) error {
+	if cap(f.buf) > maxRetainedBuffer {
+		f.buf = nil
+	}
+	if f.buf == nil {
+		f.buf = make([]byte, 0, min(size, maxRetainedBuffer))
+	}
+	f.buf = f.buf[:0]
+	budget, limited := f.conn.(frameBudget)
+	for len(f.buf) < size {
+		if len(f.buf) == cap(f.buf) {
+			grown := min(size, max(2*cap(f.buf), maxRetainedBuffer))
+			if limited && grown > maxRetainedBuffer && !budget.Reserve(grown-len(f.buf)) {
+				return errFrameMemory
+			}
+			if grown > cap(f.buf) {
+				f.buf = append(make([]byte, 0, grown), f.buf...)
+			}
+		}
+		end := min(size, cap(f.buf))
+		n, err := io.ReadFull(f.conn, f.buf[len(f.buf):end])
+		f.buf = f.buf[:len(f.buf)+n]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// frameBudget is implemented by connections whose frames are charged to a budget, such as intake.Conn.
+type frameBudget interface {
+	Reserve(n int) bool
+	BeginCall()
+	EndCall()
+}
+
+var errFrameMemory = errors.New("no memory is left for unfinished frames")
+
+// beginCall returns the charge of a request that has been decoded.
+func (f *frameConn) beginCall() {
+	if budget, ok := f.conn.(frameBudget); ok {
+		budget.BeginCall()
+	}
+}
+
+func (f *frameConn) endCall() {
+	if budget, ok := f.conn.(frameBudget); ok {
+		budget.EndCall()
+	}
+}
+
 // decode decodes the next value of the current frame into v; a nil v skips the value. A malformed value or a panic in
 // the decoder closes the connection, because the rest of the stream cannot be trusted.
 func (f *frameConn) decode(v any) (err error) {
--- a/pkg/rpcwire/server.go
+++ b/pkg/rpcwire/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
@@ -35,6 +36,8 @@
 	MaxCalls int
 	// MaxConnections limits the open connections. Further ones are closed at once.
 	MaxConnections int
+	// Class bounds the connections and the memory of unfinished frames; nil means no bound.
+	Class *intake.Class
 }
 
 func (s ServerSettings) withDefaults() ServerSettings {
@@ -99,7 +102,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Unavailable, "listen for control calls", err, "free the address or configure another one")
 	}
-	s.Serve(ln)
+	s.Serve(s.settings.Class.FrameListener(ln))
 	return nil
 }
 
