End request bodies that never arrive at peers, local and admin listeners

Cause: only the callers' server had a read timeout. A client that sent the head of an announcement and not its body held one of the listener's connections for ever, and once these have a bound, the backend server's heartbeats find no room.

Change: the local servers and the admin endpoint have read timeouts.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -326,6 +326,13 @@
 // readHeaderTimeout limits the time to read a request's header on the listeners for the platform and operators.
 const readHeaderTimeout = 3 * time.Second
 
+const (
+	// localReadTimeout limits the time to read a whole request on these listeners, whose bodies are a few hundred bytes.
+	// Without it, clients that never finish a body hold all connections that the listener may have.
+	localReadTimeout = 5 * time.Second
+	localIdleTimeout = 2 * time.Minute
+)
+
 func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: localReadTimeout, IdleTimeout: localIdleTimeout}
 }
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -20,7 +20,11 @@
 
 const (
 	readHeaderTimeout = 2 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// readTimeout limits the time to read a whole request, so that clients that never finish a body don't hold all
+	// connections that the endpoint may have.
+	readTimeout    = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
 	// maxBodyBytes limits the size of announcements, the only request bodies that this endpoint reads.
 	maxBodyBytes = 64 << 10
 )
@@ -78,6 +82,8 @@
 	srv.http = &http.Server{
 		Handler:           http.MaxBytesHandler(mux, maxBodyBytes),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	s.Class.Protect(srv.http, nil)
--- a/pkg/event/admin.go
+++ b/pkg/event/admin.go
@@ -27,4 +27,7 @@
 	RequestUnread = define(1657, "request_unread", zerolog.WarnLevel,
 		"bytes that clients sent ahead took more memory than the node has for them; their connections were closed",
 		"Look for clients that send requests without waiting for the answers.")
+	BodyTimeout = define(1658, "body_timeout", zerolog.WarnLevel,
+		"request bodies did not arrive in time; their connections were closed",
+		"Look for clients that send bodies slowly, and at the network path to them.")
 )
--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -48,6 +48,9 @@
 	removed atomic.Bool
 	// calls is the number of calls in progress on a connection that carries frames.
 	calls atomic.Int32
+	// bodySince is the tick at which a handler began to read a body that is not complete; 0 if there is none. bodyBytes is
+	// what has been read of it.
+	bodySince, bodyBytes atomic.Int64
 	// headBytes and headLines count what was read for the current head. Only the reading goroutine uses them.
 	headBytes, headLines int64
 }
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -71,6 +71,10 @@
 	timeoutMargin = time.Second
 	// writeTimeout is how long a client may take nothing of its answer.
 	writeTimeout = 15 * time.Second
+	// bodyTimeout and bodyRate bound the time in which a body must be complete, where the server has no read timeout: a
+	// sender gets bodyTimeout and the time that its bytes take at bodyRate bytes a tick.
+	bodyTimeout = 15 * time.Second
+	bodyRate    = 16 << 10
 	// maxWrite is the size of the pieces in which answers are written, so that writeTimeout applies to each piece.
 	maxWrite = 64 << 10
 	// idleTimeout is how long a connection may wait without a byte of a request. It is longer than that of the server,
@@ -147,6 +151,7 @@
 	connections
 	answerUnread
 	requestUnread
+	bodyTimedOut
 )
 
 // kinds gives the event of each kind, and either its reason or, for connections that are closed without an answer, its
@@ -162,6 +167,7 @@
 	connections:   {"", "closed.connections", event.ConnectionsExceeded},
 	answerUnread:  {"", "closed.answer_unread", event.AnswerUnread},
 	requestUnread: {"", "closed.request_unread", event.RequestUnread},
+	bodyTimedOut:  {"", "closed.body_timeout", event.BodyTimeout},
 }
 
 // New returns a budget.
@@ -281,6 +287,8 @@
 		switch {
 		case w > 0 && n-w > ticks(writeTimeout):
 			c.cut(answerUnread)
+		case c.bodyLate(n):
+			c.cut(bodyTimedOut)
 		case c.framed || c.phase.Load() != phaseHead:
 		case c.started.Load() && n-c.since.Load() > headTicks:
 			c.refuseHead(headTimeout, "408 Request Timeout")
--- a/pkg/intake/server.go
+++ b/pkg/intake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 
@@ -33,6 +34,7 @@
 	if refuse == nil {
 		refuse = refusePlainly
 	}
+	limitBodies := s.ReadTimeout == 0
 	next, connState, connContext := s.Handler, s.ConnState, s.ConnContext
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c, ok := nc.(*Conn); ok {
@@ -54,7 +56,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.serve(w, r, next, refuse)
+		c.serve(w, r, next, refuse, limitBodies)
 	})
 }
 
@@ -77,7 +79,7 @@
 }
 
 // serve runs the handler unless the connection was evicted or the head finds no room beside other large ones.
-func (c *Conn) serve(w http.ResponseWriter, r *http.Request, next http.Handler, refuse Refuser) {
+func (c *Conn) serve(w http.ResponseWriter, r *http.Request, next http.Handler, refuse Refuser, limitBody bool) {
 	b := c.class.budget
 	if c.phase.Load() != phaseServing {
 		panic(http.ErrAbortHandler)
@@ -100,9 +102,43 @@
 	if (r.ContentLength < 0 || r.ContentLength > receiveBuffer) && r.Body != http.NoBody {
 		defer c.enlargeReceiveBuffer()()
 	}
+	if limitBody && r.Body != http.NoBody {
+		r = c.trackBody(r)
+		defer c.bodySince.Store(0)
+	}
 	next.ServeHTTP(w, r)
 }
 
+// trackedBody is a request body whose progress is checked periodically.
+type trackedBody struct {
+	io.ReadCloser
+	c *Conn
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.c.bodyBytes.Add(int64(n))
+	if err != nil {
+		b.c.bodySince.Store(0)
+	}
+	return n, err
+}
+
+// trackBody returns a copy of the request with a tracked body. The original keeps its body, whose type net/http checks.
+func (c *Conn) trackBody(r *http.Request) *http.Request {
+	tracked := *r
+	tracked.Body = &trackedBody{r.Body, c}
+	c.bodyBytes.Store(0)
+	c.bodySince.Store(c.class.budget.now.Load())
+	return &tracked
+}
+
+// bodyLate reports whether the body of the request in progress is not complete though its time has passed.
+func (c *Conn) bodyLate(now int64) bool {
+	since := c.bodySince.Load()
+	return since > 0 && now-since > ticks(bodyTimeout)+c.bodyBytes.Load()/bodyRate
+}
+
 // requestSize returns the bytes and the fields of a parsed head, without white space that was not kept. It returns zeros
 // for short heads; they are not counted, since the read-ahead of net/http holds no more than freeBytes of a head that was
 // not counted when it was read.
