--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -13,13 +13,18 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
 const (
 	readHeaderTimeout = 2 * time.Second
-	maxHeaderBytes    = 16 << 10
+	// readTimeout limits the time to read a whole request, so that clients that never finish a body don't hold all
+	// connections that the endpoint may have.
+	readTimeout    = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
 	// maxBodyBytes limits the size of announcements, the only request bodies that this endpoint reads.
 	maxBodyBytes = 64 << 10
 )
@@ -54,7 +59,9 @@
 	Ready    func() bool
 	Announce http.Handler
 	Metrics  *metric.Set
-	Log      zerolog.Logger
+	// Class bounds the connections; nil means no bound.
+	Class *intake.Class
+	Log   zerolog.Logger
 }
 
 // Server runs the endpoint as a kernel service.
@@ -75,8 +82,11 @@
 	srv.http = &http.Server{
 		Handler:           http.MaxBytesHandler(mux, maxBodyBytes),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.Class.Protect(srv.http, nil)
 	return srv
 }
 
@@ -90,6 +100,7 @@
 		return err
 	}
 	s.addr = l.Addr().String()
+	l = s.settings.Class.Listener(l)
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			event.ListenerFailed.Write(event.ListenerFailed.Log(&s.settings.Log).Err(err).Str("listener", "admin"))
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"runtime/debug"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 )
 
 // Limits of the HTTP servers.
@@ -38,6 +40,14 @@
 	return &http.Server{Handler: h, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + meshHeaderBytes}
 }
 
+// Refuser returns a function that refuses a request, before its handler runs, in the given dialect.
+func Refuser(d Dialect) func(http.ResponseWriter, *http.Request, metric.Refusal) {
+	return func(w http.ResponseWriter, r *http.Request, reason metric.Refusal) {
+		// Fails only while a response is streamed, which a refusal is not.
+		_ = refuseUnread(reason).write(w, r, d, d.ParseIncoming(r).ID, time.Time{})
+	}
+}
+
 // Tuning holds the Go runtime settings of a node. Zero values keep the defaults of the runtime.
 type Tuning struct {
 	Procs       int
@@ -49,8 +59,9 @@
 // call wakes idle threads: with ten processors a call took 1.5 to 1.8 times the processor time that it took with one.
 // With two, one still forwards calls while the other applies a configuration. The live heap is only a few megabytes, so
 // that the default GC percentage would cause many collections a second under load; the memory limit keeps the process
-// small despite the higher percentage.
-var DefaultTuning = Tuning{Procs: 2, GCPercent: 400, MemoryLimit: 192 << 20}
+// small despite the higher percentage. It is 0.6 of the smallest VM, 184 MB: the runtime exceeds it while a crowd of clients
+// allocates faster than it collects.
+var DefaultTuning = Tuning{Procs: 2, GCPercent: 400, MemoryLimit: 110 << 20}
 
 // Apply applies the settings to the process. It lowers the number of processors but never raises it.
 func (t Tuning) Apply() {
