Send a second request for slow answers, within a share that operators set

Cause: a few slow answers, from a backend server that is slow for a moment or a request behind a long one, set the upper percentiles that callers see.

Change: pkg/hedge decides, as a pure module, when a request that may be repeated is sent to a second instance; pkg/proxy runs the two and gives the caller the first answer. A second request takes from the retry budget too, and goes only to an instance with room.

The tests of the race between the two requests run on pipes and virtual time, with the race detector.

--- a/cmd/monsoonlatch-sidecar/main.go
+++ b/cmd/monsoonlatch-sidecar/main.go
@@ -29,12 +29,16 @@
 	exitBadSettings = 2
 )
 
+// maxHedgeShare bounds the extra work that second requests may put on backend servers.
+const maxHedgeShare = 0.2
+
 // Settings are the node's command-line flags. The settings of the VM are in a file that the platform writes.
 type Settings struct {
-	File     string `env:"MONSOONLATCH_FILE" help:"Settings file that the platform writes for this VM; by default at the path that the platform provides."`
-	Metrics  string `env:"MONSOONLATCH_METRICS" default:":7990" help:"Listen address for metrics and state (HTTP)."`
-	Bind     string `env:"MONSOONLATCH_BIND" help:"IP address to listen on and to connect from, if it differs from the one in the settings file; the ports stay the same."`
-	LogLevel string `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
+	File       string  `env:"MONSOONLATCH_FILE" help:"Settings file that the platform writes for this VM; by default at the path that the platform provides."`
+	Metrics    string  `env:"MONSOONLATCH_METRICS" default:":7990" help:"Listen address for metrics and state (HTTP)."`
+	Bind       string  `env:"MONSOONLATCH_BIND" help:"IP address to listen on and to connect from, if it differs from the one in the settings file; the ports stay the same."`
+	HedgeShare float64 `env:"MONSOONLATCH_HEDGE_SHARE" default:"0" help:"Second requests for calls that may be repeated and take longer than usual, as a fraction of the requests of each service (0 to 0.2); 0 sends none."`
+	LogLevel   string  `env:"MONSOONLATCH_LOG_LEVEL" enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
 }
 
 func main() {
@@ -56,6 +60,10 @@
 		fmt.Fprintf(os.Stderr, "monsoonlatch-sidecar: %v; remedy: see --help for the settings\n", err)
 		return exitBadSettings
 	}
+	if s.HedgeShare < 0 || s.HedgeShare > maxHedgeShare {
+		fmt.Fprintf(os.Stderr, "monsoonlatch-sidecar: --hedge-share: %g is out of range; remedy: give a fraction from 0 to %g\n", s.HedgeShare, maxHedgeShare)
+		return exitBadSettings
+	}
 	if s.File == "" {
 		s.File = platform.SettingsPath()
 	}
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
+	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -238,7 +239,7 @@
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
 		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
-		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
+		Hedge: hedge.New(hedge.Settings{Share: b.settings.HedgeShare}), Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
 }
 
 // buildBackgroundTasks creates the service that runs the background tasks that belong to no listener.
--- a/pkg/event/datapath.go
+++ b/pkg/event/datapath.go
@@ -30,5 +30,7 @@
 	BackendAdvice = define(1315, "backend_advice", zerolog.InfoLevel,
 		"the responses of the backend server name another limit on its requests per second, or say that it leaves or no longer leaves",
 		"Find out why the backend server takes less; limit 0 means that it names none.")
+	CallHedged = define(1316, "call_hedged", zerolog.InfoLevel,
+		"a call has waited longer than usual, and a second request for it is sent to another instance", "")
 	DrainEnded = define(1304, "drain_ended", zerolog.InfoLevel, "the data path has no calls in flight", "")
 )
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -84,6 +84,7 @@
 	RetryKeyClaimRace     Retry = "key_claim_race"
 	RetryControlCall      Retry = "control_call"
 	RetryPlatformRequest  Retry = "platform_request"
+	RetryHedge            Retry = "hedge"
 )
 
 // Retries lists all reasons for retries and denied retries.
@@ -91,7 +92,7 @@
 	RetryNotRun, RetryConnectFailed, RetryAttemptTimeout, RetryAnswerBroken, RetryBackendStatus, DeniedBudget,
 	DeniedDeadline, DeniedMaxRetries,
 	DeniedNotIdempotent, DeniedRetriedBelow, DeniedNoOtherInstance, RetryKeyClaimRace, RetryControlCall,
-	RetryPlatformRequest,
+	RetryPlatformRequest, RetryHedge,
 }
 
 // Set holds the metrics of one process.
@@ -99,6 +100,7 @@
 	registry metrics.Registry
 	refusals map[Refusal]metrics.Counter
 	retries  map[Retry]metrics.Counter
+	hedges   map[Hedge]metrics.Counter
 }
 
 // NewSet returns a set in which the counter of every reason exists and is zero.
@@ -107,6 +109,7 @@
 		registry: metrics.NewRegistry(),
 		refusals: make(map[Refusal]metrics.Counter, len(Refusals)),
 		retries:  make(map[Retry]metrics.Counter, len(Retries)),
+		hedges:   make(map[Hedge]metrics.Counter, len(Hedges)),
 	}
 	for _, r := range Refusals {
 		s.refusals[r] = metrics.NewRegisteredCounter("refused."+string(r), s.registry)
@@ -114,6 +117,9 @@
 	for _, r := range Retries {
 		s.retries[r] = metrics.NewRegisteredCounter("retry."+string(r), s.registry)
 	}
+	for _, h := range Hedges {
+		s.hedges[h] = metrics.NewRegisteredCounter("hedge."+string(h), s.registry)
+	}
 	return s
 }
 
--- a/pkg/metric/reasons_test.go
+++ b/pkg/metric/reasons_test.go
@@ -63,6 +63,16 @@
 	if !slices.Equal(retries, Retries) {
 		t.Errorf("docs/reasons.md lists retries %q, the code lists %q", retries, Retries)
 	}
+	var hedges []Hedge
+	for _, row := range tableRows(t, "Second requests") {
+		hedges = append(hedges, Hedge(row[0]))
+		if len(row) != 2 || row[1] == "" {
+			t.Errorf("row %q: want a meaning", row)
+		}
+	}
+	if !slices.Equal(hedges, Hedges) {
+		t.Errorf("docs/reasons.md lists second requests %q, the code lists %q", hedges, Hedges)
+	}
 }
 
 // Checks that the code increments every counter that docs/OPERATIONS.md names. If a counter's name is put together at
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -50,6 +50,13 @@
 	s.picker.Reserve(id)
 }
 
+// hasRoom reports whether an instance that was just picked is expected to run the request at once.
+func (s *selector) hasRoom(now time.Time, id membership.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.HasRoom(now, id)
+}
+
 // refresh reloads the instances of all services in use and the number of nodes.
 func (s *selector) refresh(now time.Time) {
 	nodes := 0
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -29,7 +29,12 @@
 	var mayHaveRun *reply
 	for {
 		c.tried = append(c.tried, target.ID)
-		rep := in.attempt(ctx, c, target)
+		var rep *reply
+		if in.mayHedge(c) {
+			rep = in.attemptHedged(ctx, c, target)
+		} else {
+			rep = in.attempt(ctx, c, target)
+		}
 		if rep.outcome == idempotency.OutcomeNotRun && mayHaveRun != nil {
 			// An earlier attempt may have run, so "not run" would be wrong.
 			rep = mayHaveRun
@@ -167,7 +172,7 @@
 // deadline. An attempt is abandoned only if the budget grants a retry, because under overload a response may merely be
 // late.
 func (in *Ingress) retryRequester(c *call, now time.Time) func() bool {
-	if in.DisableAttemptTimeout || !c.idempotent || c.retried || c.attempt >= c.maxRetries ||
+	if in.DisableAttemptTimeout || in.mayHedge(c) || !c.idempotent || c.retried || c.attempt >= c.maxRetries ||
 		c.deadline.Sub(now) < c.attemptTimeout+retry.DefaultMinRemaining {
 		return nil
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -48,6 +49,9 @@
 	DisableAttemptTimeout bool
 	// OnNewerVersion, if set, is called with the control address of a node that has a newer configuration.
 	OnNewerVersion func(controlAddress string)
+	// Hedge plans second requests for calls that take longer than usual; nil means none. Calls that may get one have no attempt
+	// timeout.
+	Hedge *hedge.Planner
 }
 
 // Ingress accepts calls from callers and sends each to an instance of its service.
@@ -57,6 +61,7 @@
 	selector selector
 	splitter balance.Splitter
 	stop     stopTime
+	hedges   hedger
 }
 
 // NewIngress returns an ingress that accepts calls immediately. Run must be started to keep its list of instances up
@@ -65,7 +70,7 @@
 	if s.Dialect == nil {
 		s.Dialect = Native{}
 	}
-	return &Ingress{IngressSettings: s, selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
+	return &Ingress{IngressSettings: s, hedges: hedger{planner: s.Hedge}, selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
 }
 
 // Run updates the list of instances when the membership changes, until ctx ends.
