--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
+	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -280,7 +281,8 @@
 			Self: b.self(), Completion: balance.Completion{MaxSlots: completionSlots}}),
 		Retry: retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget),
-		Quota: tenantQuota{find[*quota.Service](b, nameQuota)}, KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge}))
+		Quota: tenantQuota{find[*quota.Service](b, nameQuota)}, KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge,
+		Hedge: hedge.New(hedge.Settings{Share: b.settings.HedgeShare})}))
 }
 
 // buildBackgroundTasks creates the service that runs the background tasks that belong to no listener.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -29,7 +29,12 @@
 	var mayHaveRun *reply
 	for {
 		c.tried = append(c.tried, target.ID)
-		rep := in.attempt(ctx, c, target)
+		var rep *reply
+		if in.mayHedge(c) {
+			rep = in.attemptHedged(ctx, c, target)
+		} else {
+			rep = in.attempt(ctx, c, target)
+		}
 		if rep.outcome == idempotency.OutcomeNotRun && mayHaveRun != nil {
 			// An earlier attempt may have run, so "not run" would be wrong.
 			rep = mayHaveRun
@@ -131,13 +136,18 @@
 	}
 }
 
+// balanceRequest describes the call for the choice of its next instance.
+func (c *call) balanceRequest(now time.Time) balance.Request {
+	return balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now), DeadlineLeft: c.deadline.Sub(now), Route: c.route,
+		Bytes: len(c.body), Exclude: c.tried}
+}
+
 // pickInstance chooses the instance of an attempt and counts the attempt as in flight there. A keyed call is sent to
 // the home instance of its idempotency key.
 func (in *Ingress) pickInstance(c *call) (membership.Instance, bool) {
 	if !c.keyed() {
 		now := in.Clock.Now()
-		target, relation, err := in.selector.pick(now, balance.Request{Service: c.service, Rank: c.rank, TargetLeft: c.due.Sub(now),
-			DeadlineLeft: c.deadline.Sub(now), Route: c.route, Bytes: len(c.body), Exclude: c.tried})
+		target, relation, err := in.selector.pick(now, c.balanceRequest(now))
 		c.relation = relation
 		return target, err == nil
 	}
@@ -170,7 +180,7 @@
 // deadline. An attempt is abandoned only if the budget grants a retry, because under overload a response may merely be
 // late.
 func (in *Ingress) retryRequester(c *call, now time.Time) func() bool {
-	if in.DisableAttemptTimeout || !c.idempotent || c.retried || c.attempt >= c.maxRetries ||
+	if in.DisableAttemptTimeout || in.mayHedge(c) || !c.idempotent || c.retried || c.attempt >= c.maxRetries ||
 		c.deadline.Sub(now) < c.attemptTimeout+retry.DefaultMinRemaining {
 		return nil
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -55,6 +56,9 @@
 	// known to be the newest one. If either is nil, the configuration is always relied on.
 	KeyRules         func() KeyRules
 	ConfigurationAge func() time.Duration
+	// Hedge plans second requests for calls that take longer than usual; nil means none. Calls that may get one have no attempt
+	// timeout.
+	Hedge *hedge.Planner
 }
 
 // Ingress accepts calls from callers and sends each to an instance of its service.
@@ -65,6 +69,7 @@
 	splitter balance.Splitter
 	stop     stopTime
 	zones    *zoneTraffic
+	hedges   hedger
 }
 
 // NewIngress returns an ingress that accepts calls immediately. Run must be started to keep its list of instances up
@@ -73,7 +78,7 @@
 	if s.Dialect == nil {
 		s.Dialect = Native{}
 	}
-	in := &Ingress{IngressSettings: s, zones: newZoneTraffic(s.Metrics),
+	in := &Ingress{IngressSettings: s, zones: newZoneTraffic(s.Metrics), hedges: hedger{planner: s.Hedge},
 		selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
 	if s.Picker != nil && s.Picker.ExchangesNews() {
 		in.selector.exchangesNews = true
