--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -21,6 +21,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rollout"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
 	"github.com/monsoonlatch/monsoonlatch/platform"
@@ -79,6 +80,8 @@
 	nameIngress        = "ingress"
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
+	nameRolloutTable   = "rollout-table"
+	nameRollouts       = "rollouts"
 	nameReloader       = "reload"
 )
 
@@ -95,7 +98,7 @@
 
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
 // the drainer first, the control server last.
-var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildEgress, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
+var builders = []func(*builder){buildControl, buildDirectory, buildBackend, buildRollouts, buildEgress, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
 
 // newNode builds all components. It returns the first error.
 func newNode(s *Settings, vm platform.VMSettings, log zerolog.Logger, metrics *metric.Set) (*kernel.Kernel, error) {
@@ -163,6 +166,7 @@
 		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
+	b.Provide(nameRolloutTable, rollout.NewTable(b.vm.Bounds.ExposeShare > 0))
 	b.Provide(nameStore, store)
 	b.Provide(nameDirectoryState, state)
 	b.Provide(nameFollower, follower)
@@ -217,6 +221,50 @@
 	}
 }
 
+// buildRollouts creates the components that take part in roll-outs. Where the platform orders none, nothing is created, so that
+// nothing is watched, sent or counted.
+func buildRollouts(b *builder) {
+	bounds := b.vm.Bounds
+	if bounds.ExposeShare == 0 {
+		return
+	}
+	table, announcer, follower := find[*rollout.Table](b, nameRolloutTable), find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower)
+	peers, store := find[*directory.Peers](b, namePeers), find[*platform.Store](b, nameStore)
+	if b.Err != nil {
+		return
+	}
+	local := rollout.NewLocal(&rollout.Local{Table: table, Service: b.vm.Service, GrantTime: directory.GrantTime(bounds.Rollback),
+		Version: func() (string, int64) {
+			in, _ := announcer.Instance()
+			return in.Version, in.BackendStarted
+		}})
+	rollouts := directory.NewRollouts(&directory.Rollouts{Table: table, Local: local, Peers: peers, Store: store, Schema: platform.RolloutSchema{},
+		Settings: rollout.Settings{ExposeShare: bounds.ExposeShare, ExposeSlack: bounds.ExposeSlack, RollbackTime: bounds.Rollback},
+		Clock:    b.clock, Log: b.log, Metrics: b.metrics()})
+	follower.OnRollouts, follower.RolloutKind = rollouts.ObserveChanges, platform.RolloutSchema{}.RolloutKind()
+	b.Provide(nameRollouts, rollouts)
+	b.Register(newBackgroundTasks(nameRollouts, rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter))
+}
+
+// versionGate returns the gate of the egress during roll-outs, or nil if there are none.
+func versionGate(b *builder) proxy.VersionGate {
+	if b.vm.Bounds.ExposeShare == 0 {
+		return nil
+	}
+	if rollouts := find[*directory.Rollouts](b, nameRollouts); rollouts != nil {
+		return rollouts.Local
+	}
+	return nil
+}
+
+// versionChooser returns the chooser of the ingress during roll-outs, or nil if there are none.
+func versionChooser(b *builder) proxy.VersionChooser {
+	if b.vm.Bounds.ExposeShare == 0 {
+		return nil
+	}
+	return find[*rollout.Table](b, nameRolloutTable)
+}
+
 // buildEgress creates the egress, which passes calls to the local backend server.
 func buildEgress(b *builder) {
 	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(b.vm.MemoryBytes/bodyMemoryDivisor)
@@ -225,7 +273,8 @@
 	egress := proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
 		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), PassTargets: true}, Backend: find[*upstream.Pool](b, nameBackendPool), Calls: calls,
 		Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameDirectoryState),
-		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies})
+		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies,
+		Versions: versionGate(b), Cold: find[*announce.BackendTracker](b, nameAnnounce).Cold})
 	find[*healthChecker](b, nameHealth).onResponse = egress.TakeAdvice
 	b.Provide(nameEgress, egress)
 }
@@ -237,7 +286,7 @@
 		Egress: find[*proxy.Egress](b, nameEgress), Calls: find[*proxy.Calls](b, nameCalls),
 		Peers:  upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference}),
-		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
+		Retry:  retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Versions: versionChooser(b), Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget)}))
 }
 
@@ -271,7 +320,12 @@
 	listen("announcements", b.vm.Announcements.String(), newHTTPServer(&platform.Announcements{Receiver: announcer, Backend: b.vm.Backend.String()}))
 	listen("callers", b.vm.Callers.String(), callers, idleCloser.run)
 	listen("ready", b.vm.Ready.String(), newHTTPServer(ready))
-	b.Register(parts.NewListener("operators", b.settings.Metrics, nil, newHTTPServer(http.HandlerFunc(b.metrics().ServeText)), b.log))
+	operators := http.NewServeMux()
+	operators.HandleFunc("/", b.metrics().ServeText)
+	if b.vm.Bounds.ExposeShare > 0 {
+		operators.Handle("GET /rollouts", find[*directory.Rollouts](b, nameRollouts))
+	}
+	b.Register(parts.NewListener("operators", b.settings.Metrics, nil, newHTTPServer(operators), b.log))
 }
 
 // buildLifecycle creates the reloader of the settings and the drainer.
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -28,6 +28,8 @@
 	// maxClockAhead is how far the time of a start may lie ahead of the node's clock, which may be set back. A start in the
 	// far future would make all later announcements outdated.
 	maxClockAhead = 24 * time.Hour
+	// maxVersionBytes limits the name of the server's version.
+	maxVersionBytes = 256
 	// maxSequence limits the sequence of an announcement for the same reason.
 	maxSequence = 1 << 53
 )
@@ -59,6 +61,10 @@
 	ID       string `json:"id,omitempty"`
 	Born     int64  `json:"born,omitempty"`
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Version is the version of the server's software; empty if it names none.
+	Version string `json:"version,omitempty"`
+	// ColdLeftMs is how much longer the server remains slow after its start.
+	ColdLeftMs int64 `json:"coldLeftMs,omitempty"`
 }
 
 // identified reports whether the announcement names the start that it comes from.
@@ -160,6 +166,8 @@
 	admitUntil time.Time
 	// leavingSince is when the backend server announced its drain or departure; it is zero for other states.
 	leavingSince time.Time
+	// coldUntil is the time until which the backend server is slow after its start, as far as it has announced that.
+	coldUntil time.Time
 }
 
 // leaving reports whether the backend server has announced its drain or departure.
@@ -308,6 +316,8 @@
 		return invalid(fmt.Sprintf("invalid number of slots %d", a.Slots), fmt.Sprintf("give a number from 1 to %d", MaxSlots))
 	case a.Born < 0 || a.Born > t.settings.Clock.Now().Add(maxClockAhead).UnixMilli() || a.Sequence > maxSequence:
 		return invalid(fmt.Sprintf("start time %d or sequence %d is out of range", a.Born, a.Sequence), "give the Unix milliseconds of the start, and a sequence that counts from it")
+	case len(a.Version) > maxVersionBytes:
+		return invalid(fmt.Sprintf("a version of %d bytes", len(a.Version)), fmt.Sprintf("use up to %d bytes", maxVersionBytes))
 	case !knownState:
 		return invalid(fmt.Sprintf("unknown state %q", a.State), "use starting, ready, draining or departed")
 	}
@@ -467,6 +477,7 @@
 	if !a.isOfStart(t.start) {
 		t.stateMachine.SetState(stateStarting)
 		t.start = backendStart{id: a.ID, startedMillis: a.Born}
+		record.Version = "" // Its version is not known.
 		if record.State == membership.StateDeparted {
 			// A departure supersedes all records of its incarnation, so another one needs a higher one.
 			record.Incarnation++
@@ -513,10 +524,30 @@
 	}
 	record.Service, record.Slots, record.State = a.Service, a.Slots, membershipStates[a.State]
 	record.BackendID, record.BackendStarted = a.ID, a.Born
+	record.Version = a.Version
 	t.update(record, a.Address)
+	t.noteCold(a)
 	return nil
 }
 
+// maxCold limits how long a backend server counts as slow after its start.
+const maxCold = time.Minute
+
+// noteCold takes over how much longer the backend server remains slow.
+func (t *BackendTracker) noteCold(a Announcement) {
+	left := min(time.Duration(max(0, min(a.ColdLeftMs, maxCold.Milliseconds())))*time.Millisecond, maxCold)
+	current := t.current.Load()
+	if left == 0 && current.coldUntil.IsZero() {
+		return
+	}
+	warming := *current
+	warming.coldUntil = t.settings.Clock.Now().Add(left)
+	t.current.Store(&warming)
+}
+
+// Cold reports whether the backend server has announced that it is still slow after its start.
+func (t *BackendTracker) Cold(now time.Time) bool { return now.Before(t.current.Load().coldUntil) }
+
 // contradictsLeaving reports whether a start that has announced its drain or departure announces an earlier state. Such
 // an announcement was sent before and arrived late. A departure carries no sequence, and a node that was paused
 // processes all requests that arrived meanwhile in no particular order, so the sequence alone does not show it.
@@ -592,7 +623,7 @@
 	}
 	record.Sequence = old.record.Sequence + 1
 	now := t.settings.Clock.Now()
-	next := &ownState{record: record, address: addr, admitUntil: t.admitsUntil(old, record, now)}
+	next := &ownState{record: record, address: addr, admitUntil: t.admitsUntil(old, record, now), coldUntil: old.coldUntil}
 	if next.leaving() {
 		next.leavingSince = now
 		if old.leaving() && old.record.BackendID == record.BackendID {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -65,6 +66,8 @@
 	TargetLeft time.Duration
 	// Exclude lists the instances that were tried before.
 	Exclude []membership.InstanceID
+	// Allow, if set, limits the choice to the instances for which it returns true.
+	Allow func(*membership.Instance) bool
 }
 
 // Event is what an attempt showed about the instance.
@@ -191,6 +194,9 @@
 func (p *Picker) Pick(now time.Time, r Request) (membership.Instance, error) {
 	var in *instance
 	list := p.services[r.Service]
+	if r.Allow != nil {
+		list = slices.DeleteFunc(slices.Clone(list), func(i *instance) bool { return !r.Allow(&i.record) })
+	}
 	if p.settings.Random {
 		in = p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) })
 	} else {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,10 @@
 	// OnOwnRecordRemoved, if set, is called when this node's own record was removed from the store, or overwritten by one
 	// that describes no instance.
 	OnOwnRecordRemoved func()
+	// OnRollouts, if set, is called with the changes of the orders to roll out a version, whose kind is RolloutKind. With complete
+	// set they are all orders as of a revision.
+	OnRollouts  func(changes []Change, at Revision, complete bool)
+	RolloutKind platform.ObjectKind
 	// OnStoreLost, if set, is called when the store stops answering.
 	OnStoreLost func()
 
@@ -97,22 +102,24 @@
 // Run keeps the configuration and the instances up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.lastResponse.Set(f.Clock.Now())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.applyConfiguration)
-	}()
-	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, func(changes []Change, complete bool) {
+	var others sync.WaitGroup
+	others.Go(func() { f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.applyConfiguration) })
+	if f.OnRollouts != nil {
+		others.Go(func() {
+			f.follow(ctx, f.RolloutKind, func() time.Duration { return rolloutWatchWait }, f.OnRollouts)
+		})
+	}
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, func(changes []Change, _ Revision, complete bool) {
 		f.applyInstances(changes, complete)
 		if len(changes) > 0 && !complete {
 			clock.Sleep(ctx, instanceBatchDelay)
 		}
 	})
-	<-done
+	others.Wait()
 }
 
-// changeHandler processes changes. With complete set they are the full list of objects of a kind.
-type changeHandler func(changes []Change, complete bool)
+// changeHandler processes changes. With complete set they are the full list of objects of a kind as of a revision.
+type changeHandler func(changes []Change, at Revision, complete bool)
 
 // follow lists a kind and then watches it from the listed revision, until ctx ends.
 func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, handle changeHandler) {
@@ -184,7 +191,7 @@
 	for i, obj := range listing.Objects {
 		changes[i].Object = obj
 	}
-	handle(changes, true)
+	handle(changes, listing.Revision, true)
 	return listing.Revision, nil
 }
 
@@ -195,13 +202,13 @@
 	if err != nil {
 		return after, err
 	}
-	handle(c.Changes, false)
+	handle(c.Changes, c.Revision, false)
 	return max(after, c.Revision), nil
 }
 
 // applyConfiguration accepts the newest configuration among the changes. If one cannot be decoded or is invalid, the
 // current configuration stays in force.
-func (f *Follower) applyConfiguration(changes []Change, _ bool) {
+func (f *Follower) applyConfiguration(changes []Change, _ Revision, _ bool) {
 	for _, c := range changes {
 		if c.Removed || c.Object.Name != f.Schema.ConfigurationName() {
 			continue
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -17,6 +17,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rollout"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
 )
 
@@ -60,6 +61,9 @@
 	// replying node is not a watcher and has recently pulled from a node whose reply had Heard set. Freshness passes
 	// over one such hop only; otherwise nodes without access to the store could keep each other from watching it.
 	Heard, Fresh bool
+	// Plans holds the plans for roll-outs if those of the requesting node differ. RolloutsKnown answers Digest.RolloutsUnknown.
+	Plans         []rollout.Plan
+	RolloutsKnown bool
 }
 
 // OfferArgs carries changed records and the version of the configuration in force at the sending node, whose control
@@ -70,6 +74,8 @@
 	Version config.Version
 	From    string
 	Silent  bool
+	// Plans are changed plans for roll-outs.
+	Plans []rollout.Plan
 }
 
 // OfferReply is the empty reply to an offer.
@@ -104,6 +110,9 @@
 	lastDirectReply clock.EventTime
 	// noFreshReply is set when the last round of pulls gave no fresh reply.
 	noFreshReply atomic.Bool
+	// rollouts is nil where no roll-outs are in force.
+	rollouts *Rollouts
+	server   *rpcwire.Server
 }
 
 // NewPeers initialises p and registers its RPC methods with the server.
@@ -113,9 +122,18 @@
 	rpcwire.HandleFunc(server, methodPull, p.handlePull)
 	rpcwire.HandleFunc(server, methodOffer, p.handleOffer)
 	rpcwire.HandleFunc(server, methodKnown, p.handleKnown)
+	p.server = server
 	return p
 }
 
+// attach lets plans for roll-outs pass with the other messages. It must be called before the server starts.
+func (p *Peers) attach(r *Rollouts) {
+	p.rollouts = r
+	if p.server != nil {
+		rpcwire.HandleFunc(p.server, methodReport, r.handleReport)
+	}
+}
+
 // handlePull serves a pull request from another node.
 func (p *Peers) handlePull(args *Digest, reply *PullReply) error {
 	reply.Heard = p.StoreSilence() <= maxStoreSilence
@@ -135,6 +153,12 @@
 			reply.Configuration = snap.Configuration
 		}
 	}
+	if r := p.rollouts; r != nil {
+		reply.RolloutsKnown = args.RolloutsUnknown && r.Table.Known()
+		if args.PlanSum != r.Table.Sum() {
+			reply.Plans = r.Table.All()
+		}
+	}
 	return nil
 }
 
@@ -143,6 +167,9 @@
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
 		p.Forward(args.Records)
 	}
+	if p.rollouts != nil {
+		p.rollouts.receive(args.Plans)
+	}
 	if args.Version > p.State.Version() || args.Silent {
 		p.RequestPull(args.From)
 	}
@@ -265,6 +292,9 @@
 	if p.requestFull.Swap(false) {
 		digest.Version = 0
 	}
+	if p.rollouts != nil {
+		digest.PlanSum, digest.RolloutsUnknown = p.rollouts.Table.Sum(), !p.rollouts.Table.Known()
+	}
 	if err := p.Caller.Call(ctx, addr, methodPull, digest, &reply); err != nil {
 		p.Metrics.CountRetry(metric.RetryControlCall)
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
@@ -281,6 +311,12 @@
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n).Str("peer", addr))
 		p.Forward(reply.Records)
 	}
+	if p.rollouts != nil {
+		p.rollouts.receive(reply.Plans)
+		if reply.RolloutsKnown {
+			p.rollouts.Table.SetKnown()
+		}
+	}
 	if reply.Version == 0 {
 		return reply, true
 	}
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -18,8 +18,10 @@
 	Control string `json:"control"`
 	Backend string `json:"backend,omitempty"`
 	// Started is the start time of the backend server in Unix milliseconds.
-	Started     int64  `json:"backendStarted,omitempty"`
-	Leaving     bool   `json:"backendLeaving,omitempty"`
+	Started int64 `json:"backendStarted,omitempty"`
+	Leaving bool  `json:"backendLeaving,omitempty"`
+	// Version is missing in records of earlier builds.
+	Version     string `json:"version,omitempty"`
 	Slots       int    `json:"slots"`
 	Link        int    `json:"linkMbps,omitempty"`
 	Incarnation uint64 `json:"incarnation"`
@@ -34,7 +36,7 @@
 
 func encodeRecord(instance membership.Instance) ([]byte, error) {
 	return json.Marshal(record{Service: instance.Service, Zone: instance.AvailabilityZone, Region: instance.Region, Peers: instance.PeerAddress,
-		Control: instance.ControlAddress, Backend: instance.BackendID, Started: instance.BackendStarted, Leaving: instance.BackendLeaving, Slots: instance.Slots, Link: instance.Link, Incarnation: instance.Incarnation,
+		Control: instance.ControlAddress, Backend: instance.BackendID, Started: instance.BackendStarted, Leaving: instance.BackendLeaving, Version: instance.Version, Slots: instance.Slots, Link: instance.Link, Incarnation: instance.Incarnation,
 		Sequence: instance.Sequence, State: instance.State.String()})
 }
 
@@ -53,7 +55,7 @@
 		return invalid(fmt.Sprintf("unknown state %.64q", r.State))
 	}
 	in := membership.Instance{ID: membership.InstanceID(obj.Name), Service: r.Service, AvailabilityZone: r.Zone,
-		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, BackendStarted: r.Started, BackendLeaving: r.Leaving, Slots: r.Slots, Link: r.Link,
+		Region: r.Region, PeerAddress: r.Peers, ControlAddress: r.Control, BackendID: r.Backend, BackendStarted: r.Started, BackendLeaving: r.Leaving, Version: r.Version, Slots: r.Slots, Link: r.Link,
 		Incarnation: r.Incarnation, Sequence: r.Sequence, State: state}
 	if err := in.Validate(); err != nil {
 		return invalid(err.Error())
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -199,6 +199,10 @@
 	Sum uint64
 	// Records holds the incarnation and sequence of each record. A request with nil asks only whether the sums differ.
 	Records map[membership.InstanceID][2]uint64
+	// PlanSum is the checksum of the plans for roll-outs; it is zero if there are none. RolloutsUnknown is set until the
+	// requesting node knows whether there are any.
+	PlanSum         uint64
+	RolloutsUnknown bool
 }
 
 // Digest returns the digest of the state without Records.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -2,7 +2,7 @@
 // and the code agree.
 //
 // Number ranges: 1000 kernel, 1100 configuration and synchronisation, 1200 relay, 1300 data path, 1400 idempotency,
-// 1500 platform, 1600 admin and announcements, 1700 command line, 1800 stand-ins and load generator (none yet).
+// 1500 platform, 1600 admin and announcements, 1700 command line and roll-outs, 1800 stand-ins and load generator (none yet).
 package event
 
 import "github.com/rs/zerolog"
--- a/pkg/membership/instance.go
+++ b/pkg/membership/instance.go
@@ -50,6 +50,8 @@
 	// BackendLeaving reports that this start of the backend server has announced that it leaves. It never gets new requests
 	// again. A node that only stops itself announces StateDraining without it.
 	BackendLeaving bool
+	// Version is the version of the backend server's software; empty if the server announces none.
+	Version string
 	// Slots is the number of requests that the backend server runs at the same time.
 	Slots int
 	// Link is the bandwidth of the VM's network link in Mbit/s; 0 if unknown.
--- a/pkg/membership/validate.go
+++ b/pkg/membership/validate.go
@@ -20,7 +20,7 @@
 
 // Validate returns an error that names the first field out of its range.
 func (in *Instance) Validate() error {
-	for _, text := range [...]string{string(in.ID), in.Service, in.AvailabilityZone, in.Region, in.BackendID} {
+	for _, text := range [...]string{string(in.ID), in.Service, in.AvailabilityZone, in.Region, in.BackendID, in.Version} {
 		if len(text) > maxNameBytes {
 			return fmt.Errorf("a name of %d bytes is longer than %d", len(text), maxNameBytes)
 		}
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -29,7 +29,8 @@
 	RefusedDraining            Refusal = "draining"
 	RefusedStopping            Refusal = "stopping" // the node stops before the deadline of the request
 	RefusedWrongService        Refusal = "wrong_service"
-	RefusedBackendShed         Refusal = "backend_shed" // rejected by the backend server because of its load
+	RefusedVersionClosed       Refusal = "version_closed" // a roll-out gives the version of the instance no requests, or no more
+	RefusedBackendShed         Refusal = "backend_shed"   // rejected by the backend server because of its load
 	RefusedConnectFailed       Refusal = "connect_failed"
 	RefusedTooManyHops         Refusal = "too_many_hops"
 	RefusedKeyMismatch         Refusal = "key_mismatch" // the idempotency key was used for a different request
@@ -50,7 +51,7 @@
 var Refusals = []Refusal{
 	RefusedNotReady, RefusedNoRoute, RefusedNoInstance, RefusedMalformed, RefusedTooLarge, RefusedForbidden,
 	RefusedQueueFull, RefusedRateLimited, RefusedBodyMemory, RefusedDeadline, RefusedDisplaced, RefusedDraining, RefusedStopping, RefusedWrongService,
-	RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
+	RefusedVersionClosed, RefusedBackendShed, RefusedConnectFailed, RefusedTooManyHops, RefusedKeyMismatch, RefusedKeyRunning,
 	RefusedKeyClaimUnavailable, RefusedKeyClaimConflict,
 	RefusedKeyNotHome, RefusedKeyCapacity, RefusedOutcomeUnknown, RefusedAnswerBroken, RefusedCallerGone,
 	RefusedAnswerNotKept, RefusedVersionMismatch, RefusedSyncLimited,
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -31,6 +31,10 @@
 	Name    string
 	Version string
 	Spec    json.RawMessage
+	// Created, Status and Deleting are set only by stores that tell them.
+	Created  string
+	Status   json.RawMessage
+	Deleting bool
 }
 
 // Store reads and writes objects. Errors are fault.Error values: Conflict when a precondition failed, NotFound,
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -16,6 +16,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rollout"
 )
 
 // call is one request that a node is forwarding.
@@ -64,6 +65,8 @@
 	sendProcessing func()
 	// retryTarget is the instance chosen for a retry that the budget has allowed and that is not sent yet.
 	retryTarget *membership.Instance
+	// permit, set by the egress, is the right to send the call to the local backend server during a roll-out.
+	permit *rollout.Permit
 }
 
 // keyed reports whether the call needs an idempotency record, which makes it run at most once.
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -27,6 +27,8 @@
 	view         membership.View
 	// nodeCount returns the number of nodes in the mesh; nil means that the retry budget does not depend on it.
 	nodeCount func() int
+	// versions is nil where no roll-outs are in force.
+	versions VersionChooser
 }
 
 // pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
@@ -40,7 +42,17 @@
 	if !s.picker.HasService(r.Service) {
 		s.loadInstances(now, r.Service)
 	}
-	return s.picker.Pick(now, r)
+	if s.versions == nil {
+		return s.picker.Pick(now, r)
+	}
+	prefer, fallback := s.versions.Choose(r.Service, len(r.Exclude) > 0)
+	r.Allow = prefer
+	in, err := s.picker.Pick(now, r)
+	if err != nil && fallback != nil {
+		r.Allow = fallback
+		in, err = s.picker.Pick(now, r)
+	}
+	return in, err
 }
 
 // reserve counts an attempt in flight at an instance that was not chosen by pick.
--- a/pkg/proxy/egress.go
+++ b/pkg/proxy/egress.go
@@ -19,6 +19,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rollout"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
 )
 
@@ -43,6 +44,10 @@
 	// Source, if set, provides the current configuration of this node. Responses carry its version if it is newer than
 	// that of the call.
 	Source config.Source
+	// Versions, if set, decides which requests the instance gets while a version is rolled out.
+	Versions VersionGate
+	// Cold, if set, reports whether the instance is still slow after its start.
+	Cold func(now time.Time) bool
 	// OnNewerVersion, if set, is called with the IP address of a node that has a newer configuration.
 	OnNewerVersion func(addr string)
 }
@@ -170,11 +175,22 @@
 	if !e.tracker.enter(false) {
 		return refuse(metric.RefusedDraining)
 	}
+	if e.Versions != nil {
+		if c.permit = e.Versions.Enter(e.Clock.Now()); c.permit == nil {
+			e.tracker.leave()
+			return refuse(metric.RefusedVersionClosed)
+		}
+	}
 	rep := e.dispatch(ctx, c)
-	if rep.rest == nil {
+	leave := func(permit *rollout.Permit) {
+		permit.Leave()
 		e.tracker.leave()
+	}
+	permit := c.permit
+	if rep.rest == nil {
+		leave(permit)
 	} else {
-		rep.rest = &closeNotifier{ReadCloser: rep.rest, onClose: func(bool) { e.tracker.leave() }}
+		rep.rest = &closeNotifier{ReadCloser: rep.rest, onClose: func(bool) { leave(permit) }}
 	}
 	return rep
 }
@@ -229,8 +245,15 @@
 		release(false, false, 0)
 		return refuse(metric.RefusedStopping)
 	}
+	load := e.Gate.Load()
 	rep := e.exchange(c.workContext(ctx), c, addr, h, start)
-	e.Metrics.Observe(metric.BackendTime, e.Clock.Now().Sub(start))
+	took := e.Clock.Now().Sub(start)
+	e.Metrics.Observe(metric.BackendTime, took)
+	if c.permit != nil {
+		if s, ok := c.sample(rep, load, e.Cold != nil && e.Cold(start), took); ok {
+			c.permit.Ran(s)
+		}
+	}
 	served, shed := rep.outcome == idempotency.OutcomeAnswered, rep.reason == metric.RefusedBackendShed
 	if rep.rest == nil {
 		release(served, shed, e.Clock.Now().Sub(start))
@@ -280,6 +303,7 @@
 		return errLeft
 	}
 	e.sent.Inc(1)
+	c.permit.Sent()
 	leaving := e.Local.LeavingFor(now)
 	if leaving == 0 {
 		return nil
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -33,9 +33,11 @@
 	Retry *retry.Budgets
 	// NodeCount, if set, returns the number of nodes that share the retry budget.
 	NodeCount func() int
-	Metrics   *metric.Set
-	Clock     clock.Clock
-	Log       zerolog.Logger
+	// Versions, if set, limits the choice of instances during a roll-out.
+	Versions VersionChooser
+	Metrics  *metric.Set
+	Clock    clock.Clock
+	Log      zerolog.Logger
 	// Dialect is the protocol of callers; nil means Native.
 	Dialect Dialect
 	// Caller is the service that runs on this VM. It is sent with each call, unless empty, so that backend servers can be
@@ -65,7 +67,7 @@
 	if s.Dialect == nil {
 		s.Dialect = Native{}
 	}
-	return &Ingress{IngressSettings: s, selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
+	return &Ingress{IngressSettings: s, selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount, versions: s.Versions}}
 }
 
 // Run updates the list of instances when the membership changes, until ctx ends.
--- /dev/null
+++ b/pkg/rollout/decider.go
@@ -0,0 +1,685 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+)
+
+// Settings are the bounds that a decider keeps to.
+type Settings struct {
+	// ExposeShare and ExposeSlack bound the requests that a version gets before it is found good: ExposeShare of all requests to
+	// the service since the order, and ExposeSlack.
+	ExposeShare, ExposeSlack float64
+	// RollbackTime is the time within which a bad version must get no more requests.
+	RollbackTime time.Duration
+}
+
+// Parts of the bounds and of an order's duration.
+const (
+	// shareMargin and slackMargin are the parts of ExposeShare and ExposeSlack that deciders grant. The rest is for requests
+	// that are counted differently outside the mesh, such as those before all nodes know of the order.
+	shareMargin, slackMargin = 0.9, 0.6
+	// trialShare is the part of ExposeShare that ingresses aim at. It is below shareMargin, so that grants rarely run out.
+	trialShare = 0.85
+	// judgeAt is the part of the duration after which a version can be found good. A version that turns bad later is found out
+	// only if it is watched for long; what is left is for the shift.
+	judgeAt = 0.6
+	// latestJudge is the part of the duration, minLatestJudge and maxLatestJudge its limits, that must be left for the shift. A
+	// version that is not found good before is rolled back.
+	latestJudge                    = 0.25
+	minLatestJudge, maxLatestJudge = 3 * time.Second, 15 * time.Second
+	// rampPart is the part of the duration, minRamp and maxRamp its limits, for which each step of the shift lasts.
+	rampPart         = 0.04
+	minRamp, maxRamp = 500 * time.Millisecond, 3 * time.Second
+	// peakFactor is the load of an instance on trial at its peaks, relative to an instance of the old version. A fault that
+	// shows only under load shows only where the new version's few requests come together.
+	peakFactor = 1.25
+	// maxPeakShare limits the share of a peak.
+	maxPeakShare = 0.5
+	// pauseShare is the share between two peaks.
+	pauseShare = 0.02
+	// minRotation is how long instances stay on trial before others take their place.
+	minRotation = 4 * time.Second
+	// rotations is the number of times that the instances on trial change during an order.
+	rotations = 5
+	// idleGrant is the number of unused grants that an instance has that is not on trial.
+	idleGrant = 2
+)
+
+const (
+	// reservePeriod is the least time between two writes that only raise Status.Granted, since each call of the store is priced.
+	reservePeriod = time.Second
+	// minReserve is the number of grants from which such a write is made.
+	minReserve = 10
+	// silentAfter is the time without a report after which the node beside an instance of the old version counts as lost: its VM
+	// is down or cut off. The others must not wait for it until the time of the order has passed.
+	silentAfter = 4 * time.Second
+	// sharePeriod is the least time between two changes of the share during the trial.
+	sharePeriod = time.Second
+	// lifeWithoutOld is how long no instance of another version may be known before the order counts as carried out.
+	lifeWithoutOld = 2 * time.Second
+	// unableTime is how long a node does not decide after the store has not answered one of its writes, so that another one,
+	// which the store answers, can.
+	unableTime = 2 * time.Second
+	// conflictPause is the time for the watch to deliver the change that was in the way of a write.
+	conflictPause = 300 * time.Millisecond
+	// maxReports limits the reports that are kept for one order. A node that restarts reports as another process.
+	maxReports = 4096
+)
+
+// ramp are the shares of the new version after it was found good.
+var ramp = [...]float64{0.3, 0.6, 1}
+
+// Events of the lifecycle.
+const (
+	eventBegin = "begin"
+	eventGood  = "found_good"
+	eventClose = "shifted"
+	eventDone  = "emptied"
+	eventBad   = "roll_back"
+)
+
+// newLifecycle returns the state machine of an order. Its states are the phases that the store holds; the store's answer to a
+// conditional write moves it, so that each order ends once.
+func newLifecycle(at Phase) *fsm.FSM {
+	p := func(phase Phase) string { return phase.String() }
+	return fsm.NewFSM(p(at), fsm.Events{
+		{Name: eventBegin, Src: []string{p(PhasePending)}, Dst: p(PhaseTrial)},
+		{Name: eventGood, Src: []string{p(PhaseTrial)}, Dst: p(PhaseShifting)},
+		{Name: eventClose, Src: []string{p(PhaseShifting)}, Dst: p(PhaseClosing)},
+		{Name: eventDone, Src: []string{p(PhaseTrial), p(PhaseClosing)}, Dst: p(PhaseCompleted)},
+		{Name: eventBad, Src: []string{p(PhasePending), p(PhaseTrial), p(PhaseShifting), p(PhaseClosing)}, Dst: p(PhaseRolledBack)},
+	}, fsm.Callbacks{})
+}
+
+// Write is a conditional write of the status of one object. Its answer goes to Decider.ObserveWrite.
+type Write struct {
+	Service  string
+	Revision uint64
+	Status   Status
+	// before is Status.Granted at Revision; the difference belongs to this decider once the store has confirmed the write.
+	before uint64
+}
+
+// WriteResult is the store's answer to a write.
+type WriteResult uint8
+
+// Results of a write.
+const (
+	// WriteDone: the store has confirmed the write.
+	WriteDone WriteResult = iota
+	// WriteConflict: the object has changed since.
+	WriteConflict
+	// WriteUnknown: the store has not answered; the write may take effect, now or later.
+	WriteUnknown
+)
+
+// Decider decides on all orders that it knows. It is not safe for concurrent use. Any number of deciders may be at work: what
+// they grant they have reserved by conditional writes, and what ends an order is such a write too.
+type Decider struct {
+	settings Settings
+	id       uint64
+	runs     map[string]*run
+	// unableUntil is the time until which this node does not decide.
+	unableUntil time.Time
+}
+
+// NewDecider returns a decider without orders. id identifies its process.
+func NewDecider(s Settings, id uint64) *Decider {
+	return &Decider{settings: s, id: id, runs: make(map[string]*run)}
+}
+
+// run is the state of one order.
+type run struct {
+	object    Object
+	lifecycle *fsm.FSM
+	plan      Plan
+	// seenAt is when this node first saw the order, ageAtSight how old it was then.
+	seenAt     time.Time
+	ageAtSight time.Duration
+	// withoutOldSince is the time since which no instance of another version is known.
+	withoutOldSince time.Time
+	halted          bool
+	reason          string
+	// pool is the number of reserved requests that are not granted yet, grants what each process has been granted.
+	pool    uint64
+	grants  map[reporter]uint64
+	reports map[reporter]*received
+	// heardAt is when the last report came, reportedSince when the first one after a pause did.
+	heardAt, reportedSince time.Time
+	// phaseSince is when this node first saw the present phase.
+	phaseSince time.Time
+	writing    bool
+	wroteAt    time.Time
+	retryAt    time.Time
+	backoff    time.Duration
+
+	shareAt  time.Time
+	trialAt  time.Time
+	rotation int
+	rate     rate
+	verdict  Verdict
+	old      []membership.InstanceID
+}
+
+type reporter struct {
+	instance membership.InstanceID
+	run      uint64
+}
+
+type received struct {
+	Report
+	at time.Time
+}
+
+// rate estimates the requests a second to the service.
+type rate struct {
+	at    time.Time
+	count uint64
+	value float64
+}
+
+func (r *rate) observe(now time.Time, count uint64) {
+	if r.at.IsZero() {
+		r.at, r.count = now, count
+		return
+	}
+	if took := now.Sub(r.at); took >= time.Second {
+		current := float64(count-min(count, r.count)) / took.Seconds()
+		if r.value == 0 {
+			r.value = current
+		}
+		r.value += 0.5 * (current - r.value)
+		r.at, r.count = now, count
+	}
+}
+
+// ObserveObject takes in an object as read from the store. now is a reading of the steady clock and of the time of day.
+func (d *Decider) ObserveObject(now time.Time, o Object) {
+	r := d.runs[o.Name]
+	if o.Removed {
+		delete(d.runs, o.Name)
+		return
+	}
+	if r != nil && o.Revision < r.object.Revision {
+		return
+	}
+	if !o.usable() {
+		delete(d.runs, o.Name)
+		return
+	}
+	s := o.status()
+	if r == nil || r.object.ID() != o.ID() {
+		r = &run{grants: make(map[reporter]uint64), reports: make(map[reporter]*received), seenAt: now, phaseSince: now, lifecycle: newLifecycle(s.Phase)}
+		if s.StartedMillis > 0 {
+			// The order was taken up before this node learnt of it. Clocks of VMs may differ, so that the age is limited.
+			r.ageAtSight = min(max(0, time.Duration(now.UnixMilli()-s.StartedMillis)*time.Millisecond), o.Order.Duration)
+		}
+		d.runs[o.Name] = r
+	}
+	if r.lifecycle.Current() != s.Phase.String() {
+		r.lifecycle.SetState(s.Phase.String())
+		r.phaseSince = now
+	}
+	r.object = o
+	if s.Phase.Ended() {
+		r.reason = s.Reason
+	}
+	r.rebase()
+}
+
+// rebase derives the plan from the object, and keeps what was chosen within the phase.
+func (r *run) rebase() {
+	old, p := r.plan, PlanOf(&r.object)
+	if old.Order == p.Order && old.Phase == p.Phase {
+		p.Share, p.Trial, p.Step = old.Share, old.Trial, old.Step
+	}
+	p.Barred = bar(p.Barred, p.Target, old.Barred...)
+	p.Halted = r.halted && p.Phase != PhaseCompleted
+	r.plan = p
+}
+
+// ObservePlan takes in what other nodes have told about an order, so that this node goes on where another decider has stopped.
+func (d *Decider) ObservePlan(p Plan) {
+	r := d.runs[p.Service]
+	if r == nil || r.plan.Order != p.Order || r.plan.Phase.Ended() {
+		return
+	}
+	r.halted = r.halted || p.Halted
+	if p.Phase != r.plan.Phase {
+		p.Phase, p.Step = r.plan.Phase, 0 // Only the store moves the phase here.
+	}
+	r.plan, _ = merge(r.plan, p)
+}
+
+// Plans returns the plans of all orders.
+func (d *Decider) Plans() []Plan {
+	out := make([]Plan, 0, len(d.runs))
+	for _, service := range d.services() {
+		out = append(out, d.runs[service].plan)
+	}
+	return out
+}
+
+// change applies a change to the plan, and numbers it.
+func (r *run) change(apply func(*Plan)) {
+	apply(&r.plan)
+	r.plan.Step++
+}
+
+// Able reports whether this node decides, as far as the store answers its writes.
+func (d *Decider) Able(now time.Time) bool { return !now.Before(d.unableUntil) }
+
+// ObserveReport takes in a report. The reply's Able says whether this node decides on the order; able is what is known of the
+// store besides.
+func (d *Decider) ObserveReport(now time.Time, rep Report, able bool) Reply {
+	r := d.runs[rep.Service]
+	if r == nil || r.plan.Order != rep.Order {
+		return Reply{}
+	}
+	key := reporter{rep.Instance, rep.Run}
+	if known := r.reports[key]; known == nil && len(r.reports) < maxReports || known != nil && rep.Sequence > known.Sequence {
+		r.reports[key] = &received{Report: rep, at: now}
+	}
+	r.halted = r.halted || rep.Halted
+	if r.halted && !r.plan.Halted {
+		r.change(func(p *Plan) { p.Halted = true })
+	}
+	if r.heardAt.IsZero() || now.Sub(r.heardAt) >= silentAfter {
+		r.reportedSince = now
+	}
+	r.heardAt = now
+	reply := Reply{Able: able && d.Able(now), Plan: r.plan, Decider: d.id}
+	if reply.Able && rep.Version == r.plan.Target && r.plan.Phase == PhaseTrial && !r.halted {
+		d.grant(r, key, rep)
+	}
+	reply.Granted = r.grants[key]
+	return reply
+}
+
+// grant gives a process of the new version a part of the pool.
+func (d *Decider) grant(r *run, key reporter, rep Report) {
+	granted := r.grants[key]
+	unused := granted - min(granted, rep.Used)
+	want := uint64(idleGrant)
+	if slices.Contains(r.plan.Trial, rep.Instance) {
+		want = max(want, (r.pool+uint64(len(r.plan.Trial))-1)/uint64(len(r.plan.Trial)))
+	}
+	more := min(r.pool, want-min(want, unused))
+	r.pool -= more
+	r.grants[key] = granted + more
+}
+
+// allowed is the number of requests that a version may get when so many have come to the service since the order.
+func (s Settings) allowed(requests uint64) uint64 {
+	return uint64(math.Floor(shareMargin*s.ExposeShare*float64(requests) + slackMargin*s.ExposeSlack))
+}
+
+// requests is the number of requests to the service since the order that have been reported.
+func (r *run) requests() (sum uint64) {
+	for _, rep := range r.reports {
+		sum += rep.Handled
+	}
+	return max(sum, r.object.status().Requests)
+}
+
+// exposed is the number of requests that the new version has taken during the trial, as far as reported.
+func (r *run) exposed() (sum uint64) {
+	for _, rep := range r.reports {
+		sum += rep.Used
+	}
+	return sum
+}
+
+func (r *run) evidence() Evidence {
+	e := Evidence{Old: make(map[Cell]Tally), New: make(map[membership.InstanceID]map[Cell]Tally)}
+	for _, rep := range r.reports {
+		into := e.Old
+		if rep.Version == r.plan.Target {
+			if into = e.New[rep.Instance]; into == nil {
+				into = make(map[Cell]Tally)
+				e.New[rep.Instance] = into
+			}
+		} else if slices.Contains(r.plan.Barred, rep.Version) {
+			continue
+		}
+		for c, t := range rep.Cells {
+			sum := into[c]
+			sum.add(t)
+			into[c] = sum
+		}
+	}
+	return e
+}
+
+// Tick looks at all orders and returns the writes to make. members returns the instances of a service. leads is set if this node
+// is the one that takes up orders; otherwise it decides on the orders whose reports it gets.
+func (d *Decider) Tick(now time.Time, members func(service string) []membership.Instance, leads bool) []Write {
+	var out []Write
+	for _, service := range d.services() {
+		r := d.runs[service]
+		if !r.plan.Active() || !leads && (r.heardAt.IsZero() || now.Sub(r.heardAt) >= silentAfter) {
+			continue
+		}
+		w := d.decide(now, r, members(service))
+		if w != nil && !r.writing && !now.Before(r.retryAt) {
+			r.writing = true
+			out = append(out, *w)
+		}
+	}
+	return out
+}
+
+func (d *Decider) services() []string {
+	out := make([]string, 0, len(d.runs))
+	for service := range d.runs {
+		out = append(out, service)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// age is the time since the order was taken up.
+func (r *run) age(now time.Time) time.Duration { return r.ageAtSight + now.Sub(r.seenAt) }
+
+// latest is the age by which a version must have been found good.
+func (r *run) latest() time.Duration {
+	duration := r.object.Order.Duration
+	return duration - min(max(time.Duration(latestJudge*float64(duration)), minLatestJudge), maxLatestJudge, duration/2)
+}
+
+// decide makes one step with an order, and returns the write that it needs, if any.
+func (d *Decider) decide(now time.Time, r *run, members []membership.Instance) *Write {
+	ready, old := r.instances(members)
+	r.old = old
+	r.rate.observe(now, r.requests())
+	if len(old) > 0 {
+		r.withoutOldSince = time.Time{}
+	} else if r.withoutOldSince.IsZero() {
+		r.withoutOldSince = now
+	}
+	if r.plan.Phase == PhasePending {
+		return d.begin(now, r)
+	}
+	r.verdict = Judge(r.evidence())
+	if r.verdict.Bad && !r.halted {
+		r.halted, r.reason = true, r.verdict.Reason
+		r.change(func(p *Plan) { p.Halted = true })
+	}
+	if r.halted {
+		if r.reason == "" {
+			r.reason = "found bad by another node"
+		}
+		return d.move(now, r, eventBad)
+	}
+	switch r.plan.Phase {
+	case PhaseTrial:
+		return d.try(now, r, ready)
+	case PhaseShifting:
+		return d.shift(now, r)
+	case PhaseClosing:
+		if r.emptied(now) {
+			r.reason = "found good, and the old version is empty"
+			return d.move(now, r, eventDone)
+		}
+	}
+	return nil
+}
+
+// instances returns the ready instances of the new version, and all of other versions that may still be at work.
+func (r *run) instances(members []membership.Instance) (ready, old []membership.InstanceID) {
+	for i := range members {
+		in := &members[i]
+		switch {
+		case in.State == membership.StateDeparted:
+		case in.Version != r.plan.Target:
+			old = append(old, in.ID)
+		case in.State == membership.StateReady:
+			ready = append(ready, in.ID)
+		}
+	}
+	slices.Sort(ready)
+	return ready, old
+}
+
+// begin takes the order up. The first grants are reserved with the same write.
+func (d *Decider) begin(now time.Time, r *run) *Write {
+	w := d.move(now, r, eventBegin)
+	w.Status.StartedMillis = now.UnixMilli()
+	w.Status.Granted = d.settings.allowed(0)
+	return w
+}
+
+// move returns the write of the phase that an event leads to.
+func (d *Decider) move(now time.Time, r *run, event string) *Write {
+	next := newLifecycle(r.plan.Phase)
+	if next.Event(context.Background(), event) != nil {
+		return nil // The phase has no such end, so that there is nothing to write.
+	}
+	w := r.write()
+	w.Status.Phase, _ = ParsePhase(next.Current())
+	if w.Status.Phase.Ended() {
+		w.Status.DecidedMillis, w.Status.Reason = now.UnixMilli(), r.reason
+	}
+	return w
+}
+
+// write returns a write that changes nothing yet.
+func (r *run) write() *Write {
+	s := r.object.status()
+	w := &Write{Service: r.object.Name, Revision: r.object.Revision, Status: s, before: s.Granted}
+	w.Status.Requests = r.requests()
+	w.Status.Barred = bar(s.Barred, s.Target, r.plan.Barred...)
+	return w
+}
+
+// try goes on with the trial.
+func (d *Decider) try(now time.Time, r *run, ready []membership.InstanceID) *Write {
+	if !r.withoutOldSince.IsZero() && len(ready) > 0 && len(r.reports) > 0 && !r.sawOld() && now.Sub(r.withoutOldSince) >= lifeWithoutOld {
+		r.reason = "no instance of another version"
+		return d.move(now, r, eventDone)
+	}
+	judge := min(time.Duration(judgeAt*float64(r.object.Order.Duration)), r.latest())
+	switch age := r.age(now); {
+	case age >= judge && r.verdict.Good:
+		return d.move(now, r, eventGood)
+	case age >= r.latest():
+		r.reason = "not found good in time: " + r.verdict.Reason
+		r.halted = true
+		r.change(func(p *Plan) { p.Halted = true })
+		return d.move(now, r, eventBad)
+	}
+	d.steer(now, r, ready)
+	allowed, status := d.settings.allowed(r.requests()), r.object.status()
+	if allowed >= status.Granted+minReserve && now.Sub(r.wroteAt) >= reservePeriod && len(ready) > 0 {
+		w := r.write()
+		w.Status.Granted = allowed
+		return w
+	}
+	return nil
+}
+
+// sawOld reports whether an instance of another version has reported.
+func (r *run) sawOld() bool {
+	for _, rep := range r.reports {
+		if rep.Version != r.plan.Target {
+			return true
+		}
+	}
+	return false
+}
+
+// steer sets the instances on trial and the share. The share changes between peaks, at which an instance on trial has about the
+// load of an old one, and pauses, in which grants gather.
+func (d *Decider) steer(now time.Time, r *run, ready []membership.InstanceID) {
+	if len(ready) == 0 {
+		return
+	}
+	base := trialShare * d.settings.ExposeShare
+	old := float64(max(1, len(r.old)))
+	count := min(len(ready), max(1, int(math.Round(base*old/peakFactor))))
+	rotation := max(minRotation, r.object.Order.Duration/rotations)
+	gone := slices.ContainsFunc(r.plan.Trial, func(id membership.InstanceID) bool { return !slices.Contains(ready, id) })
+	if len(r.plan.Trial) != count || gone || now.Sub(r.trialAt) >= rotation && len(ready) > count {
+		trial := make([]membership.InstanceID, count)
+		for i := range trial {
+			trial[i] = ready[(r.rotation*count+i)%len(ready)]
+		}
+		r.rotation++
+		r.trialAt = now
+		slices.Sort(trial)
+		r.change(func(p *Plan) { p.Trial = trial })
+	}
+	peak := min(maxPeakShare, max(base, peakFactor*float64(count)/old))
+	if now.Sub(r.shareAt) < sharePeriod {
+		return
+	}
+	share := r.plan.Share
+	left := float64(r.unused())
+	switch perSecond := peak * r.rate.value; {
+	case left == 0:
+		share = pauseShare
+	case left >= perSecond || share == 0:
+		share = peak
+	case left < 0.2*perSecond:
+		share = pauseShare
+	}
+	if share != r.plan.Share {
+		r.shareAt = now
+		r.change(func(p *Plan) { p.Share = share })
+	}
+}
+
+// unused is the number of reserved requests that have not been taken yet, as far as reported.
+func (r *run) unused() uint64 {
+	sum := r.pool
+	for key, granted := range r.grants {
+		if rep := r.reports[key]; rep != nil && slices.Contains(r.plan.Trial, key.instance) {
+			sum += granted - min(granted, rep.Used)
+		}
+	}
+	return sum
+}
+
+// shift raises the share of the new version step by step.
+func (d *Decider) shift(now time.Time, r *run) *Write {
+	step := min(max(time.Duration(rampPart*float64(r.object.Order.Duration)), minRamp), maxRamp)
+	i := int(now.Sub(r.phaseSince) / step)
+	if i >= len(ramp) {
+		return d.move(now, r, eventClose)
+	}
+	if r.plan.Share != ramp[i] {
+		r.change(func(p *Plan) { p.Share = ramp[i] })
+	}
+	return nil
+}
+
+// emptied reports whether no request is at the old version or can come there: the node beside each of its instances has refused
+// new requests and has none in flight. A node that has been silent for long is not waited for.
+func (r *run) emptied(now time.Time) bool {
+	latest := make(map[membership.InstanceID]*received)
+	for key, rep := range r.reports {
+		if known := latest[key.instance]; known == nil || rep.at.After(known.at) {
+			latest[key.instance] = rep
+		}
+	}
+	for _, id := range r.old {
+		rep := latest[id]
+		switch {
+		case rep == nil && (r.reportedSince.IsZero() || now.Sub(r.reportedSince) < silentAfter):
+			return false
+		case rep != nil && now.Sub(rep.at) < silentAfter && (!rep.Closed || rep.InFlight > 0 || rep.at.Before(r.phaseSince)):
+			return false
+		}
+	}
+	return true
+}
+
+// ObserveWrite takes in the store's answer to a write, with the object as it is now if the store has told it.
+func (d *Decider) ObserveWrite(now time.Time, w Write, result WriteResult, object *Object) {
+	r := d.runs[w.Service]
+	if r == nil {
+		return
+	}
+	r.writing, r.wroteAt = false, now
+	if result == WriteUnknown {
+		r.backoff = min(max(2*r.backoff, 200*time.Millisecond), 2*time.Second)
+		r.retryAt = now.Add(r.backoff/2 + rand.N(r.backoff/2))
+		d.unableUntil = now.Add(min(r.backoff, unableTime))
+		return
+	}
+	r.backoff = 0
+	if result == WriteConflict {
+		r.retryAt = now.Add(conflictPause)
+	}
+	// The grants belong to the order of the write, which may be an earlier one by now.
+	if result == WriteDone && r.object.ID() == w.Status.Order && w.Status.Granted > w.before {
+		r.pool += w.Status.Granted - w.before
+	}
+	if object != nil {
+		d.ObserveObject(now, *object)
+	}
+}
+
+// View is what operators see of an order.
+type View struct {
+	Service      string   `json:"service"`
+	Target       string   `json:"targetVersion"`
+	Phase        string   `json:"phase"`
+	Halted       bool     `json:"halted"`
+	Reason       string   `json:"reason,omitempty"`
+	AgeSeconds   float64  `json:"ageSeconds"`
+	DurationSecs float64  `json:"durationSeconds"`
+	Share        float64  `json:"share"`
+	Trial        []string `json:"onTrial,omitempty"`
+	Barred       []string `json:"barred,omitempty"`
+	Requests     uint64   `json:"requests"`
+	Exposed      uint64   `json:"exposed"`
+	Granted      uint64   `json:"granted"`
+	Allowed      uint64   `json:"allowed"`
+	Answers      uint64   `json:"answers"`
+	Failures     uint64   `json:"failures"`
+	OldAnswers   uint64   `json:"oldAnswers"`
+	OldFailures  uint64   `json:"oldFailures"`
+	Judgement    string   `json:"judgement"`
+	Reporting    int      `json:"nodesReporting"`
+	OldInstances int      `json:"oldInstances"`
+}
+
+// Views returns all orders for operators.
+func (d *Decider) Views(now time.Time) []View {
+	out := make([]View, 0, len(d.runs))
+	for _, service := range d.services() {
+		r := d.runs[service]
+		status := r.object.status()
+		v := View{Service: service, Target: r.plan.Target, Phase: r.plan.Phase.String(), Halted: r.halted, Reason: r.reason,
+			AgeSeconds: r.age(now).Seconds(), DurationSecs: r.object.Order.Duration.Seconds(), Share: r.plan.Share, Barred: r.plan.Barred,
+			Requests: r.requests(), Exposed: r.exposed(), Granted: status.Granted, Allowed: d.settings.allowed(r.requests()),
+			Answers: r.verdict.Answers, Failures: r.verdict.Failures, Judgement: r.verdict.Reason, Reporting: len(r.reports), OldInstances: len(r.old)}
+		for _, id := range r.plan.Trial {
+			v.Trial = append(v.Trial, string(id))
+		}
+		for _, t := range r.evidence().Old {
+			v.OldAnswers += t.Answers
+			v.OldFailures += t.Failures
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// Describe returns a line about the order of a service for the log.
+func (d *Decider) Describe(service string) string {
+	if r := d.runs[service]; r != nil {
+		return fmt.Sprintf("%s (exposed %d of %d, %d of %d answers failed)", r.reason, r.exposed(), r.requests(), r.verdict.Failures, r.verdict.Answers)
+	}
+	return ""
+}
