--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -243,7 +243,7 @@
 		Clock:    b.clock, Log: b.log, Metrics: b.metrics()})
 	follower.OnRollouts, follower.RolloutKind = rollouts.ObserveChanges, platform.RolloutSchema{}.RolloutKind()
 	b.Provide(nameRollouts, rollouts)
-	b.Register(newBackgroundTasks(nameRollouts, rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter))
+	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter))
 }
 
 // versionGate returns the gate of the egress during roll-outs, or nil if there are none.
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -175,9 +175,36 @@
 	run      uint64
 }
 
+// received is the latest report of a process, with earlier counts to tell what has happened lately.
 type received struct {
 	Report
 	at time.Time
+	// base and next are the tallies of the beginnings of the last two windows; nextAt is when the later one began.
+	base, next map[Cell]Tally
+	nextAt     time.Time
+}
+
+// recentWindow is the time after which the beginning of what counts as lately moves on. What happened lately is between one and
+// two windows long. Without it, the good answers of a version that turns bad later would hide the bad ones.
+const recentWindow = 2500 * time.Millisecond
+
+// take replaces the report by a later one of the same process.
+func (r *received) take(now time.Time, rep Report) {
+	if now.Sub(r.nextAt) >= recentWindow {
+		r.base, r.next, r.nextAt = r.next, r.Cells, now
+	}
+	r.Report, r.at = rep, now
+}
+
+// recent returns the tallies of what has happened lately.
+func (r *received) recent() map[Cell]Tally {
+	out := make(map[Cell]Tally, len(r.Cells))
+	for c, t := range r.Cells {
+		if t = t.since(r.base[c]); t.Answers > 0 {
+			out[c] = t
+		}
+	}
+	return out
 }
 
 // rate estimates the requests a second to the service.
@@ -286,8 +313,10 @@
 		return Reply{}
 	}
 	key := reporter{rep.Instance, rep.Run}
-	if known := r.reports[key]; known == nil && len(r.reports) < maxReports || known != nil && rep.Sequence > known.Sequence {
-		r.reports[key] = &received{Report: rep, at: now}
+	if known := r.reports[key]; known == nil && len(r.reports) < maxReports {
+		r.reports[key] = &received{Report: rep, at: now, nextAt: now}
+	} else if known != nil && rep.Sequence > known.Sequence {
+		known.take(now, rep)
 	}
 	r.halted = r.halted || rep.Halted
 	if r.halted && !r.plan.Halted {
@@ -339,7 +368,8 @@
 	return sum
 }
 
-func (r *run) evidence() Evidence {
+// evidence returns what is known of the two versions since the order, or only what has happened lately.
+func (r *run) evidence(lately bool) Evidence {
 	e := Evidence{Old: make(map[Cell]Tally), New: make(map[membership.InstanceID]map[Cell]Tally)}
 	for _, rep := range r.reports {
 		into := e.Old
@@ -351,7 +381,11 @@
 		} else if slices.Contains(r.plan.Barred, rep.Version) {
 			continue
 		}
-		for c, t := range rep.Cells {
+		cells := rep.Cells
+		if lately {
+			cells = rep.recent()
+		}
+		for c, t := range cells {
 			sum := into[c]
 			sum.add(t)
 			into[c] = sum
@@ -409,7 +443,10 @@
 	if r.plan.Phase == PhasePending {
 		return d.begin(now, r)
 	}
-	r.verdict = Judge(r.evidence())
+	r.verdict = Judge(r.evidence(false))
+	if lately := Judge(r.evidence(true)); !r.verdict.Bad && (lately.Bad || lately.Suspect) {
+		r.verdict.Bad, r.verdict.Good, r.verdict.Reason = lately.Bad, false, "lately, "+lately.Reason
+	}
 	if r.verdict.Bad && !r.halted {
 		r.halted, r.reason = true, r.verdict.Reason
 		r.change(func(p *Plan) { p.Halted = true })
@@ -667,7 +704,7 @@
 		for _, id := range r.plan.Trial {
 			v.Trial = append(v.Trial, string(id))
 		}
-		for _, t := range r.evidence().Old {
+		for _, t := range r.evidence(false).Old {
 			v.OldAnswers += t.Answers
 			v.OldFailures += t.Failures
 		}
--- a/pkg/rollout/samples.go
+++ b/pkg/rollout/samples.go
@@ -73,6 +73,17 @@
 	}
 }
 
+// since returns what was counted after an earlier state of the tally.
+func (t Tally) since(earlier Tally) Tally {
+	out := t.clone()
+	out.Answers -= min(out.Answers, earlier.Answers)
+	out.Failures -= min(out.Failures, earlier.Failures)
+	for i := range min(len(out.Times), len(earlier.Times)) {
+		out.Times[i] -= min(out.Times[i], earlier.Times[i])
+	}
+	return out
+}
+
 func (t *Tally) clone() Tally {
 	out := *t
 	out.Times = slices.Clone(t.Times)
