--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -94,6 +94,9 @@
 	log      zerolog.Logger
 	// callLog is the rate-limited logger for lines about single calls.
 	callLog zerolog.Logger
+	// onOwnChange, if set, is called with the record of the instance beside this node when it changes. It is set before the
+	// services start.
+	onOwnChange func(membership.Instance)
 }
 
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
@@ -198,6 +201,9 @@
 				gate.SetSlots(instance.Slots)
 				backendPool.SetMaxConnsPerHost(connectionsPerSlot * instance.Slots)
 			}
+			if b.onOwnChange != nil {
+				b.onOwnChange(instance)
+			}
 			publisher.Set(instance)
 		},
 	})
@@ -242,8 +248,9 @@
 		Settings: rollout.Settings{ExposeShare: bounds.ExposeShare, ExposeSlack: bounds.ExposeSlack, RollbackTime: bounds.Rollback},
 		Clock:    b.clock, Log: b.log, Metrics: b.metrics()})
 	follower.OnRollouts, follower.RolloutKind = rollouts.ObserveChanges, platform.RolloutSchema{}.RolloutKind()
+	b.onOwnChange = rollouts.ObserveOwn
 	b.Provide(nameRollouts, rollouts)
-	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter))
+	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter, rollouts.RunReads))
 }
 
 // versionGate returns the gate of the egress during roll-outs, or nil if there are none.
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -137,13 +137,18 @@
 
 func startVM(t *testing.T, store, name, service string) *vm {
 	v := &vm{backendServer: newTestBackendServer(t, "i-"+name)}
+	v.VMSettings = vmSettings(t, v, store, name, service)
+	v.start(t)
+	return v
+}
+
+// vmSettings returns the settings of a VM with listeners of its own.
+func vmSettings(t *testing.T, v *vm, store, name, service string) platform.VMSettings {
 	control := freePort(t)
-	v.VMSettings = platform.VMSettings{Node: name, Service: service, AvailabilityZone: "west", IP: testIP,
+	return platform.VMSettings{Node: name, Service: service, AvailabilityZone: "west", IP: testIP,
 		Backend: netip.MustParseAddrPort(v.backendServer.server.Listener.Addr().String()), Callers: freePort(t), Peers: freePort(t), Ready: freePort(t),
 		Announcements: freePort(t), FirstPort: int(control.Port()), LastPort: int(control.Port()), StoreAddress: store, Heartbeat: time.Second,
 		MemoryBytes: 284 << 20, Bounds: platform.Bounds{Drain: 600 * time.Millisecond, Grace: 6 * time.Second, Apply: 2 * time.Second, RetryRatio: 0.2}}
-	v.start(t)
-	return v
 }
 
 func (v *vm) start(t *testing.T) {
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -18,11 +18,14 @@
 type metadata struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
+	// Created is the revision at which the object was created.
+	Created uint64 `json:"created"`
 }
 
 type object struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 type change struct {
@@ -91,7 +94,14 @@
 func (s *Store) Put(kind, name, spec string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(kind, object{Metadata: metadata{Name: name}, Spec: json.RawMessage(spec)})
+	s.write(kind, object{Metadata: metadata{Name: name}, Spec: json.RawMessage(spec), Status: s.objects[kind][name].Status})
+}
+
+// Status returns the status of an object, or an empty string if it has none.
+func (s *Store) Status(kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.objects[kind][name].Status)
 }
 
 // Get returns the spec of an object, or an empty string if there is no such object.
@@ -116,6 +126,9 @@
 func (s *Store) write(kind string, o object) object {
 	s.revision++
 	o.Metadata.Revision = s.revision
+	if o.Metadata.Created = s.objects[kind][o.Metadata.Name].Metadata.Created; o.Metadata.Created == 0 {
+		o.Metadata.Created = s.revision
+	}
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]object)
 	}
@@ -231,11 +244,32 @@
 			return
 		}
 	}
-	status := s.apply(r.Method, kind, name, o)
+	var status int
+	var response any = map[string]any{}
+	if name, ok := strings.CutSuffix(name, "/status"); ok && r.Method == http.MethodPut {
+		status, response = s.applyStatus(kind, name, o)
+	} else {
+		status = s.apply(r.Method, kind, name, o)
+	}
 	if f.LoseWriteResponses {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, map[string]any{})
+	writeJSON(w, status, response)
+}
+
+// applyStatus replaces the status of an object if its revision is that of the request, and returns the object as it is then.
+func (s *Store) applyStatus(kind, name string, o object) (int, object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.objects[kind][name]
+	switch {
+	case !ok:
+		return http.StatusNotFound, known
+	case o.Metadata.Revision != known.Metadata.Revision:
+		return http.StatusConflict, known
+	}
+	known.Status = o.Status
+	return http.StatusOK, s.write(kind, known)
 }
 
 func (s *Store) apply(method, kind, name string, o object) int {
@@ -252,7 +286,7 @@
 		if !ok {
 			return http.StatusNotFound
 		}
-		o.Metadata.Name = name
+		o.Metadata.Name, o.Status = name, old.Status
 		if string(old.Spec) != string(o.Spec) {
 			s.write(kind, o)
 		}
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -25,8 +25,9 @@
 
 const (
 	// rolloutWatchWait is how long a watch of the orders lasts without changes. Each call is priced, and all watchers watch, so
-	// that a watch that hangs delays an order only if it hangs at all of them.
-	rolloutWatchWait = 5 * time.Second
+	// that a watch that hangs delays an order only if it hangs at all of them. Nodes beside instances of a new version read the
+	// order themselves, and a report about an order that a watcher does not know makes it read the order.
+	rolloutWatchWait = 10 * time.Second
 	// decidePeriod is the interval between two looks at the orders in progress.
 	decidePeriod = 250 * time.Millisecond
 	// maxReportPeriod is the interval between reports, unless a bad version must be out of use sooner; see reportsPerRollback.
@@ -42,6 +43,14 @@
 	reportTimeout = 400 * time.Millisecond
 	// deciderPause is how long a watcher that has not taken a report is passed over, if another one does.
 	deciderPause = 1500 * time.Millisecond
+	// readTimeout limits one read of an order. An instance of a new version is held for this time at most, since it is one that
+	// nobody has ordered if the store does not answer.
+	readTimeout = time.Second
+	// readPause is the least time between two reads of the order of one service that reports ask for.
+	readPause = time.Second
+	// readQueueSize is the capacity of the queue of orders to read. When it is full a read is dropped; an instance is then held
+	// for readTimeout, and the next report asks again.
+	readQueueSize = 4
 	// planQueueSize is the capacity of the queue of plans to forward. When it is full, a plan is dropped, and the nodes fetch it
 	// with their next pull.
 	planQueueSize = 16
@@ -61,8 +70,10 @@
 	gaugeOrders           = "rollout.orders"
 )
 
-// StatusStore writes the status of objects.
+// StatusStore reads orders and writes their status.
 type StatusStore interface {
+	// Get is that of Store.
+	Get(ctx context.Context, kind platform.ObjectKind, name string) (platform.Object, error)
 	// PutStatus replaces the status of an object if its revision is still the given one, and returns the object. The error is of
 	// kind Conflict if the object has changed, NotFound if there is none.
 	PutStatus(ctx context.Context, kind platform.ObjectKind, name string, revision uint64, status []byte) (platform.Object, error)
@@ -96,6 +107,11 @@
 	// wakeDecider and wakeReporter are signalled when there may be an order in progress.
 	wakeDecider, wakeReporter chan struct{}
 	passedOver                map[string]time.Time
+	// reads are the services whose orders are to be read, readAt the times of the last reads that reports have asked for.
+	reads  chan string
+	readAt map[string]time.Time
+	// checkedStart is the start of the backend server for which the order has been read.
+	checkedStart string
 }
 
 // planBatch is a number of changed plans. first is set if this node has them from the store or has made them, so that the other
@@ -110,7 +126,8 @@
 	r.decider = rollout.NewDecider(r.Settings, rand.Uint64())
 	r.writes, r.plans = make(chan rollout.Write, statusQueueSize), make(chan planBatch, planQueueSize)
 	r.wakeDecider, r.wakeReporter = make(chan struct{}, 1), make(chan struct{}, 1)
-	r.passedOver = make(map[string]time.Time)
+	r.passedOver, r.readAt = make(map[string]time.Time), make(map[string]time.Time)
+	r.reads = make(chan string, readQueueSize)
 	r.Peers.attach(r)
 	return r
 }
@@ -365,12 +382,76 @@
 func (r *Rollouts) handleReport(args *rollout.Report, reply *rollout.Reply) error {
 	r.Metrics.Counter(countReportsTaken).Inc(1)
 	r.mu.Lock()
-	*reply = r.decider.ObserveReport(r.Clock.Now(), *args, r.storeAnswers())
+	now := r.Clock.Now()
+	*reply = r.decider.ObserveReport(now, *args, r.storeAnswers())
+	unknown := !r.decider.Knows(args.Service, args.Order) && now.Sub(r.readAt[args.Service]) >= readPause
+	if unknown {
+		r.readAt[args.Service] = now
+	}
 	r.mu.Unlock()
+	if unknown {
+		r.requestRead(args.Service)
+	}
 	signal(r.wakeDecider)
 	return nil
 }
 
+// ObserveOwn takes in the record of the instance beside this node when it changes. If the instance becomes ready with a version that
+// others of its service do not have, and this node knows of no order, it reads the order from the store before the instance gets
+// requests: the order may have been written a moment ago. It does not block.
+func (r *Rollouts) ObserveOwn(in membership.Instance) {
+	if in.State != membership.StateReady || in.Version == "" || r.Table.Get(in.Service).Order != "" {
+		return
+	}
+	differs := slices.ContainsFunc(r.Peers.State.Instances(in.Service), func(other membership.Instance) bool {
+		return other.ID != in.ID && other.State == membership.StateReady && other.Version != "" && other.Version != in.Version
+	})
+	r.mu.Lock()
+	start := in.BackendID + " " + in.Version
+	needed := differs && start != r.checkedStart
+	if needed {
+		r.checkedStart = start
+	}
+	r.mu.Unlock()
+	if needed {
+		r.Local.Hold(r.Clock.Now().Add(readTimeout))
+		r.requestRead(in.Service)
+	}
+}
+
+func (r *Rollouts) requestRead(service string) {
+	select {
+	case r.reads <- service:
+	default:
+	}
+}
+
+// RunReads reads orders that other nodes or the instance beside this one have shown to be needed, until ctx ends.
+func (r *Rollouts) RunReads(ctx context.Context) {
+	for {
+		select {
+		case service := <-r.reads:
+			r.read(ctx, service)
+			if service == r.Local.Service {
+				r.Local.Release()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// read reads the order of a service. An error is not retried: the watchers deliver the order, and reports ask again.
+func (r *Rollouts) read(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	stored, err := r.Store.Get(ctx, r.Schema.RolloutKind(), service)
+	if err != nil {
+		return
+	}
+	r.spread(r.observeObject(r.Schema.Rollout(stored)), true)
+}
+
 // RunReporter reports about the instance beside this node while there is an order for its service, until ctx ends.
 func (r *Rollouts) RunReporter(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -305,6 +305,12 @@
 // Able reports whether this node decides, as far as the store answers its writes.
 func (d *Decider) Able(now time.Time) bool { return !now.Before(d.unableUntil) }
 
+// Knows reports whether this node knows the order of a service.
+func (d *Decider) Knows(service string, order OrderID) bool {
+	r := d.runs[service]
+	return r != nil && r.plan.Order == order
+}
+
 // ObserveReport takes in a report. The reply's Able says whether this node decides on the order; able is what is known of the
 // store besides.
 func (d *Decider) ObserveReport(now time.Time, rep Report, able bool) Reply {
--- a/pkg/rollout/local.go
+++ b/pkg/rollout/local.go
@@ -51,6 +51,8 @@
 
 	run      uint64
 	inFlight atomic.Int64
+	// heldUntil is the time until which the instance gets no requests unless Release is called; nil means that it is not held.
+	heldUntil atomic.Pointer[time.Time]
 	// open is the permit of all requests while no order is in force, so that they take no memory.
 	open *Permit
 
@@ -87,6 +89,12 @@
 	sent    atomic.Bool
 }
 
+// Hold keeps requests from the instance until Release is called or the time has come.
+func (l *Local) Hold(until time.Time) { l.heldUntil.Store(&until) }
+
+// Release ends Hold.
+func (l *Local) Release() { l.heldUntil.Store(nil) }
+
 // Enter asks for the right to hand a request to the instance. Each permit that is not nil must be ended with Leave.
 func (l *Local) Enter(now time.Time) *Permit {
 	// The request counts as in flight before the plan is read: a report that has seen the plan closed counts it, or the request
@@ -100,7 +108,7 @@
 }
 
 func (l *Local) permit(now time.Time) *Permit {
-	if !l.Table.mayServe(now) {
+	if held := l.heldUntil.Load(); held != nil && now.Before(*held) || !l.Table.mayServe(now) {
 		return nil
 	}
 	plan := l.Table.Get(l.Service)
--- a/pkg/rollout/mesh_test.go
+++ b/pkg/rollout/mesh_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -98,7 +97,7 @@
 }
 
 type sim struct {
-	t         testing.TB
+	t         reporterT
 	rng       *rand.Rand
 	now       time.Time
 	store     *simStore
@@ -158,7 +157,7 @@
 
 // newSim returns a service with old instances and as many deciders as there are watchers. Instances of the new version start
 // when the order is given.
-func newSim(t testing.TB, seed uint64, old, perSecond int) *sim {
+func newSim(t reporterT, seed uint64, old, perSecond int) *sim {
 	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 17)), now: time.UnixMilli(1_700_000_000_000), store: &simStore{}, routes: []string{"lookup", "lodge"},
 		perStep: perSecond / int(time.Second/simStep)}
 	for range 3 {
@@ -435,3 +434,9 @@
 	}
 	return s.store.object.Status.Reason
 }
+
+// reporterT is what the simulation needs of a test.
+type reporterT interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
