--- a/cmd/monsoonlatch/main.go
+++ b/cmd/monsoonlatch/main.go
@@ -59,8 +59,9 @@
 		Status noteStatus `cmd:"" help:"Show where a release note is in force."`
 		List   noteList   `cmd:"" help:"List accepted release notes, latest first."`
 	} `cmd:"" help:"Work with release notes."`
-	Nodes    nodes    `cmd:"" help:"List nodes with the version that they serve."`
-	Services services `cmd:"" help:"List services with their routes and nodes."`
+	Nodes    nodes          `cmd:"" help:"List nodes with the version that they serve."`
+	Services services       `cmd:"" help:"List services with their routes and nodes."`
+	Rollout  rolloutCommand `cmd:"" help:"Show the roll-outs of versions in progress."`
 }
 
 func main() {
