--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -30,6 +30,8 @@
 	rolloutWatchWait = 10 * time.Second
 	// decidePeriod is the interval between two looks at the orders in progress.
 	decidePeriod = 250 * time.Millisecond
+	// standbyPeriod replaces decidePeriod at a node that is no watcher. It gets reports only if another one takes it for one.
+	standbyPeriod = time.Second
 	// maxReportPeriod is the interval between reports, unless a bad version must be out of use sooner; see reportsPerRollback.
 	maxReportPeriod = 500 * time.Millisecond
 	// reportsPerRollback is the number of reports within the time in which a bad version must be out of use: one brings the
@@ -289,7 +291,11 @@
 			continue
 		}
 		r.decide()
-		clock.Sleep(ctx, decidePeriod)
+		if r.Peers.State.topology().isWatcher(r.Peers.Self) {
+			clock.Sleep(ctx, decidePeriod)
+		} else {
+			clock.Sleep(ctx, standbyPeriod)
+		}
 	}
 }
 
@@ -362,6 +368,7 @@
 	case fault.Is(err, fault.Conflict), fault.Is(err, fault.NotFound):
 		r.Metrics.Counter(countWritesConflict).Inc(1)
 		r.wrote(w, rollout.WriteConflict, nil)
+		r.requestRead(w.Service) // The watch may hang, or be late.
 	default:
 		r.Metrics.Counter(countWritesUnanswered).Inc(1)
 		r.wrote(w, rollout.WriteUnknown, nil)
--- a/pkg/directory/rollouts_test.go
+++ b/pkg/directory/rollouts_test.go
@@ -400,3 +400,30 @@
 		}
 	})
 }
+
+// Guards against a version that is lost on its way through the store, and against records of earlier builds, which have none.
+func TestVersionInRecords(t *testing.T) {
+	in := instance("a", 1, 1, membership.StateReady)
+	in.Version = "v2"
+	spec, err := encodeRecord(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := decodeRecord(platform.Object{Name: "a", Spec: spec}); err != nil || got != in {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+	in.Version = ""
+	if spec, err = encodeRecord(in); err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(spec, &fields); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := fields["version"]; ok {
+		t.Error("a record without a version has the field")
+	}
+	if got, err := decodeRecord(platform.Object{Name: "a", Spec: spec}); err != nil || got != in {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+}
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -60,8 +60,10 @@
 	// minReserve is the number of grants from which such a write is made.
 	minReserve = 10
 	// silentAfter is the time without a report after which the node beside an instance of the old version counts as lost: its VM
-	// is down or cut off. The others must not wait for it until the time of the order has passed.
+	// is down or cut off. It is waited for until the last part of the order's time, silentPart or minSilent.
 	silentAfter = 4 * time.Second
+	silentPart  = 0.1
+	minSilent   = 2 * time.Second
 	// sharePeriod is the least time between two changes of the share during the trial.
 	sharePeriod = time.Second
 	// lifeWithoutOld is how long no instance of another version may be known before the order counts as carried out.
@@ -153,6 +155,8 @@
 	pool    uint64
 	grants  map[reporter]uint64
 	reports map[reporter]*received
+	// judged is set if the verdict takes account of all reports.
+	judged bool
 	// heardAt is when the last report came, reportedSince when the first one after a pause did.
 	heardAt, reportedSince time.Time
 	// phaseSince is when this node first saw the present phase.
@@ -324,6 +328,7 @@
 	} else if known != nil && rep.Sequence > known.Sequence {
 		known.take(now, rep)
 	}
+	r.judged = false
 	r.halted = r.halted || rep.Halted
 	if r.halted && !r.plan.Halted {
 		r.change(func(p *Plan) { p.Halted = true })
@@ -449,10 +454,7 @@
 	if r.plan.Phase == PhasePending {
 		return d.begin(now, r)
 	}
-	r.verdict = Judge(r.evidence(false))
-	if lately := Judge(r.evidence(true)); !r.verdict.Bad && (lately.Bad || lately.Suspect) {
-		r.verdict.Bad, r.verdict.Good, r.verdict.Reason = lately.Bad, false, "lately, "+lately.Reason
-	}
+	r.judge()
 	if r.verdict.Bad && !r.halted {
 		r.halted, r.reason = true, r.verdict.Reason
 		r.change(func(p *Plan) { p.Halted = true })
@@ -477,6 +479,18 @@
 	return nil
 }
 
+// judge compares the versions anew if there are new reports.
+func (r *run) judge() {
+	if r.judged {
+		return
+	}
+	r.judged = true
+	r.verdict = Judge(r.evidence(false))
+	if lately := Judge(r.evidence(true)); !r.verdict.Bad && (lately.Bad || lately.Suspect) {
+		r.verdict.Bad, r.verdict.Good, r.verdict.Reason = lately.Bad, false, "lately, "+lately.Reason
+	}
+}
+
 // instances returns the ready instances of the new version, and all of other versions that may still be at work.
 func (r *run) instances(members []membership.Instance) (ready, old []membership.InstanceID) {
 	for i := range members {
@@ -626,7 +640,7 @@
 }
 
 // emptied reports whether no request is at the old version or can come there: the node beside each of its instances has refused
-// new requests and has none in flight. A node that has been silent for long is not waited for.
+// new requests and has none in flight. A node that has been silent for long is not waited for when little time is left.
 func (r *run) emptied(now time.Time) bool {
 	latest := make(map[membership.InstanceID]*received)
 	for key, rep := range r.reports {
@@ -634,12 +648,15 @@
 			latest[key.instance] = rep
 		}
 	}
+	duration := r.object.Order.Duration
+	wait := r.age(now) < duration-max(minSilent, time.Duration(silentPart*float64(duration)))
 	for _, id := range r.old {
 		rep := latest[id]
 		switch {
-		case rep == nil && (r.reportedSince.IsZero() || now.Sub(r.reportedSince) < silentAfter):
+		case rep == nil && (wait || r.reportedSince.IsZero() || now.Sub(r.reportedSince) < silentAfter):
 			return false
-		case rep != nil && now.Sub(rep.at) < silentAfter && (!rep.Closed || rep.InFlight > 0 || rep.at.Before(r.phaseSince)):
+		case rep == nil || !wait && now.Sub(rep.at) >= silentAfter:
+		case !rep.Closed || rep.InFlight > 0 || rep.at.Before(r.phaseSince):
 			return false
 		}
 	}
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -133,7 +133,6 @@
 			for _, k := range aggregates(c) {
 				w := at(k)
 				sum := w.byNew[id]
-				sum.Times = slices.Clone(sum.Times)
 				sum.add(t)
 				w.byNew[id] = sum
 			}
