--- a/pkg/rollout/faults_test.go
+++ b/pkg/rollout/faults_test.go
@@ -99,6 +99,11 @@
 				for _, d := range s.deciders {
 					d.storeDown = since > 1500*time.Millisecond && since < 15*time.Second
 				}
+				for _, in := range s.instances {
+					if since == 14*time.Second && name == "bad" && !in.local.Table.Get(simService).Halted {
+						t.Errorf("node %s has not heard of the judgement", in.record.ID)
+					}
+				}
 			}
 			s.run(testDuration + 5*time.Second)
 			s.mustEnd(PhaseRolledBack)
