--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -42,6 +42,9 @@
 	// peakFactor is the load of an instance on trial at its peaks, relative to an instance of the old version. A fault that
 	// shows only under load shows only where the new version's few requests come together.
 	peakFactor = 1.25
+	// maxFewer limits the factor by which that load is higher still where the new version has fewer instances than the old one, and
+	// each will have more to do after the shift.
+	maxFewer = 2.0
 	// maxPeakShare limits the share of a peak.
 	maxPeakShare = 0.5
 	// pauseShare is the share between two peaks.
@@ -379,7 +382,8 @@
 	return sum
 }
 
-// evidence returns what is known of the two versions since the order, or only what has happened lately.
+// evidence returns what is known of the two versions since the order, or only what has happened lately. If the old version has
+// answered little lately, as after the shift, what is known of it since the order takes its place.
 func (r *run) evidence(lately bool) Evidence {
 	e := Evidence{Old: make(map[Cell]Tally), New: make(map[membership.InstanceID]map[Cell]Tally)}
 	for _, rep := range r.reports {
@@ -402,6 +406,9 @@
 			into[c] = sum
 		}
 	}
+	if lately && e.oldAnswers() < minCompared {
+		e.Old = r.evidence(false).Old
+	}
 	return e
 }
 
@@ -582,7 +589,8 @@
 	}
 	base := trialShare * d.settings.ExposeShare
 	old := float64(max(1, len(r.old)))
-	count := min(len(ready), max(1, int(math.Round(base*old/peakFactor))))
+	load := peakFactor * min(maxFewer, max(1, old/float64(len(ready))))
+	count := min(len(ready), max(1, int(math.Round(base*old/load))))
 	rotation := max(minRotation, r.object.Order.Duration/rotations)
 	gone := slices.ContainsFunc(r.plan.Trial, func(id membership.InstanceID) bool { return !slices.Contains(ready, id) })
 	if len(r.plan.Trial) != count || gone || now.Sub(r.trialAt) >= rotation && len(ready) > count {
@@ -595,7 +603,7 @@
 		slices.Sort(trial)
 		r.change(func(p *Plan) { p.Trial = trial })
 	}
-	peak := min(maxPeakShare, max(base, peakFactor*float64(count)/old))
+	peak := min(maxPeakShare, max(base, load*float64(count)/old))
 	if now.Sub(r.shareAt) < sharePeriod {
 		return
 	}
--- a/pkg/rollout/faults_test.go
+++ b/pkg/rollout/faults_test.go
@@ -304,6 +304,36 @@
 	}
 }
 
+// Guards against a roll-back after the shift, when only the new version answers and shares a fault that the old one had.
+func TestSharedFaultAfterTheShift(t *testing.T) {
+	s := newSim(t, 19, 14, 600)
+	for _, in := range s.instances {
+		in.answers = failing(0.3)
+	}
+	s.order(time.Minute, 14, failing(0.3))
+	s.instances[0].silent = true // The order stays in closing until little time is left.
+	s.run(62 * time.Second)
+	s.mustEnd(PhaseCompleted)
+	if s.endedAt.Sub(s.orderAt) < 50*time.Second {
+		t.Errorf("ended after %v", s.endedAt.Sub(s.orderAt))
+	}
+}
+
+// Guards against a fault under load that the trial does not show because there are fewer new instances, which have more to do after
+// the shift.
+func TestFewerNewInstancesUnderLoad(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(t, seed, 14, 600)
+		s.order(testDuration, 7, func(s *sim, in *simInstance, route string) (time.Duration, bool) {
+			took, _ := healthy(s, in, route)
+			return took, len(in.running) >= 4 && s.rng.Float64() < 0.6
+		})
+		s.run(testDuration + 2*time.Second)
+		s.mustEnd(PhaseRolledBack)
+		s.mustKeepExposure()
+	}
+}
+
 // Guards against a good version that is rolled back because one of its instances is sick.
 func TestOneInstanceIsSick(t *testing.T) {
 	s := newSim(t, 18, 38, 1600)
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -46,6 +46,13 @@
 	New map[membership.InstanceID]map[Cell]Tally
 }
 
+func (e *Evidence) oldAnswers() (n uint64) {
+	for _, t := range e.Old {
+		n += t.Answers
+	}
+	return n
+}
+
 // Verdict is the result of a comparison.
 type Verdict struct {
 	// Bad and Good are not both set. If neither is, there are too few answers, or there is a difference that may be chance.
