--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -45,6 +45,8 @@
 	// maxFewer limits the factor by which that load is higher still where the new version has fewer instances than the old one, and
 	// each will have more to do after the shift.
 	maxFewer = 2.0
+	// peakTime is the time for which grants are gathered before a peak.
+	peakTime = time.Second
 	// maxPeakShare limits the share of a peak.
 	maxPeakShare = 0.5
 	// pauseShare is the share between two peaks.
@@ -66,7 +68,10 @@
 	// is down or cut off. It is waited for until the last part of the order's time, silentPart or minSilent.
 	silentAfter = 4 * time.Second
 	silentPart  = 0.1
-	minSilent   = 2 * time.Second
+	// actFor is how long a node that does not lead acts on an order after a report: three report periods. reportsComplete is the time
+	// for which it must have got reports before it takes a lack of answers for true.
+	actFor, reportsComplete = 1500 * time.Millisecond, 2 * time.Second
+	minSilent               = 2 * time.Second
 	// sharePeriod is the least time between two changes of the share during the trial.
 	sharePeriod = time.Second
 	// lifeWithoutOld is how long no instance of another version may be known before the order counts as carried out.
@@ -162,6 +167,8 @@
 	judged bool
 	// heardAt is when the last report came, reportedSince when the first one after a pause did.
 	heardAt, reportedSince time.Time
+	// leadsSince is the time since which this node is the one that takes up orders; zero if it is not.
+	leadsSince time.Time
 	// phaseSince is when this node first saw the present phase.
 	phaseSince time.Time
 	writing    bool
@@ -169,8 +176,10 @@
 	retryAt    time.Time
 	backoff    time.Duration
 
-	shareAt  time.Time
-	trialAt  time.Time
+	shareAt time.Time
+	trialAt time.Time
+	// peak is the share of a peak; zero before the first one.
+	peak     float64
 	rotation int
 	rate     rate
 	verdict  Verdict
@@ -336,7 +345,7 @@
 	if r.halted && !r.plan.Halted {
 		r.change(func(p *Plan) { p.Halted = true })
 	}
-	if r.heardAt.IsZero() || now.Sub(r.heardAt) >= silentAfter {
+	if r.heardAt.IsZero() || now.Sub(r.heardAt) >= actFor {
 		r.reportedSince = now
 	}
 	r.heardAt = now
@@ -418,7 +427,12 @@
 	var out []Write
 	for _, service := range d.services() {
 		r := d.runs[service]
-		if !r.plan.Active() || !leads && (r.heardAt.IsZero() || now.Sub(r.heardAt) >= silentAfter) {
+		if !leads {
+			r.leadsSince = time.Time{}
+		} else if r.leadsSince.IsZero() {
+			r.leadsSince = now
+		}
+		if !r.plan.Active() || !leads && !r.hears(now) {
 			continue
 		}
 		w := d.decide(now, r, members(service))
@@ -439,6 +453,18 @@
 	return out
 }
 
+// hears reports whether this node gets reports at present.
+func (r *run) hears(now time.Time) bool { return !r.heardAt.IsZero() && now.Sub(r.heardAt) < actFor }
+
+// knowsEnough reports whether a lack of answers means that there are none. When the reports move to another node, the earlier one
+// has no new ones, and the later one none yet.
+func (r *run) knowsEnough(now time.Time) bool {
+	if r.hears(now) {
+		return now.Sub(r.reportedSince) >= reportsComplete
+	}
+	return !r.leadsSince.IsZero() && now.Sub(r.leadsSince) >= silentAfter
+}
+
 // age is the time since the order was taken up.
 func (r *run) age(now time.Time) time.Duration { return r.ageAtSight + now.Sub(r.seenAt) }
 
@@ -555,20 +581,27 @@
 	switch age := r.age(now); {
 	case age >= judge && r.verdict.Good:
 		return d.move(now, r, eventGood)
-	case age >= r.latest():
+	case age >= r.latest() && r.knowsEnough(now):
 		r.reason = "not found good in time: " + r.verdict.Reason
 		r.halted = true
 		r.change(func(p *Plan) { p.Halted = true })
 		return d.move(now, r, eventBad)
 	}
 	d.steer(now, r, ready)
-	allowed, status := d.settings.allowed(r.requests()), r.object.status()
-	if allowed >= status.Granted+minReserve && now.Sub(r.wroteAt) >= reservePeriod && len(ready) > 0 {
-		w := r.write()
-		w.Status.Granted = allowed
-		return w
+	return d.reserve(now, r)
+}
+
+// reserve returns a write that reserves more grants if few are left. No more are reserved than are soon used, since those of a
+// decider that stops are lost.
+func (d *Decider) reserve(now time.Time, r *run) *Write {
+	perPeak := uint64(math.Ceil(r.peak * r.rate.value * peakTime.Seconds()))
+	allowed, granted := d.settings.allowed(r.requests()), r.object.status().Granted
+	if r.peak == 0 || r.unused() >= max(minReserve, perPeak) || allowed < granted+minReserve || now.Sub(r.wroteAt) < reservePeriod {
+		return nil
 	}
-	return nil
+	w := r.write()
+	w.Status.Granted = min(allowed, granted+2*max(minReserve, perPeak))
+	return w
 }
 
 // sawOld reports whether an instance of another version has reported.
@@ -603,18 +636,18 @@
 		slices.Sort(trial)
 		r.change(func(p *Plan) { p.Trial = trial })
 	}
-	peak := min(maxPeakShare, max(base, load*float64(count)/old))
+	r.peak = min(maxPeakShare, max(base, load*float64(count)/old))
 	if now.Sub(r.shareAt) < sharePeriod {
 		return
 	}
 	share := r.plan.Share
 	left := float64(r.unused())
-	switch perSecond := peak * r.rate.value; {
+	switch perPeak := r.peak * r.rate.value * peakTime.Seconds(); {
 	case left == 0:
 		share = pauseShare
-	case left >= perSecond || share == 0:
-		share = peak
-	case left < 0.2*perSecond:
+	case left >= perPeak || share == 0:
+		share = r.peak
+	case left < 0.2*perPeak:
 		share = pauseShare
 	}
 	if share != r.plan.Share {
--- a/pkg/rollout/faults_test.go
+++ b/pkg/rollout/faults_test.go
@@ -177,6 +177,23 @@
 	})
 }
 
+// Guards against a decider that ends a trial for lack of answers because the reports go to another node by now, or have just begun to
+// come. Seen over real listeners when the first watcher changed as the new instances started.
+func TestReportsMoveToAnotherDecider(t *testing.T) {
+	for _, at := range []time.Duration{time.Second, 10 * time.Second, 11500 * time.Millisecond, 14 * time.Second, 14900 * time.Millisecond} {
+		s := newSim(t, 20, 14, 600)
+		s.order(testDuration, 14, healthy)
+		s.onStep = func() {
+			if s.now.Sub(s.orderAt) == at {
+				// The first decider goes on, but is the last one now.
+				s.deciders = append(s.deciders[1:], s.deciders[0])
+			}
+		}
+		s.run(testDuration + 2*time.Second)
+		s.mustEnd(PhaseCompleted)
+	}
+}
+
 // Guards against a version that comes back after its roll-back: with the order, after restarts of all nodes, and under a later order
 // for another version.
 func TestRolledBackVersionGetsNothingMore(t *testing.T) {
