--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -46,7 +46,7 @@
 	// each will have more to do after the shift.
 	maxFewer = 2.0
 	// peakTime is the time for which grants are gathered before a peak.
-	peakTime = time.Second
+	peakTime = 500 * time.Millisecond
 	// maxPeakShare limits the share of a peak.
 	maxPeakShare = 0.5
 	// pauseShare is the share between two peaks.
