--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -103,13 +103,18 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.lastResponse.Set(f.Clock.Now())
 	var others sync.WaitGroup
-	others.Go(func() { f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.applyConfiguration) })
+	others.Go(func() {
+		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.CanSkipWatch, f.applyConfiguration)
+	})
 	if f.OnRollouts != nil {
 		others.Go(func() {
-			f.follow(ctx, f.RolloutKind, func() time.Duration { return rolloutWatchWait }, f.OnRollouts)
+			start := f.Clock.Now()
+			f.follow(ctx, f.RolloutKind, func() time.Duration { return rolloutWatchWait }, func() bool {
+				return f.CanSkipWatch() || f.Clock.Now().Sub(start) < rolloutWatchDelay
+			}, f.OnRollouts)
 		})
 	}
-	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, func(changes []Change, _ Revision, complete bool) {
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, f.CanSkipWatch, func(changes []Change, _ Revision, complete bool) {
 		f.applyInstances(changes, complete)
 		if len(changes) > 0 && !complete {
 			clock.Sleep(ctx, instanceBatchDelay)
@@ -121,14 +126,14 @@
 // changeHandler processes changes. With complete set they are the full list of objects of a kind as of a revision.
 type changeHandler func(changes []Change, at Revision, complete bool)
 
-// follow lists a kind and then watches it from the listed revision, until ctx ends.
-func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, handle changeHandler) {
+// follow lists a kind and then watches it from the listed revision, until ctx ends. While canSkip returns true it does not watch.
+func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, canSkip func() bool, handle changeHandler) {
 	var revision Revision
 	// watchedSinceListing is set once a watch has been answered since the last listing. listCurrent is set when the
 	// next listing must be current: a stale one could again have a revision that is older than the retained history.
 	listed, watchedSinceListing, failing, listCurrent, backoff := false, false, false, false, minBackoff
 	for ctx.Err() == nil {
-		if listed && f.CanSkipWatch() {
+		if listed && canSkip() {
 			clock.Sleep(ctx, skipWatchCheckPeriod)
 			continue
 		}
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -28,6 +28,9 @@
 	// that a watch that hangs delays an order only if it hangs at all of them. Nodes beside instances of a new version read the
 	// order themselves, and a report about an order that a watcher does not know makes it read the order.
 	rolloutWatchWait = 10 * time.Second
+	// rolloutWatchDelay is the time after a node's start in which it does not watch the orders, which it has listed. While nodes start,
+	// most of them take themselves for watchers for a moment, and each watch is priced.
+	rolloutWatchDelay = 3 * time.Second
 	// decidePeriod is the interval between two looks at the orders in progress.
 	decidePeriod = 250 * time.Millisecond
 	// standbyPeriod replaces decidePeriod at a node that is no watcher. It gets reports only if another one takes it for one.
