Merge roll-outs of a service's version

Orders at the users' platform were never read: good versions were not completed and bad ones not rolled back. With orders in force in the settings (exposeShare), nodes share plans and reports, one watcher decides, and the exposure of a version before its judgement stays within the bound for the sum over all nodes. Without them nothing is watched, sent or counted.

The choice of the version limits the list that both policies of choice see.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -24,6 +24,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 	"github.com/monsoonlatch/monsoonlatch/pkg/quota"
 	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
+	"github.com/monsoonlatch/monsoonlatch/pkg/rollout"
 	"github.com/monsoonlatch/monsoonlatch/pkg/rpcwire"
 	"github.com/monsoonlatch/monsoonlatch/pkg/upstream"
 	"github.com/monsoonlatch/monsoonlatch/platform"
@@ -92,6 +93,8 @@
 	nameQuota          = "quota"
 	nameReadiness      = "readiness"
 	nameEndCalls       = "endCalls"
+	nameRolloutTable   = "rollout-table"
+	nameRollouts       = "rollouts"
 	nameReloader       = "reload"
 	nameKeyRules       = "keyRules"
 	nameIntake         = "intake" // as returned by intake.Budget.Name
@@ -106,11 +109,14 @@
 	log      zerolog.Logger
 	// callLog is the rate-limited logger for lines about single calls.
 	callLog zerolog.Logger
+	// onOwnChange, if set, is called with the record of the instance beside this node when it changes. It is set before the
+	// services start.
+	onOwnChange func(membership.Instance)
 }
 
 // builders lists the build functions in the order in which they run. Services start in this order and stop in reverse:
 // the drainer first, the control server last.
-var builders = []func(*builder){buildIntake, buildControl, buildDirectory, buildBackend, buildEgress, buildQuota, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
+var builders = []func(*builder){buildIntake, buildControl, buildDirectory, buildBackend, buildRollouts, buildEgress, buildQuota, buildIngress, buildBackgroundTasks, buildListeners, buildLifecycle}
 
 // newNode builds all components. It returns the first error.
 func newNode(s *Settings, vm platform.VMSettings, log zerolog.Logger, metrics *metric.Set) (*kernel.Kernel, error) {
@@ -191,6 +197,7 @@
 	publisher := directory.NewPublisher(state, store, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
 	follower.OnWatchTimeout = peers.RequestPullFromAny
+	b.Provide(nameRolloutTable, rollout.NewTable(b.vm.Bounds.ExposeShare > 0))
 	b.Provide(nameStore, store)
 	b.Provide(nameFollower, follower)
 	b.Provide(namePeers, peers)
@@ -221,6 +228,9 @@
 				gate.SetSlots(instance.Slots)
 				backendPool.SetMaxConnsPerHost(connectionsPerSlot * instance.Slots)
 			}
+			if b.onOwnChange != nil {
+				b.onOwnChange(instance)
+			}
 			publisher.Set(instance)
 		},
 	})
@@ -244,6 +254,51 @@
 	}
 }
 
+// buildRollouts creates the components that take part in roll-outs. Where the platform orders none, nothing is created, so that
+// nothing is watched, sent or counted.
+func buildRollouts(b *builder) {
+	bounds := b.vm.Bounds
+	if bounds.ExposeShare == 0 {
+		return
+	}
+	table, announcer, follower := find[*rollout.Table](b, nameRolloutTable), find[*announce.BackendTracker](b, nameAnnounce), find[*directory.Follower](b, nameFollower)
+	peers, store := find[*directory.Peers](b, namePeers), find[*platform.Store](b, nameStore)
+	if b.Err != nil {
+		return
+	}
+	local := rollout.NewLocal(&rollout.Local{Table: table, Service: b.vm.Service, GrantTime: directory.GrantTime(bounds.Rollback),
+		Version: func() (string, int64) {
+			in, _ := announcer.Instance()
+			return in.Version, in.BackendStarted
+		}})
+	rollouts := directory.NewRollouts(&directory.Rollouts{Table: table, Local: local, Peers: peers, Store: store, Schema: platform.RolloutSchema{},
+		Settings: rollout.Settings{ExposeShare: bounds.ExposeShare, ExposeSlack: bounds.ExposeSlack, RollbackTime: bounds.Rollback},
+		Clock:    b.clock, Log: b.log, Metrics: b.metrics()})
+	follower.OnRollouts, follower.RolloutKind = rollouts.ObserveChanges, platform.RolloutSchema{}.RolloutKind()
+	b.onOwnChange = rollouts.ObserveOwn
+	b.Provide(nameRollouts, rollouts)
+	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter, rollouts.RunReads))
+}
+
+// versionGate returns the gate of the egress during roll-outs, or nil if there are none.
+func versionGate(b *builder) proxy.VersionGate {
+	if b.vm.Bounds.ExposeShare == 0 {
+		return nil
+	}
+	if rollouts := find[*directory.Rollouts](b, nameRollouts); rollouts != nil {
+		return rollouts.Local
+	}
+	return nil
+}
+
+// versionChooser returns the chooser of the ingress during roll-outs, or nil if there are none.
+func versionChooser(b *builder) proxy.VersionChooser {
+	if b.vm.Bounds.ExposeShare == 0 {
+		return nil
+	}
+	return find[*rollout.Table](b, nameRolloutTable)
+}
+
 // buildEgress creates the egress, which passes calls to the local backend server.
 func buildEgress(b *builder) {
 	calls, bodies := proxy.NewCalls(), proxy.NewBodyBudget(b.vm.MemoryBytes/bodyMemoryDivisor)
@@ -252,7 +307,8 @@
 	egress := proxy.NewEgress(proxy.EgressSettings{Local: find[*announce.BackendTracker](b, nameAnnounce),
 		Gate: parts.Gate{Gate: find[*admission.Gate](b, nameGate), PassTargets: true}, Backend: find[*upstream.Pool](b, nameBackendPool), Calls: calls,
 		Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{}, Source: find[*directory.State](b, nameDirectoryState),
-		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies, ReadAhead: proxy.NewBodyBudget(b.vm.MemoryBytes / readAheadDivisor)})
+		OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: bodies, ReadAhead: proxy.NewBodyBudget(b.vm.MemoryBytes / readAheadDivisor),
+		Versions: versionGate(b), Cold: find[*announce.BackendTracker](b, nameAnnounce).Cold})
 	find[*healthChecker](b, nameHealth).onResponse = egress.TakeAdvice
 	b.Provide(nameEgress, egress)
 }
@@ -279,7 +335,7 @@
 		Peers: upstream.NewPool(upstream.Settings{Clock: b.clock, Dial: b.dialPeer, DialTimeout: peerDialTimeout}),
 		Picker: balance.New(balance.Settings{AvailabilityZone: b.vm.AvailabilityZone, SlowStart: slowStartTime, ZonePreference: zonePreference, LateZonePreference: lateZonePreference,
 			Self: b.self(), Completion: balance.Completion{MaxSlots: completionSlots}}),
-		Retry: retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
+		Retry: retry.NewBudgets(retrySettings(b.vm.Bounds)), NodeCount: state.NodeCount, Versions: versionChooser(b), Metrics: b.metrics(), Clock: b.clock, Log: b.callLog, Dialect: platform.Dialect{},
 		Caller: b.vm.Service, DisableAttemptTimeout: true, OnNewerVersion: find[*directory.Peers](b, namePeers).RequestPull, Bodies: find[*proxy.BodyBudget](b, nameBodyBudget),
 		Quota: tenantQuota{find[*quota.Service](b, nameQuota)}, KeyRules: rules.current, ConfigurationAge: state.ConfigurationAge,
 		Hedge: hedge.New(hedge.Settings{Share: b.settings.HedgeShare})}))
@@ -322,7 +378,12 @@
 	listen("announcements", b.listenAddress(b.vm.Announcements.String()), newHTTPServer(&platform.Announcements{Receiver: announcer, Backend: b.vm.Backend.String()}), local, nil)
 	listen("callers", b.listenAddress(b.vm.Callers.String()), callers, budget.Callers(), proxy.Refuser(platform.Dialect{}), idleCloser.run)
 	listen("ready", b.listenAddress(b.vm.Ready.String()), newHTTPServer(ready), local, nil)
-	listen("operators", b.settings.Metrics, newHTTPServer(http.HandlerFunc(b.metrics().ServeText)), budget.Local(), nil)
+	operators := http.NewServeMux()
+	operators.HandleFunc("/", b.metrics().ServeText)
+	if b.vm.Bounds.ExposeShare > 0 {
+		operators.Handle("GET /rollouts", find[*directory.Rollouts](b, nameRollouts))
+	}
+	listen("operators", b.settings.Metrics, newHTTPServer(operators), budget.Local(), nil)
 }
 
 // buildLifecycle creates the reloader of the settings and the drainer.
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
@@ -76,6 +77,8 @@
 	Bytes int
 	// Exclude lists the instances that were tried before.
 	Exclude []membership.InstanceID
+	// Allow, if set, limits the choice to the instances for which it returns true.
+	Allow func(*membership.Instance) bool
 }
 
 // Event is what an attempt showed about the instance.
@@ -236,6 +239,9 @@
 // decide chooses an instance by the policy that applies to the service.
 func (p *Picker) decide(now time.Time, r *Request) (*instance, Relation) {
 	list := p.services[r.Service]
+	if r.Allow != nil {
+		list = slices.DeleteFunc(slices.Clone(list), func(i *instance) bool { return !r.Allow(&i.record) })
+	}
 	if p.settings.Random {
 		return p.related(p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) }))
 	}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,10 @@
 	// OnOwnRecordRemoved, if set, is called when this node's own record was removed from the store, or overwritten by one
 	// that describes no instance.
 	OnOwnRecordRemoved func()
+	// OnRollouts, if set, is called with the changes of the orders to roll out a version, whose kind is RolloutKind. With complete
+	// set they are all orders as of a revision.
+	OnRollouts  func(changes []Change, at Revision, complete bool)
+	RolloutKind platform.ObjectKind
 	// OnStoreLost, if set, is called when the store stops answering.
 	OnStoreLost func()
 	// OnWatchTimeout, if set, is called when a watch of the configuration got no response. It must not block.
@@ -102,31 +107,38 @@
 // Run keeps the configuration and the instances up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.lastResponse.Set(f.Clock.Now())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.applyConfiguration)
-	}()
-	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, func(changes []Change, complete bool) {
+	var others sync.WaitGroup
+	others.Go(func() {
+		f.follow(ctx, f.Schema.ConfigurationKind(), f.configurationWatchWait, f.CanSkipWatch, f.applyConfiguration)
+	})
+	if f.OnRollouts != nil {
+		others.Go(func() {
+			start := f.Clock.Now()
+			f.follow(ctx, f.RolloutKind, func() time.Duration { return rolloutWatchWait }, func() bool {
+				return f.CanSkipWatch() || f.Clock.Now().Sub(start) < rolloutWatchDelay
+			}, f.OnRollouts)
+		})
+	}
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, f.CanSkipWatch, func(changes []Change, _ Revision, complete bool) {
 		f.applyInstances(changes, complete)
 		if len(changes) > 0 && !complete {
 			clock.Sleep(ctx, instanceBatchDelay)
 		}
 	})
-	<-done
+	others.Wait()
 }
 
-// changeHandler processes changes. With complete set they are the full list of objects of a kind.
-type changeHandler func(changes []Change, complete bool)
+// changeHandler processes changes. With complete set they are the full list of objects of a kind as of a revision.
+type changeHandler func(changes []Change, at Revision, complete bool)
 
-// follow lists a kind and then watches it from the listed revision, until ctx ends.
-func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, handle changeHandler) {
+// follow lists a kind and then watches it from the listed revision, until ctx ends. While canSkip returns true it does not watch.
+func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, canSkip func() bool, handle changeHandler) {
 	var revision Revision
 	// watchedSinceListing is set once a watch has been answered since the last listing. listCurrent is set when the
 	// next listing must be current: a stale one could again have a revision that is older than the retained history.
 	listed, watchedSinceListing, failing, listCurrent, backoff := false, false, false, false, minBackoff
 	for ctx.Err() == nil {
-		if listed && f.CanSkipWatch() {
+		if listed && canSkip() {
 			clock.Sleep(ctx, skipWatchCheckPeriod)
 			continue
 		}
@@ -189,7 +201,7 @@
 	ctx, cancel := withStallLimit(ctx, watchResponseGrace)
 	defer cancel()
 	if object, err := f.Store.Get(ctx, kind, f.Schema.ConfigurationName()); err == nil {
-		handle([]Change{{Object: object}}, false)
+		handle([]Change{{Object: object}}, 0, false)
 	}
 }
 
@@ -208,7 +220,7 @@
 	for i, obj := range listing.Objects {
 		changes[i].Object = obj
 	}
-	handle(changes, true)
+	handle(changes, listing.Revision, true)
 	if !allowStale {
 		f.confirm(kind, start)
 	}
@@ -223,7 +235,7 @@
 	if err != nil {
 		return after, err
 	}
-	handle(c.Changes, false)
+	handle(c.Changes, c.Revision, false)
 	if end := start.Add(wait); len(c.Changes) == 0 && !f.Clock.Now().Before(end) {
 		start = end // The store waited for a change until then. Its response may have been read much later.
 	}
@@ -241,7 +253,7 @@
 
 // applyConfiguration accepts the newest configuration among the changes. If one cannot be decoded or is invalid, the
 // current configuration stays in force.
-func (f *Follower) applyConfiguration(changes []Change, _ bool) {
+func (f *Follower) applyConfiguration(changes []Change, _ Revision, _ bool) {
 	for _, c := range changes {
 		if c.Removed || c.Object.Name != f.Schema.ConfigurationName() {
 			continue
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -31,6 +31,8 @@
 	exchangesNews bool
 	// ownLoad, if set, returns the load of the local instance.
 	ownLoad func() balance.News
+	// versions is nil where no roll-outs are in force.
+	versions VersionChooser
 }
 
 // pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
@@ -51,7 +53,17 @@
 	if !s.picker.HasService(r.Service) {
 		s.loadInstances(now, r.Service)
 	}
-	return s.picker.PickRelated(now, r)
+	if s.versions == nil {
+		return s.picker.PickRelated(now, r)
+	}
+	prefer, fallback := s.versions.Choose(r.Service, len(r.Exclude) > 0)
+	r.Allow = prefer
+	in, relation, err := s.picker.PickRelated(now, r)
+	if err != nil && fallback != nil {
+		r.Allow = fallback
+		in, relation, err = s.picker.PickRelated(now, r)
+	}
+	return in, relation, err
 }
 
 // reserve counts an attempt in flight at an instance that was not chosen by pick.
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -35,9 +35,11 @@
 	Retry *retry.Budgets
 	// NodeCount, if set, returns the number of nodes that share the retry budget.
 	NodeCount func() int
-	Metrics   *metric.Set
-	Clock     clock.Clock
-	Log       zerolog.Logger
+	// Versions, if set, limits the choice of instances during a roll-out.
+	Versions VersionChooser
+	Metrics  *metric.Set
+	Clock    clock.Clock
+	Log      zerolog.Logger
 	// Dialect is the protocol of callers; nil means Native.
 	Dialect Dialect
 	// Caller is the service that runs on this VM. It is sent with each call, unless empty, so that backend servers can be
@@ -79,7 +81,7 @@
 		s.Dialect = Native{}
 	}
 	in := &Ingress{IngressSettings: s, zones: newZoneTraffic(s.Metrics), hedges: hedger{planner: s.Hedge},
-		selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount}}
+		selector: selector{picker: s.Picker, retryBudgets: s.Retry, view: s.View, nodeCount: s.NodeCount, versions: s.Versions}}
 	if s.Picker != nil && s.Picker.ExchangesNews() {
 		in.selector.exchangesNews = true
 		if s.Egress != nil {
