Count an enlarged receive buffer at its size in the kernel

Cause: the kernel doubles the size that is asked for, so that buffers for long bodies took twice their share. Endless bodies at the callers came to 60478 kB with 13210 kB unread, close to the bound of 65536 kB.

Change: such a buffer is charged 2 MiB.

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -61,6 +61,8 @@
 	receiveBuffer = 64 << 10
 	// longBodyBuffer is the receive buffer while a long body is read, so that a distant client can fill its link.
 	longBodyBuffer = 1 << 20
+	// longBodyCost is what it takes in the kernel, which doubles the size.
+	longBodyCost = 2 * longBodyBuffer
 	// longBodyDivisor yields the memory for buffers of that size.
 	longBodyDivisor = 16
 
--- a/pkg/intake/server.go
+++ b/pkg/intake/server.go
@@ -160,12 +160,12 @@
 // is called.
 func (c *Conn) enlargeReceiveBuffer() (restore func()) {
 	b := c.class.budget
-	if b.longBodies.Add(longBodyBuffer) > b.settings.Memory/longBodyDivisor {
-		return func() { b.longBodies.Add(-longBodyBuffer) }
+	if b.longBodies.Add(longBodyCost) > b.settings.Memory/longBodyDivisor {
+		return func() { b.longBodies.Add(-longBodyCost) }
 	}
 	c.setReceiveBuffer(longBodyBuffer)
 	return func() {
 		c.setReceiveBuffer(receiveBuffer)
-		b.longBodies.Add(-longBodyBuffer)
+		b.longBodies.Add(-longBodyCost)
 	}
 }
