--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -161,6 +161,7 @@
 // candidate is an instance that may be chosen, with the time after which it is expected to have answered.
 type candidate struct {
 	in         *instance
+	load       float64
 	service    time.Duration
 	completion time.Duration
 	// cost is the service time with the delay that the request causes to others, longer if the instance fails requests. It
@@ -275,7 +276,7 @@
 func (p *Picker) candidate(now time.Time, in *instance, rt *route, r *Request, serviceTime time.Duration, assumed float64) candidate {
 	capacity := in.slowStartFactor(now, p.settings.SlowStart)
 	wait, load := in.expectedWait(now, r.Rank, serviceTime, assumed)
-	c := candidate{in: in, service: time.Duration(float64(serviceTime) / capacity)}
+	c := candidate{in: in, load: load, service: time.Duration(float64(serviceTime) / capacity)}
 	c.completion = c.service + time.Duration(float64(wait)/capacity)
 	c.cost = c.service + time.Duration(float64(c.service)*loadCost*max(0, load-freeLoad)/capacity)
 	transfer := p.transferTime(now, in, rt)
@@ -360,7 +361,8 @@
 	return n
 }
 
-// nearBest returns one of the instances whose cost is close to the best one among a random sample. It reports false if there
+// nearBest returns the less loaded of two random instances whose cost is close to the best one in a random sample, and which
+// have a free slot if that one has. It reports false if there
 // are none. An instance whose service time is unknown counts with the shortest known one, so that it is tried.
 func (p *Picker) nearBest(now time.Time, list []*instance, rt *route, r *Request, assumed float64) (candidate, bool) {
 	if len(list) == 0 {
@@ -392,18 +394,23 @@
 		}
 	}
 	p.choice.candidates = candidates
-	limit := candidates[best].cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(candidates[best].service)))
-	n := 0
-	for i := range candidates {
-		if candidates[i].cost > limit {
-			continue
-		}
-		n++
-		if p.rng.IntN(n) == 0 {
-			best = i
+	b := candidates[best]
+	limit := b.cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(b.service)))
+	near := candidates[:0]
+	for _, c := range candidates {
+		if c.cost <= limit && (c.load < 1 || b.load >= 1) {
+			near = append(near, c)
 		}
 	}
-	return candidates[best], true
+	first := p.rng.IntN(len(near))
+	if len(near) == 1 {
+		return near[first], true
+	}
+	second := (first + 1 + p.rng.IntN(len(near)-1)) % len(near)
+	if near[second].load < near[first].load {
+		return near[second], true
+	}
+	return near[first], true
 }
 
 // sample moves a random sample to the front of the list and returns it.
--- a/pkg/balance/policies_test.go
+++ b/pkg/balance/policies_test.go
@@ -330,7 +330,7 @@
 
 var printTable = flag.Bool("table", false, "print the table of policies of docs/design/balance.md")
 
-// Prints the table of docs/design/balance.md: go test -run TestPolicyTable ./pkg/balance -table
+// Prints the table of docs/design/balance.md: go test -run TestPolicyTable -v ./pkg/balance -table
 func TestPolicyTable(*testing.T) {
 	if !*printTable {
 		return
