--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -29,22 +29,13 @@
 	nodeCount func() int
 	// exchangesNews is set if the choice of instances uses reports that come by way of other nodes.
 	exchangesNews bool
-	// ownLoad, if set, returns the load of the local instance.
-	ownLoad func() balance.News
 }
 
 // pick chooses an instance. On the first call for a service it loads the service's instances. An empty Exclude marks the
 // first attempt of a request, which is counted in the retry budget.
 func (s *selector) pick(now time.Time, r balance.Request) (membership.Instance, balance.Relation, error) {
-	var own [1]balance.News
-	if s.ownLoad != nil {
-		own[0] = s.ownLoad()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ownLoad != nil {
-		s.picker.Learn(now, own[:])
-	}
 	if len(r.Exclude) == 0 {
 		s.retryBudgets.Request(r.Service)
 	}
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -72,9 +72,6 @@
 		in.selector.exchangesNews = true
 		if s.Egress != nil {
 			s.Egress.board = &in.selector
-			in.selector.ownLoad = func() balance.News {
-				return balance.News{ID: s.Self, Load: s.Egress.times.complete(s.Clock.Now(), s.Egress.Gate.Load())}
-			}
 		}
 	}
 	return in
