--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -447,7 +447,7 @@
 	}
 }
 
-// Tell appends the newest reports of instances in the own zone to news, at most limit of them. Ages start at now.
+// Tell appends the newest reports of a service's instances to news, at most limit of them. Ages start at now.
 func (p *Picker) Tell(now time.Time, name string, news []News, limit int) []News {
 	list := p.services[name]
 	if len(list) == 0 || !p.service(name).compact {
--- a/pkg/proxy/news.go
+++ b/pkg/proxy/news.go
@@ -106,7 +106,7 @@
 	s.picker.Learn(now, news)
 }
 
-// tell returns the newest reports of a service's instances in the own zone.
+// tell returns the newest reports of a service's instances.
 func (s *selector) tell(now time.Time, service string) []balance.News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,7 +114,8 @@
 }
 
 // formatNews encodes reports as the value of HeaderNews: for each one the instance, slots in use, limit, slot time in
-// microseconds, age in milliseconds, the wait for its link in microseconds, and the waiting requests of the ranks up to the last that has any.
+// microseconds, age in milliseconds, the wait for its link in microseconds, and the
+// waiting requests of the ranks up to the last that has any.
 func formatNews(b []byte, news []balance.News) []byte {
 	for i := range news {
 		if len(b) > 0 {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -281,6 +281,23 @@
 	}
 }
 
+// Guards against a slot of a backend server that stays in use while a long response waits for a slow link: a body of known
+// length is read first, and one that ends early is not passed on.
+func TestBodyOfKnownLengthIsReadFirst(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		f := newFixture(t, Settings{MaxBufferedBody: 1024, MaxKnownBody: 200_000})
+		ex := newPost("a", "")
+		ex.Request.Header.Set(backend.HeaderBytes, "100000")
+		if cut {
+			ex.Request.Header.Set(backend.HeaderFault, string(backend.FaultCutLength))
+		}
+		res := f.do(ex)
+		if complete := res.Err == nil && res.Response.Remainder == nil && len(res.Response.Body) == 100_000; complete == cut || cut && res.Failure != FailCut {
+			t.Errorf("truncated %v: %+v", cut, res)
+		}
+	}
+}
+
 // Guards against more connections to an address than MaxConnsPerHost, which for a backend server is derived from its
 // slots, and against a request that waits for a free connection.
 func TestConnectionLimit(t *testing.T) {
