Let an overtaken first request count against its instance

Found in a review of second requests, with one of two instances silent: it kept its low load and got 59 of 60 first requests with a saved budget, since a cancelled attempt says nothing about the instance. The attempt now ends with a cause, and counts as failed.

The wait for a second request grew with each one, because the time until the second answer, which contains the wait, was added to the histogram: from 108 to 1,024 ms with one slow request in ten. It is left out. Where more than one in 20 are slow, the 95th percentile is the time of the slow ones; three times the median limits it. TestSecondRequestsDoNotRaiseTheirDelay: no second request and a 98.5th percentile of 1 s without the limit, less than 1 s with it.

--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -72,11 +72,15 @@
 	if q == nil || q.total < minSamples {
 		return 0, false
 	}
-	return max(q.value(p.settings.Quantile), minDelay), true
+	return max(min(q.value(p.settings.Quantile), maxMedians*q.value(medianQuantile)), minDelay), true
 }
 
-// Observe adds the response time of a first request. For a request whose second one was answered first, it is the time
-// until then, since the response time itself is not known.
+// maxMedians limits the wait to a multiple of the median. Where more requests are slow than the quantile leaves out, the quantile
+// is the time of the slow ones.
+const maxMedians = 3
+
+// Observe adds the response time of a first request. One whose second request was answered first is left out, since its
+// response time is not known.
 func (p *Planner) Observe(k Kind, took time.Duration) {
 	q := p.kinds[k]
 	if q == nil {
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -42,7 +42,10 @@
 			candidate := Candidate{Kind: k, Left: time.Minute, HasRoom: first != other && (l.busy == nil || !l.busy(i))}
 			if send, _ := p.Decide(candidate); send {
 				out.second++
-				took = min(took, delay+second)
+				if delay+second < took {
+					out.times = append(out.times, delay+second)
+					continue
+				}
 			}
 		}
 		p.Observe(k, took)
@@ -97,6 +100,20 @@
 	}
 }
 
+// Guards against a delay that grows with each second request, or that is the time of the slow requests where one in ten is slow.
+func TestSecondRequestsDoNotRaiseTheirDelay(t *testing.T) {
+	const usualTime, slowTime = 100 * time.Millisecond, time.Second
+	l := load{requests: 10_000, service: func(rng *rand.Rand, _, _ int) time.Duration {
+		if rng.Float64() < 0.1 {
+			return slowTime
+		}
+		return usualTime
+	}}
+	if r := play(l, 0.2); r.quantile(0.985) >= slowTime {
+		t.Errorf("98.5th percentile %v with %d second requests, want less than %v", r.quantile(0.985), r.second, slowTime)
+	}
+}
+
 // Guards against second requests that add load when all servers are slow: the usual time follows the load, and no server has
 // room.
 func TestSecondRequestsStopWhenAllServersAreSlow(t *testing.T) {
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -163,6 +163,10 @@
 		return balance.EventAnswered
 	case rep.outcome == idempotency.OutcomeAnswered:
 		return balance.EventErrored
+	case rep.overtaken && rep.failure == upstream.FailCancelled:
+		// The instance took much longer than usual. Without this, one that hangs would keep its low load and go on attracting
+		// calls.
+		return balance.EventFailed
 	case rep.failure == upstream.FailCancelled, rep.reason == metric.RefusedCallerGone:
 		return balance.EventAbandoned
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -169,6 +169,7 @@
 	} else {
 		rep = in.send(ctx, c, target, start)
 	}
+	rep.overtaken = context.Cause(ctx) == errOvertaken
 	now := in.Clock.Now()
 	in.selector.observe(now, c, target.ID, rep, now.Sub(start))
 	in.zones.count(c.relation, c, rep)
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,9 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
 )
 
+// errOvertaken is the cause with which a first request is cancelled when the second one has been answered.
+var errOvertaken = errors.New("another instance has answered the second request")
+
 // hedger adds locking to a planner of second requests.
 type hedger struct {
 	mu      sync.Mutex
@@ -59,8 +63,8 @@
 		return rep
 	}
 	r := &hedgeRace{in: in, call: c, done: make(chan struct{})}
-	firstCtx, cancelFirst := context.WithCancel(ctx)
-	r.cancelFirst = cancelFirst
+	firstCtx, cancelFirst := context.WithCancelCause(ctx)
+	r.cancelFirst = func() { cancelFirst(errOvertaken) }
 	// The second request has a call of its own, since both change it at the same time.
 	second := *c
 	second.header, second.attempt, second.retryTarget = c.header.Clone(), c.attempt+1, nil
@@ -90,7 +94,7 @@
 type hedgeRace struct {
 	in          *Ingress
 	call        *call
-	cancelFirst context.CancelFunc
+	cancelFirst func()
 	// done is closed when the second request has ended, or has not been sent.
 	done chan struct{}
 
@@ -160,7 +164,8 @@
 	r.call.tried = append(r.call.tried, r.target)
 	r.call.attempt++
 	if r.secondWon {
-		r.in.hedges.observe(r.call.hedgeKind(), r.in.Clock.Now().Sub(start))
+		// The response time of the first request is not known. The time until the second response is no substitute: it contains
+		// the wait, so that the wait would grow with each second request.
 		first.close()
 		return r.second
 	}
--- a/pkg/proxy/hedge_test.go
+++ b/pkg/proxy/hedge_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
+	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/retry"
@@ -170,6 +172,31 @@
 	}
 }
 
+// Guards against an instance that hangs and goes on attracting requests because second requests answer for it.
+func TestOvertakenInstanceCountsAsFailed(t *testing.T) {
+	for event, rep := range map[balance.Event]*reply{
+		balance.EventFailed:    {outcome: idempotency.OutcomeUnknown, failure: upstream.FailCancelled, overtaken: true},
+		balance.EventAbandoned: {outcome: idempotency.OutcomeUnknown, failure: upstream.FailCancelled},
+		balance.EventAnswered:  {outcome: idempotency.OutcomeAnswered, status: 200, overtaken: true},
+	} {
+		if got := classify(rep); got != event {
+			t.Errorf("%+v: event %d, want %d", rep, got, event)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newHedgeFixture(t, 0.1, script{{200, 10 * usualTime}})
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(usualTime, func() { cancel(errOvertaken) })
+		c := &call{id: "a", method: http.MethodGet, url: &url.URL{Path: "/"}, header: http.Header{}, service: "desk", idempotent: true,
+			deadline: time.Now().Add(time.Minute)}
+		if rep := f.attempt(ctx, c, f.nodes[0].own); !rep.overtaken {
+			t.Errorf("%+v does not tell that it was overtaken", rep)
+		}
+		f.Peers.CloseIdle()
+		f.servers.Wait()
+	})
+}
+
 // Guards against repeating what must not be repeated, and against repeats that multiply in a chain of calls.
 func TestNoSecondRequest(t *testing.T) {
 	in := &Ingress{IngressSettings: IngressSettings{Hedge: hedge.New(hedge.Settings{Share: 0.1})}}
--- a/pkg/proxy/reply.go
+++ b/pkg/proxy/reply.go
@@ -32,6 +32,8 @@
 	// routeTime is the average time that requests of the route use a slot of the instance; zero if unknown.
 	routeTime    time.Duration
 	retriedBelow bool
+	// overtaken is set if the attempt was cancelled because a second request for the call was answered first.
+	overtaken bool
 	// late is set if the deadline of the request has passed.
 	late bool
 	// version is the configuration version of the node that replied, if it is newer than that of the call.
