Take a failed watch of the orders for nothing but that

Cause: a kind whose call has failed counts as failing until its next call is answered, and a node with a failing kind takes the store for lost. A watch of the orders is answered after ten seconds if there is no order. In that time the node told others that it had not heard the store, and made more calls to it.

Fix: the watch of the orders decides nothing about the store, and waits while other calls fail. TestFailedWatchOfOrdersSaysNothingOfTheStore failed before: "the store counts as silent for 2562047h".

--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -137,8 +137,11 @@
 	// watchedSinceListing is set once a watch has been answered since the last listing. listCurrent is set when the
 	// next listing must be current: a stale one could again have a revision that is older than the retained history.
 	listed, watchedSinceListing, failing, listCurrent, backoff := false, false, false, false, minBackoff
+	// A long watch tells only at its end that the store answers again. That of the orders therefore says nothing about the store,
+	// and is not made while other calls fail.
+	tellsOfStore := kind != f.RolloutKind
 	for ctx.Err() == nil {
-		if listed && canSkip() {
+		if listed && canSkip() || !tellsOfStore && f.failingKinds.Load() > 0 {
 			clock.Sleep(ctx, skipWatchCheckPeriod)
 			continue
 		}
@@ -151,7 +154,7 @@
 			watchedSinceListing = false
 		}
 		if err == nil {
-			if failing {
+			if failing && tellsOfStore {
 				f.failingKinds.Add(-1)
 				event.StoreRegained.Write(event.StoreRegained.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
 			}
@@ -175,7 +178,7 @@
 				// right after a listing, back off as after other failures.
 				continue
 			}
-		} else if !failing {
+		} else if !failing && tellsOfStore {
 			failing = true
 			f.failingKinds.Add(1)
 			event.StoreLost.Write(event.StoreLost.Log(&f.Log).Err(err).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
--- a/pkg/directory/silent_test.go
+++ b/pkg/directory/silent_test.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
+	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
 
@@ -191,3 +192,49 @@
 	}
 	return n
 }
+
+// lossyStore fails the next call for one kind.
+type lossyStore struct {
+	*memoryStore
+	kind platform.ObjectKind
+	fail chan struct{}
+}
+
+func (s *lossyStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+	if kind == s.kind {
+		select {
+		case <-s.fail:
+			return Changes{}, fault.New(fault.Unavailable, "watch", "reset", "")
+		default:
+		}
+	}
+	return s.memoryStore.Watch(ctx, kind, after, wait)
+}
+
+// Guards against a node that takes the store for lost until a long watch of the orders ends, after that watch has failed once:
+// seen as ten seconds of refusals after a cut had healed.
+func TestFailedWatchOfOrdersSaysNothingOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		m.set(testConfigurationKind, "main", "3")
+		kind := testRolloutSchema{}.RolloutKind()
+		store := &lossyStore{memoryStore: m, kind: kind, fail: make(chan struct{}, 1)}
+		f := &Follower{State: NewState(), Store: store, Schema: versionSchema{}, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
+			Metrics: metric.NewSet(), CanSkipWatch: neverSkipWatch, RolloutKind: kind, OnRollouts: func([]Change, Revision, bool) {}}
+		f.SetApplyBound(2 * time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		time.Sleep(rolloutWatchDelay + time.Second)
+		store.fail <- struct{}{}
+		for range 3 * int(rolloutWatchWait/time.Second) {
+			time.Sleep(time.Second)
+			if silence := f.StoreSilence(); silence > instanceWatchWait+time.Second {
+				t.Errorf("the store counts as silent for %v", silence)
+				break
+			}
+		}
+		cancel()
+		<-done
+	})
+}
