Explain where a request would go, and why, without sending it

The node answers POST /explain at the operators' listener, and monsoonlatch explain asks it. The ingress's steps up to the choice and the filters and estimates of the Picker are shared with the data path; the choice runs on a copy of what the Picker knows.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -383,6 +383,7 @@
 	if b.vm.Bounds.ExposeShare > 0 {
 		operators.Handle("GET /rollouts", find[*directory.Rollouts](b, nameRollouts))
 	}
+	operators.HandleFunc("POST /explain", ingress.ServeExplain)
 	listen("operators", b.settings.Metrics, newHTTPServer(operators), budget.Local(), nil)
 }
 
--- a/cmd/monsoonlatch/main.go
+++ b/cmd/monsoonlatch/main.go
@@ -62,6 +62,7 @@
 	Nodes    nodes          `cmd:"" help:"List nodes with the version that they serve."`
 	Services services       `cmd:"" help:"List services with their routes and nodes."`
 	Rollout  rolloutCommand `cmd:"" help:"Show the roll-outs of versions in progress."`
+	Explain  explainCommand `cmd:"" help:"Show where a node would send a request now, and why, without sending it."`
 }
 
 func main() {
--- a/cmd/monsoonlatch/operations_test.go
+++ b/cmd/monsoonlatch/operations_test.go
@@ -18,7 +18,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, m := range regexp.MustCompile(`(?m)^(?:bin/)?monsoonlatch ((?:note|nodes|services|rollout)\b.*)$`).FindAllStringSubmatch(string(text), -1) {
+		for _, m := range regexp.MustCompile(`(?m)^(?:bin/)?monsoonlatch ((?:note|nodes|services|rollout|explain|tenants)\b.*)$`).FindAllStringSubmatch(string(text), -1) {
 			found++
 			args := strings.Fields(m[1])
 			parser, err := kong.New(&cli{})
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -242,18 +242,35 @@
 	if r.Allow != nil {
 		list = slices.DeleteFunc(slices.Clone(list), func(i *instance) bool { return !r.Allow(&i.record) })
 	}
-	if p.settings.Random {
+	switch p.policyFor(r.Service) {
+	case byRandom:
 		return p.related(p.pickRandom(list, func(i *instance) bool { return i.ready(r.Exclude) }))
-	}
-	if s := p.known[r.Service]; s == nil || !s.compact {
+	case byLoad:
 		return p.related(p.choose(now, list, r))
-	} else if in, relation := p.byCompletion(now, list, s, r); in != nil {
+	}
+	if in, relation := p.byCompletion(now, list, p.known[r.Service], r); in != nil {
 		return in, relation
 	}
 	if len(r.Exclude) > 0 {
 		return nil, InZone
 	}
-	return p.related(p.pickRandom(list, func(i *instance) bool { return i.ready(nil) }))
+	return p.related(p.lastResort(list))
+}
+
+// policyFor returns the policy by which instances of a service are chosen.
+func (p *Picker) policyFor(name string) policyKind {
+	if p.settings.Random {
+		return byRandom
+	}
+	if s := p.known[name]; s == nil || !s.compact {
+		return byLoad
+	}
+	return byExpectedCompletion
+}
+
+// lastResort returns a random ready instance for a first attempt that no instance should get.
+func (p *Picker) lastResort(list []*instance) *instance {
+	return p.pickRandom(list, func(i *instance) bool { return i.ready(nil) })
 }
 
 // related adds the relation to an instance that was chosen by its load.
@@ -276,26 +293,47 @@
 // was full a moment ago: when all queues are full, that would only cost time and traffic, since no slot is idle.
 func (p *Picker) choose(now time.Time, list []*instance, r *Request) *instance {
 	retry := len(r.Exclude) > 0
-	own := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, r.Exclude) && i.record.AvailabilityZone == p.settings.AvailabilityZone && !(retry && i.full(now, r.Rank))
-	})
+	own := p.pickOfTwo(now, list, func(i *instance) bool { return p.inOwnZone(i) && p.suitability(now, i, r, retry) == Eligible })
 	if own != nil && p.answersInTime(now, own, r) {
 		return own
 	}
 	other := p.pickOfTwo(now, list, func(i *instance) bool {
-		return i.usable(now, r.Exclude) && i.record.AvailabilityZone != p.settings.AvailabilityZone && p.mayTry(now, i) &&
-			!((retry || own != nil) && i.full(now, r.Rank))
+		return !p.inOwnZone(i) && p.suitability(now, i, r, retry || own != nil) == Eligible
 	})
-	if own != nil && other != nil && own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.zonePreference(now, other, r) {
-		return own
-	}
-	if best := p.lessLoaded(now, own, other); best != nil {
+	if best := p.betterZone(now, own, other, r); best != nil {
 		return best
 	}
 	if retry {
 		return nil
 	}
-	return p.pickRandom(list, func(i *instance) bool { return i.ready(nil) })
+	return p.lastResort(list)
+}
+
+// betterZone returns the instance of the own zone or that of another one; either may be nil.
+func (p *Picker) betterZone(now time.Time, own, other *instance, r *Request) *instance {
+	if own != nil && other != nil && own.score(now, p.settings.SlowStart) < other.score(now, p.settings.SlowStart)+p.zonePreference(now, other, r) {
+		return own
+	}
+	return p.lessLoaded(now, own, other)
+}
+
+func (p *Picker) inOwnZone(in *instance) bool {
+	return in.record.AvailabilityZone == p.settings.AvailabilityZone
+}
+
+// suitability returns why the instance may not be chosen for the request, or Eligible. avoidFull leaves out instances whose
+// queue was full a moment ago.
+func (p *Picker) suitability(now time.Time, in *instance, r *Request, avoidFull bool) Reason {
+	if reason := in.usability(now, r.Exclude); reason != Eligible {
+		return reason
+	}
+	switch {
+	case !p.inOwnZone(in) && !p.mayTry(now, in):
+		return ZoneCutOff
+	case avoidFull && in.full(now, r.Rank):
+		return QueueFull
+	}
+	return Eligible
 }
 
 // answersInTime reports whether the instance is expected to answer the request within targetMargin of the time left
--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -182,11 +182,15 @@
 	s.updateLoad(now, list, p.settings.AvailabilityZone)
 	p.collect(now, list, r)
 	own, ok := p.nearBest(now, p.choice.own, rt, r, s.zoneLoad)
-	target := time.Duration(targetMargin * float64(r.TargetLeft))
-	if ok && own.in.errorRate < failingRate && own.completion <= target {
+	if ok && own.meetsTarget(r) {
 		return own.in, InZone
 	}
 	other, otherOK := p.nearBest(now, p.choice.other, rt, r, s.usualLoad)
+	return p.betterCompletion(own, ok, other, otherOK, rt, r)
+}
+
+// betterCompletion decides between the candidates of the own zone and of the others, if there are any.
+func (p *Picker) betterCompletion(own candidate, ok bool, other candidate, otherOK bool, rt *route, r *Request) (*instance, Relation) {
 	switch {
 	case !ok && otherOK:
 		return other.in, LeftWithoutInstance
@@ -202,7 +206,7 @@
 		return own.in, InZone
 	}
 	switch {
-	case r.TargetLeft > 0 && other.completion <= target:
+	case r.TargetLeft > 0 && other.completion <= targetTime(r):
 		return other.in, LeftForTarget
 	case r.DeadlineLeft > 0 && own.completion > r.DeadlineLeft && other.completion <= r.DeadlineLeft:
 		return other.in, LeftForDeadline
@@ -212,6 +216,16 @@
 	return own.in, InZone
 }
 
+// targetTime returns the part of the time left until the target that an expected completion may take.
+func targetTime(r *Request) time.Duration {
+	return time.Duration(targetMargin * float64(r.TargetLeft))
+}
+
+// meetsTarget reports whether a request need not leave the zone of the candidate, its own one.
+func (c candidate) meetsTarget(r *Request) bool {
+	return c.in.errorRate < failingRate && c.completion <= targetTime(r)
+}
+
 // kilobytes returns the traffic that a request of the route causes between two nodes. A route without an answered request
 // counts with the heads and the request only.
 func (r *route) kilobytes(requestBytes int) float64 {
@@ -227,14 +241,11 @@
 	c, retry := &p.choice, len(r.Exclude) > 0
 	c.own, c.other = c.own[:0], c.other[:0]
 	for _, in := range list {
-		if !in.usable(now, r.Exclude) {
+		if own := p.inOwnZone(in); p.suitability(now, in, r, retry || !own) != Eligible {
 			continue
-		}
-		if in.record.AvailabilityZone == p.settings.AvailabilityZone {
-			if !retry || !in.full(now, r.Rank) {
-				c.own = append(c.own, in)
-			}
-		} else if !in.full(now, r.Rank) && p.mayTry(now, in) {
+		} else if own {
+			c.own = append(c.own, in)
+		} else {
 			c.other = append(c.other, in)
 		}
 	}
@@ -366,7 +377,29 @@
 	if len(list) == 0 {
 		return candidate{}, false
 	}
-	list = p.sample(list)
+	candidates, best := p.estimate(now, p.sample(list), rt, r, assumed)
+	limit := p.spreadLimit(candidates[best])
+	n := 0
+	for i := range candidates {
+		if candidates[i].cost > limit {
+			continue
+		}
+		n++
+		if p.rng.IntN(n) == 0 {
+			best = i
+		}
+	}
+	return candidates[best], true
+}
+
+// spreadLimit returns the cost up to which a candidate is as good as the best one.
+func (p *Picker) spreadLimit(best candidate) time.Duration {
+	return best.cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(best.service)))
+}
+
+// estimate returns a candidate for each instance of the list, which must not be empty, and the index of the one with the least
+// cost. The result is valid until the next call.
+func (p *Picker) estimate(now time.Time, list []*instance, rt *route, r *Request, assumed float64) (candidates []candidate, best int) {
 	shortest := time.Duration(math.MaxInt64)
 	for _, in := range list {
 		if t := in.routeTime(now, rt, r.Rank); t > 0 {
@@ -380,7 +413,7 @@
 	default:
 		shortest = unknownServiceTime
 	}
-	candidates, best := p.choice.candidates[:0], 0
+	candidates = p.choice.candidates[:0]
 	for i, in := range list {
 		serviceTime := in.routeTime(now, rt, r.Rank)
 		if serviceTime == 0 {
@@ -392,18 +425,7 @@
 		}
 	}
 	p.choice.candidates = candidates
-	limit := candidates[best].cost + max(minSpread, time.Duration(p.settings.Completion.Spread*float64(candidates[best].service)))
-	n := 0
-	for i := range candidates {
-		if candidates[i].cost > limit {
-			continue
-		}
-		n++
-		if p.rng.IntN(n) == 0 {
-			best = i
-		}
-	}
-	return candidates[best], true
+	return candidates, best
 }
 
 // sample moves a random sample to the front of the list and returns it.
--- a/pkg/balance/instance.go
+++ b/pkg/balance/instance.go
@@ -61,14 +61,36 @@
 	in.record = rec
 }
 
+// readiness returns why the instance can take no request at all, or Eligible.
+func (in *instance) readiness(exclude []membership.InstanceID) Reason {
+	switch {
+	case in.record.State != membership.StateReady:
+		return NotReady
+	case slices.Contains(exclude, in.record.ID):
+		return TriedBefore
+	}
+	return Eligible
+}
+
 func (in *instance) ready(exclude []membership.InstanceID) bool {
-	return in.record.State == membership.StateReady && !slices.Contains(exclude, in.record.ID)
+	return in.readiness(exclude) == Eligible
 }
 
-// usable reports whether the instance may be chosen. After it was ejected or unreachable, it gets one request at a time
-// until it responds to one, because further requests would wait for the same failure.
-func (in *instance) usable(now time.Time, exclude []membership.InstanceID) bool {
-	return in.ready(exclude) && !in.ejectedUntil.After(now) && !in.unreachableUntil.After(now) && (in.ejections == 0 || in.inFlight == 0)
+// usability returns why the instance may not be chosen, or Eligible. After it was ejected or unreachable, it gets one request
+// at a time until it responds to one, because further requests would wait for the same failure.
+func (in *instance) usability(now time.Time, exclude []membership.InstanceID) Reason {
+	if r := in.readiness(exclude); r != Eligible {
+		return r
+	}
+	switch {
+	case in.ejectedUntil.After(now):
+		return Ejected
+	case in.unreachableUntil.After(now):
+		return Unreachable
+	case in.ejections > 0 && in.inFlight > 0:
+		return OnProbation
+	}
+	return Eligible
 }
 
 // slowStartFactor is the factor on the capacity that rises from minSlowStartFactor to 1 during the slow start.
--- a/pkg/balance/split.go
+++ b/pkg/balance/split.go
@@ -49,3 +49,14 @@
 	sp.currentWeights[best] -= sum
 	return sp.parts[best].Service
 }
+
+// Peek returns the service that Next would return, and does not count a request.
+func (s *Splitter) Peek(route string, parts []config.WeightedService) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sp := routeSplit{parts: parts, currentWeights: make([]int, len(parts))}
+	if known := s.routes[route]; known != nil && slices.Equal(known.parts, parts) {
+		copy(sp.currentWeights, known.currentWeights)
+	}
+	return sp.next()
+}
--- a/pkg/balance/split_test.go
+++ b/pkg/balance/split_test.go
@@ -26,3 +26,15 @@
 		t.Errorf("%v after the change, want 5 each", got)
 	}
 }
+
+// Guards against a preview that names another service than the next request gets, or that takes its turn.
+func TestPeekTakesNoTurn(t *testing.T) {
+	var s Splitter
+	parts := []config.WeightedService{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}
+	for range 12 {
+		first, second := s.Peek("r", parts), s.Peek("r", parts)
+		if got := s.Next("r", parts); first != got || second != got {
+			t.Fatalf("previews %s and %s, then %s", first, second, got)
+		}
+	}
+}
--- a/pkg/proxy/budget.go
+++ b/pkg/proxy/budget.go
@@ -32,6 +32,9 @@
 	return true
 }
 
+// fits reports whether n bytes could be reserved now.
+func (b *BodyBudget) fits(n int64) bool { return b == nil || n == 0 || b.used.Load()+n <= b.limit }
+
 func (b *BodyBudget) release(n int64) {
 	if b != nil {
 		b.used.Add(-n)
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -29,6 +29,8 @@
 	header  http.Header
 	body    []byte
 	version config.Version
+	// bodyLimit is the maximum size of the body.
+	bodyLimit int64
 
 	service       string
 	route         string
--- a/pkg/proxy/choice.go
+++ b/pkg/proxy/choice.go
@@ -53,15 +53,22 @@
 	if !s.picker.HasService(r.Service) {
 		s.loadInstances(now, r.Service)
 	}
-	if s.versions == nil {
+	return s.choose(r, func(r balance.Request) (membership.Instance, balance.Relation, error) {
 		return s.picker.PickRelated(now, r)
+	})
+}
+
+// choose calls pick with the limits of a roll-out, and again with those that apply if no instance can take the request.
+func (s *selector) choose(r balance.Request, pick func(balance.Request) (membership.Instance, balance.Relation, error)) (membership.Instance, balance.Relation, error) {
+	if s.versions == nil {
+		return pick(r)
 	}
 	prefer, fallback := s.versions.Choose(r.Service, len(r.Exclude) > 0)
 	r.Allow = prefer
-	in, relation, err := s.picker.PickRelated(now, r)
+	in, relation, err := pick(r)
 	if err != nil && fallback != nil {
 		r.Allow = fallback
-		in, relation, err = s.picker.PickRelated(now, r)
+		in, relation, err = pick(r)
 	}
 	return in, relation, err
 }
@@ -94,13 +101,18 @@
 	}
 }
 
-// loadInstances loads the instances of a service, without those in an unreachable availability zone.
+// loadInstances loads the instances of a service.
 func (s *selector) loadInstances(now time.Time, service string) {
+	s.picker.Update(now, service, s.instances(service))
+}
+
+// instances returns the instances of a service, without those in an unreachable availability zone.
+func (s *selector) instances(service string) []membership.Instance {
 	records := s.view.Instances(service)
 	if hv, ok := s.view.(membership.HistoryView); ok {
 		records = withoutUnreachable(records, hv.History(service))
 	}
-	s.picker.Update(now, service, records)
+	return records
 }
 
 // withoutUnreachable returns the records without those that spans mark as unreachable.
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -47,6 +47,13 @@
 	return true
 }
 
+// refusesNew reports whether calls that are not nested are refused.
+func (t *callTracker) refusesNew() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.draining
+}
+
 func (t *callTracker) leave() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/proxy/ingress.go
+++ b/pkg/proxy/ingress.go
@@ -222,20 +222,7 @@
 	if c.id == "" {
 		c.id = newID()
 	}
-	snap := in.Source.Current()
-	if snap == nil {
-		return c, refuseUnread(metric.RefusedNotReady)
-	}
-	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || incoming.Malformed {
-		return c, refuseUnread(metric.RefusedMalformed)
-	}
-	m, ok := snap.Match(r.Host, r.Method, r.URL.Path)
-	if !ok {
-		return c, refuseUnread(metric.RefusedNoRoute)
-	}
-	c.parent = parent
-	tenant, rep := in.identify(r, c, snap, m.Route.Public, incoming.Credential)
-	c.applyRoute(m, tenant, snap.Version, now)
+	m, tenant, rep := in.resolve(r, c, incoming, parent)
 	if rep != nil {
 		return c, rep
 	}
@@ -256,7 +243,28 @@
 		return c, rep
 	}
 	stripHopByHop(c.header)
-	return c, c.bufferBody(r, bodyLimit(snap), in.Bodies)
+	return c, c.bufferBody(r, c.bodyLimit, in.Bodies)
+}
+
+// resolve finds the route and the tenant of a call in the current configuration. The reply is nil unless the call is refused.
+// It counts nothing, so that Explain can use it.
+func (in *Ingress) resolve(r *http.Request, c *call, incoming Incoming, parent *activeCall) (*config.Match, *config.Tenant, *reply) {
+	snap := in.Source.Current()
+	if snap == nil {
+		return nil, nil, refuseUnread(metric.RefusedNotReady)
+	}
+	c.version, c.bodyLimit = snap.Version, bodyLimit(snap)
+	if r.Method == http.MethodConnect || first(r.Header, "Upgrade") != "" || incoming.Malformed {
+		return nil, nil, refuseUnread(metric.RefusedMalformed)
+	}
+	m, ok := snap.Match(r.Host, r.Method, r.URL.Path)
+	if !ok {
+		return nil, nil, refuseUnread(metric.RefusedNoRoute)
+	}
+	c.parent = parent
+	tenant, rep := in.identify(r, c, snap, m.Route.Public, incoming.Credential)
+	c.applyRoute(m, tenant, snap.Version, c.arrived)
+	return m, tenant, rep
 }
 
 // callerMargin is the part of the caller's timeout that is reserved for the transfer of the request and of the
--- a/pkg/proxy/tenant.go
+++ b/pkg/proxy/tenant.go
@@ -19,6 +19,13 @@
 	Admit(ctx context.Context, tenant *config.Tenant, now time.Time) (ok bool, retryAfter time.Duration)
 }
 
+// QuotaPreviewer is a Quota that can tell what it would decide.
+type QuotaPreviewer interface {
+	// Preview tells what Admit would decide now, without using a token or asking another node. If known is false, another node
+	// would have to be asked.
+	Preview(tenant *config.Tenant, now time.Time) (known, ok bool, retryAfter time.Duration)
+}
+
 // KeyRules tells for how long a configuration of a certain age is relied on for API keys. Zero durations set no limit.
 type KeyRules struct {
 	// MaxLag is the age beyond which an unknown key is not refused for good, since a newer configuration may have it.
@@ -98,9 +105,12 @@
 // be written as 0, which asks for a retry at once.
 const minQuotaRetryAfter = time.Millisecond
 
+// hasQuota reports whether the rate of the tenant, which may be nil, is limited.
+func hasQuota(t *config.Tenant) bool { return t != nil && t.Rate > 0 && !math.IsInf(t.Rate, 0) }
+
 // admitQuota asks the quota for a request of the tenant, which may be nil. The reply is nil unless the call is refused.
 func (in *Ingress) admitQuota(r *http.Request, t *config.Tenant, now time.Time) *reply {
-	if in.Quota == nil || t == nil || t.Rate <= 0 || math.IsInf(t.Rate, 0) {
+	if in.Quota == nil || !hasQuota(t) {
 		return nil
 	}
 	ok, retryAfter := in.Quota.Admit(r.Context(), t, now)
