--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/internal/parts"
+	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
 	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
 	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
@@ -384,6 +385,7 @@
 		operators.Handle("GET /rollouts", find[*directory.Rollouts](b, nameRollouts))
 	}
 	operators.HandleFunc("POST /explain", ingress.ServeExplain)
+	operators.Handle("GET /tenants", &admin.Tenants{Node: b.vm.Node, Gate: find[*admission.Gate](b, nameGate), Metrics: b.metrics()})
 	listen("operators", b.settings.Metrics, newHTTPServer(operators), budget.Local(), nil)
 }
 
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -114,6 +115,8 @@
 	// log receives the log of the node, if set.
 	log     io.Writer
 	metrics *metric.Set
+	// operators is the address of the listener for operators; if it is empty, any free port is taken.
+	operators string
 }
 
 // testIP is a loopback address that only this process uses. On 127.0.0.1, another process or the source port of a
@@ -168,7 +171,7 @@
 		log = zerolog.New(v.log)
 	}
 	v.metrics = metric.NewSet()
-	k, err := newNode(&Settings{Metrics: "127.0.0.1:0", Bind: v.bind}, v.VMSettings, log, v.metrics)
+	k, err := newNode(&Settings{Metrics: cmp.Or(v.operators, "127.0.0.1:0"), Bind: v.bind}, v.VMSettings, log, v.metrics)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/monsoonlatch/main.go
+++ b/cmd/monsoonlatch/main.go
@@ -41,6 +41,11 @@
 
 func (e usageError) Unwrap() error { return e.err }
 
+// errShown is an error that was written beside output for scripts.
+type errShown struct{ error }
+
+func (e errShown) Unwrap() error { return e.error }
+
 type globals struct {
 	Platform      string        `help:"Address of the platform's object API, such as http://10.0.0.5:8001." env:"MONSOONLATCH_PLATFORM" placeholder:"URL"`
 	PlatformToken string        `help:"Bearer token for the platform." env:"MONSOONLATCH_PLATFORM_TOKEN" placeholder:"TOKEN"`
@@ -63,6 +68,7 @@
 	Services services       `cmd:"" help:"List services with their routes and nodes."`
 	Rollout  rolloutCommand `cmd:"" help:"Show the roll-outs of versions in progress."`
 	Explain  explainCommand `cmd:"" help:"Show where a node would send a request now, and why, without sending it."`
+	Tenants  tenantsCommand `cmd:"" help:"Show the tenants with the most use at a node, and what it refused."`
 }
 
 func main() {
@@ -124,7 +130,8 @@
 
 // alreadyShown reports whether the command's output already shows the error.
 func alreadyShown(err error) bool {
-	return errors.Is(err, errNotInForce) || errors.Is(err, errInvalidNote)
+	var shown errShown
+	return errors.Is(err, errNotInForce) || errors.Is(err, errInvalidNote) || errors.As(err, &shown)
 }
 
 // printError writes the error as text, unless the output already shows it, and returns its exit code.
