--- a/cmd/monsoonlatch/explain.go
+++ b/cmd/monsoonlatch/explain.go
@@ -164,9 +164,9 @@
 func explainCandidate(c proxy.ExplainCandidate) string {
 	switch {
 	case c.PassedOver != "":
-		return "passed over: " + string(c.PassedOver)
+		return "passed over: " + c.PassedOver
 	case c.LastResort:
-		return "last resort, in spite of " + string(c.PassedOverBut)
+		return "last resort, in spite of " + c.PassedOverBut
 	case c.Chosen > 0:
 		return "chosen: " + c.Relation
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -293,12 +293,12 @@
 // was full a moment ago: when all queues are full, that would only cost time and traffic, since no slot is idle.
 func (p *Picker) choose(now time.Time, list []*instance, r *Request) *instance {
 	retry := len(r.Exclude) > 0
-	own := p.pickOfTwo(now, list, func(i *instance) bool { return p.inOwnZone(i) && p.suitability(now, i, r, retry) == Eligible })
+	own := p.pickOfTwo(now, list, func(i *instance) bool { return p.inOwnZone(i) && p.suitability(now, i, r, true, retry) == Eligible })
 	if own != nil && p.answersInTime(now, own, r) {
 		return own
 	}
 	other := p.pickOfTwo(now, list, func(i *instance) bool {
-		return !p.inOwnZone(i) && p.suitability(now, i, r, retry || own != nil) == Eligible
+		return !p.inOwnZone(i) && p.suitability(now, i, r, false, retry || own != nil) == Eligible
 	})
 	if best := p.betterZone(now, own, other, r); best != nil {
 		return best
@@ -321,14 +321,14 @@
 	return in.record.AvailabilityZone == p.settings.AvailabilityZone
 }
 
-// suitability returns why the instance may not be chosen for the request, or Eligible. avoidFull leaves out instances whose
-// queue was full a moment ago.
-func (p *Picker) suitability(now time.Time, in *instance, r *Request, avoidFull bool) Reason {
+// suitability returns why the instance may not be chosen for the request, or Eligible. own is set if it is in the own
+// zone. avoidFull leaves out instances whose queue was full a moment ago.
+func (p *Picker) suitability(now time.Time, in *instance, r *Request, own, avoidFull bool) Reason {
 	if reason := in.usability(now, r.Exclude); reason != Eligible {
 		return reason
 	}
 	switch {
-	case !p.inOwnZone(in) && !p.mayTry(now, in):
+	case !own && !p.mayTry(now, in):
 		return ZoneCutOff
 	case avoidFull && in.full(now, r.Rank):
 		return QueueFull
--- a/pkg/balance/completion.go
+++ b/pkg/balance/completion.go
@@ -241,7 +241,7 @@
 	c, retry := &p.choice, len(r.Exclude) > 0
 	c.own, c.other = c.own[:0], c.other[:0]
 	for _, in := range list {
-		if own := p.inOwnZone(in); p.suitability(now, in, r, retry || !own) != Eligible {
+		if own := p.inOwnZone(in); p.suitability(now, in, r, own, retry || !own) != Eligible {
 			continue
 		} else if own {
 			c.own = append(c.own, in)
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -11,30 +11,35 @@
 )
 
 // Reason is why an instance is passed over for a request.
-type Reason string
+type Reason uint8
 
 // Reasons for which an instance is passed over.
 const (
 	// Eligible: the instance may be chosen.
-	Eligible Reason = ""
+	Eligible Reason = iota
 	// NotReady: the instance has not announced itself as ready, or leaves.
-	NotReady Reason = "not_ready"
+	NotReady
 	// TriedBefore: an earlier attempt of the request went to the instance.
-	TriedBefore Reason = "tried_before"
+	TriedBefore
 	// Ejected: the instance is avoided for a time after consecutive failures.
-	Ejected Reason = "ejected"
+	Ejected
 	// Unreachable: the instance is avoided for a time after a connection to it has failed.
-	Unreachable Reason = "unreachable"
+	Unreachable
 	// OnProbation: the instance has one request in flight that shows whether it works again.
-	OnProbation Reason = "on_probation"
+	OnProbation
 	// ZoneCutOff: the availability zone of the instance counts as cut off.
-	ZoneCutOff Reason = "zone_cut_off"
+	ZoneCutOff
 	// QueueFull: the instance has refused a request a moment ago because its queue was full.
-	QueueFull Reason = "queue_full"
+	QueueFull
 	// NotAllowed: Request.Allow leaves the instance out.
-	NotAllowed Reason = "not_allowed"
+	NotAllowed
 )
 
+var reasonNames = [...]string{Eligible: "", NotReady: "not_ready", TriedBefore: "tried_before", Ejected: "ejected", Unreachable: "unreachable", OnProbation: "on_probation", ZoneCutOff: "zone_cut_off", QueueFull: "queue_full", NotAllowed: "not_allowed"}
+
+// String returns the name of the reason, which is empty for Eligible.
+func (r Reason) String() string { return reasonNames[r] }
+
 // policyKind is the way in which an instance is chosen among those that may be chosen.
 type policyKind uint8
 
@@ -175,7 +180,7 @@
 		case e.policy == byRandom:
 			return in.readiness(e.r.Exclude)
 		}
-		return e.suitability(e.now, in, e.r, avoidFull)
+		return e.suitability(e.now, in, e.r, e.inOwnZone(in), avoidFull)
 	}
 	ownUsable := slices.ContainsFunc(list, func(in *instance) bool { return e.inOwnZone(in) && reason(in, retry) == Eligible })
 	eligible := false
--- a/pkg/proxy/explain.go
+++ b/pkg/proxy/explain.go
@@ -89,10 +89,10 @@
 	Relation string `json:"relation,omitempty"`
 	// PassedOver is empty if the instance may be chosen. LastResort is set if it may be only because no other one can take the
 	// request; PassedOverBut then tells why it would be passed over otherwise.
-	PassedOver    balance.Reason `json:"passedOver,omitempty"`
-	LastResort    bool           `json:"lastResort,omitempty"`
-	PassedOverBut balance.Reason `json:"passedOverBut,omitempty"`
-	Slots         int            `json:"slots"`
+	PassedOver    string `json:"passedOver,omitempty"`
+	LastResort    bool   `json:"lastResort,omitempty"`
+	PassedOverBut string `json:"passedOverBut,omitempty"`
+	Slots         int    `json:"slots"`
 	// InFlight is the number of requests from the asked node.
 	InFlight int `json:"inFlight"`
 	// Load is nil if the instance has reported none lately.
@@ -271,9 +271,9 @@
 			known = &ExplainCandidate{}
 			s.byID[c.Instance.ID] = known
 			s.order = append(s.order, known)
-		case known.PassedOver == balance.Eligible && (!known.LastResort || c.LastResort):
+		case known.PassedOver == "" && (!known.LastResort || c.LastResort):
 			continue
-		case c.Reason == balance.NotAllowed || known.PassedOver != balance.NotAllowed && c.Reason != balance.Eligible:
+		case c.Reason == balance.NotAllowed || known.PassedOver != balance.NotAllowed.String() && c.Reason != balance.Eligible:
 			continue
 		}
 		*known = describeCandidate(c, known)
@@ -282,7 +282,7 @@
 
 func describeCandidate(c *balance.Candidate, known *ExplainCandidate) ExplainCandidate {
 	out := ExplainCandidate{Instance: c.Instance.ID, Zone: c.Instance.AvailabilityZone, State: c.Instance.State.String(), Version: c.Instance.Version,
-		Chosen: known.Chosen, Relation: known.Relation, PassedOver: c.Reason, LastResort: c.LastResort, PassedOverBut: c.Avoided,
+		Chosen: known.Chosen, Relation: known.Relation, PassedOver: c.Reason.String(), LastResort: c.LastResort, PassedOverBut: c.Avoided.String(),
 		Slots: c.Instance.Slots, InFlight: c.InFlight, Score: c.Score, CompletionMs: milliseconds(c.Completion), CostMs: milliseconds(c.Cost)}
 	if c.Reported != nil {
 		out.Load = &ExplainLoad{InUse: c.Reported.InUse, Limit: c.Reported.Limit, Queued: c.Reported.Queued, AgeMs: milliseconds(c.ReportAge)}
@@ -310,7 +310,7 @@
 }
 
 func passedRank(c *ExplainCandidate) int {
-	if c.PassedOver != balance.Eligible {
+	if c.PassedOver != "" {
 		return 1
 	}
 	return 0
--- a/pkg/proxy/explain_test.go
+++ b/pkg/proxy/explain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -202,3 +203,29 @@
 }
 
 func (v *manyInstances) Subscribe() <-chan struct{} { return nil }
+
+// Guards against an explanation that reads what requests change at the same time; the race detector finds it.
+func TestExplanationsBesideTraffic(t *testing.T) {
+	m := newMesh(t, "desk", "desk")
+	n := m.nodes[0]
+	n.in.selector.picker = balance.New(balance.Settings{AvailabilityZone: "a", Completion: balance.Completion{MaxSlots: 20}})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 50 {
+			if a := n.get("/lookups"); a.status != http.StatusOK {
+				t.Errorf("status %d, error %v", a.status, a.err)
+			}
+		}
+	}()
+	for explaining := true; explaining; {
+		select {
+		case <-done:
+			explaining = false
+		default:
+			if report, body := n.explain(t, ExplainRequest{Path: "/lookups"}); report.Balancing != "completion" && report.Total > 0 {
+				t.Errorf("explained as %s", body)
+			}
+		}
+	}
+}
