Expire late tokens by the call that brought them

After a call to a silent home, the loop stored the time of the call to the next node in the variable that the late answer read. The tokens of a late answer thus lived 60 to 120 ms too long, and the variable was written without the lock under which it was read. The late answer now has its own copy, so that tokens end 300 ms after their request, as the bound assumes.

TestLateTokensExpireByTheirOwnCall fails without the change: the tokens expire 60 ms later. The race detector reported nothing there, since the test's sequence of calls orders the accesses.

--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -453,10 +453,11 @@
 		} else {
 			c := s.condition(n.ID)
 			if c == Unknown {
+				sentAt := sent // The answer may come after sent holds the time of the call to the next node.
 				late := func(r GrantReply) {
 					if !r.NotHome {
 						s.mu.Lock()
-						s.receive(e, sent, ask, r.Grant)
+						s.receive(e, sentAt, ask, r.Grant)
 						s.mu.Unlock()
 					}
 				}
