Do not record a node as silent after its answer

After a stall of the asking process, the timer of a call and its answer are due together. If the timer was handled first, the node could be recorded as heard before it was recorded as silent, and stayed silent for all its tenants until the next probe. When the timer fires, a call now looks for the answer again, and records the node as silent only if no answer has come; otherwise it uses the answer.

--- a/pkg/quota/call_test.go
+++ b/pkg/quota/call_test.go
@@ -57,3 +57,27 @@
 		m.stop()
 	})
 }
+
+// Guards against a node that stays recorded as silent although its answer has arrived: after a stall of the asking process
+// the timer and the answer are due together, and either may be handled first.
+func TestAnswerAtTheTimeout(t *testing.T) {
+	stuck := 0
+	for range 400 {
+		synctest.Test(t, func(*testing.T) {
+			m := newMesh(1, 1, 2)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			s := m.nodes[0].service
+			s.Caller = callerFunc(func(string, any) { time.Sleep(silentAfter) })
+			call[ProbeReply](s, Node{ID: "node-1"}, methodProbe, &ProbeArgs{}, nil)
+			synctest.Wait()
+			if s.condition("node-1") != Unknown {
+				stuck++
+			}
+			m.stop()
+		})
+	}
+	if stuck > 0 {
+		t.Errorf("after %d of 400 answers at the timeout the node was recorded as silent", stuck)
+	}
+}
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -512,10 +512,14 @@
 	}
 }
 
-// failed records a failed call to a node.
-func (s *Service) failed(n Node, c Condition) {
+// failed records a failed call to a node, unless its answer has arrived meanwhile, and reports whether it did.
+func (s *Service) failed(n Node, c Condition, answered *atomic.Bool) bool {
 	now := s.Clock.Now()
 	s.mu.Lock()
+	if answered.Load() {
+		s.mu.Unlock()
+		return false
+	}
 	changed := s.health.Set(now, n, c)
 	joined := c == Gone && s.contact.Heard(now) // The refusal came over the network.
 	s.mu.Unlock()
@@ -530,6 +534,7 @@
 	if joined {
 		event.QuotaRejoined.Write(event.QuotaRejoined.Log(&s.Log).Str("peer", string(n.ID)))
 	}
+	return true
 }
 
 // grant answers an Ask as the home or as a stand-in.
--- a/pkg/quota/wire.go
+++ b/pkg/quota/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,12 +67,14 @@
 
 // call makes one call to a node of the own zone and waits for silentAfter at most. The call itself may go on for longer;
 // late, if set, then receives the answer.
-func call[R any](s *Service, n Node, method string, args any, late func(R)) (reply R, c Condition) {
+func call[R any](s *Service, n Node, method string, args any, late func(R)) (R, Condition) {
 	type result struct {
 		reply R
 		Condition
 	}
 	done := make(chan result, 1)
+	// answered is set before the node is recorded as heard, so that failed does not record it as silent after that.
+	var answered atomic.Bool
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
@@ -83,29 +86,38 @@
 			r.Condition = callCondition(s.Caller.Call(ctx, n.Address, method, args, &r.reply))
 		}
 		if r.Condition == Unknown {
+			answered.Store(true)
 			s.heard(n.ID)
 		}
 		done <- r
 	}()
 	timer := time.NewTimer(silentAfter)
 	defer timer.Stop()
+	var r result
 	select {
-	case r := <-done:
-		reply, c = r.reply, r.Condition
+	case r = <-done:
 	case <-timer.C:
-		c = Silent
-		if late != nil {
-			go func() {
-				if r := <-done; r.Condition == Unknown {
-					late(r.reply)
+		// Both may be due when this process runs again after a stall of its own.
+		select {
+		case r = <-done:
+		default:
+			if s.failed(n, Silent, &answered) {
+				if late != nil {
+					go func() {
+						if r := <-done; r.Condition == Unknown {
+							late(r.reply)
+						}
+					}()
 				}
-			}()
+				return r.reply, Silent
+			}
+			r = <-done
 		}
 	}
-	if c != Unknown {
-		s.failed(n, c)
+	if r.Condition != Unknown {
+		s.failed(n, r.Condition, &answered)
 	}
-	return reply, c
+	return r.reply, r.Condition
 }
 
 // callCondition returns what the error of one call says about the node: a refused connection proves that the process has
