Keep the burst of unseen tenants when another node joins

Each change of the zone made all new buckets of its homes start empty. With nodes that join, tenants with low rates were thus refused although they had used nothing. Only changes by which a node may become the home of more tenants, or its zone may get a greater part, now set the time from which new buckets count: the node itself joins, another one leaves or changes its address, or the number of parts falls.

The bound holds: a node that joins only takes tenants from this one, so that nobody else has granted the tokens of those that stay. A request that is decided while the topology changes could still create a bucket at the former home; such a bucket starts with one token only.

TestNewBucketAfterChangeOfZone fails without the change: 21 tokens instead of 110 after another node joined, and 11 instead of 55 after another zone did. Without the check of the home, the former home has 110 instead of 1.

--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -47,8 +47,11 @@
 
 // Ledger holds the buckets of the tenants for which a node is the home or stands in.
 type Ledger struct {
-	terms   Terms
-	parts   int
+	terms Terms
+	parts int
+	// topology is the one followed last, or nil.
+	topology *Topology
+	// since is the time since which no tenant can have moved to this node from another home.
 	since   time.Time
 	buckets map[string]*bucket
 }
@@ -60,18 +63,22 @@
 
 // Follow adopts a topology in which the nodes of the own zone or the number of parts have changed. Buckets of tenants
 // whose home is now another node lose their tokens.
-func (l *Ledger) Follow(now time.Time, t *Topology) {
+func (l *Ledger) Follow(now time.Time, t, old *Topology) {
 	for tenant, b := range l.buckets {
 		b.refill(now, l.parts, l.terms)
 		if b.role == RoleHome && !t.IsHome(tenant) {
 			delete(l.buckets, tenant)
 		}
 	}
-	l.since, l.parts = now, t.parts
+	if t.mayGain(old) {
+		l.since = now
+	}
+	l.topology, l.parts = t, t.parts
 }
 
 // bucket returns the bucket of a tenant in the given role, or nil if there are too many. A new bucket of a home holds what
-// its rate has produced since the node started or the zone changed; one of a stand-in starts now.
+// its rate has produced since the node started or may have become the home; one of a stand-in starts now, and so does that
+// of a home that the topology no longer names.
 func (l *Ledger) bucket(now time.Time, role Role, version uint64, limit Limit) (b *bucket, changed bool) {
 	b = l.buckets[limit.Tenant]
 	if b == nil {
@@ -79,7 +86,7 @@
 			return nil, false
 		}
 		b = &bucket{limit: limit, version: version, role: role, tokens: firstTokens, updated: now}
-		if role == RoleHome {
+		if role == RoleHome && (l.topology == nil || l.topology.IsHome(limit.Tenant)) {
 			b.updated = l.since
 		}
 		l.buckets[limit.Tenant] = b
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -181,7 +181,7 @@
 	old := s.topology.Load()
 	t := NewTopology(now, s.Self, s.AvailabilityZone, s.addJoined(now, records), old)
 	if !t.sameHomes(old) {
-		s.ledger.Follow(now, t)
+		s.ledger.Follow(now, t, old)
 	}
 	s.topology.Store(t)
 	if t.member() && !old.member() {
--- a/pkg/quota/topology.go
+++ b/pkg/quota/topology.go
@@ -72,6 +72,14 @@
 	return t.parts == o.parts && slices.Equal(t.zones[t.zone], o.zones[o.zone])
 }
 
+// mayGain reports whether the node may have become the home of more tenants than in the other topology, or its zone may
+// have got a greater part: the node itself has joined, another node of the zone has left or has a new address, or the number
+// of parts has fallen. Another node that joins only takes tenants away.
+func (t *Topology) mayGain(o *Topology) bool {
+	return t.parts < o.parts || t.member() && !o.member() ||
+		slices.ContainsFunc(o.own(), func(n Node) bool { return !slices.Contains(t.own(), n) })
+}
+
 // known reports whether the topology names any other node than this one.
 func (t *Topology) known() bool {
 	for _, nodes := range t.zones {
