Fetch tokens from other zones before a refusal

A home without a token refused at once and only then asked other zones, so that tenants with low rates were refused while their tokens lay elsewhere. If a call to other zones is due, the request now waits for the answers, 30 ms at most, and takes again. All zones are asked then, since the one whose turn it is may have nothing to give. The refused callers are booked once, after the wait.

The bound holds: tokens are moved, and the giver removes them before it answers. A node that has lost the tenant during the wait takes no second time, so that no new bucket of a home appears beside the next one.

--- a/pkg/quota/calm_test.go
+++ b/pkg/quota/calm_test.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
 // calmRates are rates of tenants of the sizes in use, the low ones several times so that their shares can be measured.
@@ -102,3 +105,58 @@
 		})
 	}
 }
+
+// Guards against refusals of tenants with low rates in a large mesh, in calm and while nodes join: most homes hold less than
+// one token more than the next request needs, and what is missing lies in other zones.
+func TestUsualDemandOfLowRates(t *testing.T) {
+	const perZone, joining, tenantsPerRate = 27, 8, 40
+	for _, joins := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(4, 3, perZone)
+			late := m.nodes[3*perZone-joining:]
+			if joins {
+				for _, n := range late {
+					n.kill()
+					n.announce(membership.StateDeparted)
+				}
+			}
+			var limits []Limit
+			for _, rate := range []float64{0.4, 0.6, 0.8, 1} {
+				for i := range tenantsPerRate {
+					limits = append(limits, Limit{Tenant: fmt.Sprintf("low-%.1f-%d", rate, i), Rate: rate, Burst: rate})
+				}
+			}
+			time.Sleep(warmUp)
+			if joins {
+				for i, n := range late {
+					time.AfterFunc(5*time.Second+time.Duration(i)*500*time.Millisecond, func() {
+						n.start()
+						n.announce(membership.StateReady)
+					})
+				}
+			}
+			var wg sync.WaitGroup
+			for _, l := range limits {
+				m.load(&wg, l, l.Rate/usualShare, 30*time.Second, func(r float64) *meshNode {
+					n := m.any(r)
+					for n.running() == nil {
+						n = m.any(m.random())
+					}
+					return n
+				})
+			}
+			wg.Wait()
+			m.stop()
+			admitted, asked := 0, 0
+			for _, l := range limits {
+				m.checkQuota(t, l)
+				admitted, asked = admitted+len(m.admitted[l.Tenant]), asked+len(m.asked[l.Tenant])
+			}
+			share := float64(admitted) / float64(asked)
+			t.Logf("nodes join %v: %.4f of %d requests admitted", joins, share, asked)
+			if share < 0.98 {
+				t.Errorf("nodes join %v: %.4f of %d requests within the quota admitted, want 0.98", joins, share, asked)
+			}
+		})
+	}
+}
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -97,14 +97,19 @@
 	return b, b.setLimit(version, limit, l.parts, l.terms)
 }
 
-// Take grants tokens from the bucket of a tenant.
+// Take grants tokens from the bucket of a tenant and books the callers for which there are none.
 func (l *Ledger) Take(now time.Time, role Role, ask Ask) Grant {
+	return l.Book(now, ask, l.Draw(now, role, ask))
+}
+
+// Draw grants tokens from the bucket of a tenant. If there are too few, the caller passes the grant to Book, or draws again
+// after tokens from other zones have arrived.
+func (l *Ledger) Draw(now time.Time, role Role, ask Ask) Grant {
 	b, changed := l.bucket(now, role, ask.Version, ask.Limit)
 	if b == nil {
-		return Grant{Wait: time.Second}
+		return Grant{}
 	}
-	rate := b.rate(l.parts)
-	g := Grant{LimitChanged: changed, Spacing: seconds(bookingMargin / rate)}
+	g := Grant{LimitChanged: changed, Spacing: seconds(bookingMargin / b.rate(l.parts))}
 	b.demand.add(now, float64(max(0, ask.Arrived)))
 	g.Demand = b.demand.rate(now)
 	available := max(0, b.tokens)
@@ -115,21 +120,34 @@
 	}
 	b.tokens -= need + ahead
 	g.Tokens = int(need + ahead)
-	if refused := max(0, ask.Need-g.Tokens) + max(0, ask.Refused); refused > 0 {
-		first := now.Add(seconds((1 - b.tokens) / rate))
-		if b.queueEnd.Before(first) {
-			b.queueEnd = first
-		}
-		g.Wait = min(maxRetryAfter, b.queueEnd.Sub(now))
-		b.queueEnd = b.queueEnd.Add(time.Duration(min(refused, 1<<20)) * g.Spacing)
-		if latest := now.Add(maxRetryAfter); b.queueEnd.After(latest) {
-			b.queueEnd = latest
-		}
-	}
 	g.Short = l.short(now, b)
 	return g
 }
 
+// Book puts the callers that a grant leaves without a token, and those refused without asking, in the queue of the bucket,
+// and returns the grant with the time until the first of them can get one.
+func (l *Ledger) Book(now time.Time, ask Ask, g Grant) Grant {
+	refused := max(0, ask.Need-g.Tokens) + max(0, ask.Refused)
+	if refused == 0 {
+		return g
+	}
+	b := l.buckets[ask.Limit.Tenant]
+	if b == nil {
+		g.Wait = time.Second
+		return g
+	}
+	first := now.Add(seconds((1 - b.tokens) / b.rate(l.parts)))
+	if b.queueEnd.Before(first) {
+		b.queueEnd = first
+	}
+	g.Wait = min(maxRetryAfter, b.queueEnd.Sub(now))
+	b.queueEnd = b.queueEnd.Add(time.Duration(min(refused, 1<<20)) * g.Spacing)
+	if latest := now.Add(maxRetryAfter); b.queueEnd.After(latest) {
+		b.queueEnd = latest
+	}
+	return g
+}
+
 // surplusDemand returns the demand per second beyond the rate of the zone.
 func (l *Ledger) surplusDemand(now time.Time, b *bucket) float64 {
 	return max(0, b.demand.rate(now)-b.rate(l.parts))
@@ -150,8 +168,9 @@
 }
 
 // Requests returns the requests for tokens that a tenant needs now; none if it has enough or has asked just now. A small
-// need goes to one zone, and to the others in turn; a greater one is divided between all.
-func (l *Ledger) Requests(now time.Time, tenant string, zones []string) []Request {
+// need goes to one zone, and to the others in turn. A greater one is divided between all, and so is any for which a request
+// waits, since the one zone may have nothing to give.
+func (l *Ledger) Requests(now time.Time, tenant string, zones []string, waiting bool) []Request {
 	b := l.buckets[tenant]
 	if b == nil || len(zones) == 0 {
 		return nil
@@ -171,7 +190,7 @@
 		b.nextTransfer = now.Add(fruitlessPause)
 	}
 	b.turn++
-	if want < 2*float64(len(zones)) {
+	if want < 2*float64(len(zones)) && !waiting {
 		return []Request{{Zone: zones[b.turn%len(zones)], Limit: b.limit, Want: want, Version: b.version}}
 	}
 	out := make([]Request, 0, len(zones))
--- a/pkg/quota/module_test.go
+++ b/pkg/quota/module_test.go
@@ -92,7 +92,7 @@
 			l := ledgers[rapid.IntRange(0, zones-1).Draw(t, "zone")]
 			need := rapid.IntRange(0, 60).Draw(t, "need")
 			granted += l.Take(now, RoleHome, Ask{Limit: limit, Need: need, Ahead: need, Arrived: need}).Tokens
-			for _, r := range l.Requests(now, limit.Tenant, []string{"0", "1", "2"}) {
+			for _, r := range l.Requests(now, limit.Tenant, []string{"0", "1", "2"}, need%2 == 0) {
 				given := ledgers[int(r.Zone[0]-'0')].Give(now, 0, r.Limit, r.Want)
 				switch rapid.IntRange(0, 3).Draw(t, "message") {
 				case 0: // The answer is lost.
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -21,6 +21,9 @@
 const (
 	// maxWait is the longest time that a request waits for a token: one silent node and the answer of the next one.
 	maxWait = 2 * silentAfter
+	// transferWait is the longest time for which requests that found no token wait for tokens from other zones. A round
+	// trip between zones takes a few milliseconds; with it, a home still answers within silentAfter.
+	transferWait = 30 * time.Millisecond
 	// probePeriod is the interval between probes of nodes that do not answer.
 	probePeriod = 250 * time.Millisecond
 	// expirePeriod is the interval between searches for idle state.
@@ -293,10 +296,8 @@
 	}
 	e.used = now
 	if len(e.ranked) > 0 && e.ranked[0].ID == s.Self && !s.contact.Isolated() {
-		g := s.ledger.Take(now, RoleHome, Ask{Limit: l, Version: s.Version(), Need: 1, Arrived: 1})
 		s.contact.Granted(now)
-		s.mu.Unlock()
-		s.afterTake(l, g)
+		g := s.take(now, t, RoleHome, Ask{Limit: l, Version: s.Version(), Need: 1, Arrived: 1})
 		if g.Tokens > 0 {
 			s.counters.granted.Inc(1)
 			return true, 0
@@ -393,17 +394,34 @@
 	return d + time.Duration(retrySpread*s.Random()*float64(d))
 }
 
-// afterTake does what the answer of the ledger calls for. The caller does not hold mu.
-func (s *Service) afterTake(l Limit, g Grant) {
+// take grants tokens from the ledger. If there are too few and a request to other zones is due, it makes that request and
+// waits for the answers for transferWait at most. The caller holds mu, which take releases.
+func (s *Service) take(now time.Time, t *Topology, role Role, ask Ask) Grant {
+	g := s.ledger.Draw(now, role, ask)
+	if g.Tokens < ask.Need && g.Short {
+		requests := s.ledger.Requests(now, ask.Limit.Tenant, t.others(), true)
+		s.mu.Unlock()
+		s.awaitTransfers(s.startTransfers(context.Background(), t, requests))
+		s.mu.Lock()
+		now = s.Clock.Now()
+		// A node that is no longer the home must not make a new bucket of a home.
+		if current := s.topology.Load(); current == t || role == RoleHome && current.IsHome(ask.Limit.Tenant) {
+			more := s.ledger.Draw(now, role, Ask{Limit: ask.Limit, Version: ask.Version, Need: ask.Need - g.Tokens})
+			g.Tokens, g.Short, g.LimitChanged = g.Tokens+more.Tokens, more.Short, g.LimitChanged || more.LimitChanged
+		}
+	}
+	g = s.ledger.Book(now, ask, g)
+	s.mu.Unlock()
 	if g.LimitChanged {
-		event.QuotaLimitChanged.Write(event.QuotaLimitChanged.Log(&s.Log).Str("tenant", l.Tenant).Float64("rate", l.Rate).Float64("burst", l.Burst))
+		event.QuotaLimitChanged.Write(event.QuotaLimitChanged.Log(&s.Log).Str("tenant", ask.Limit.Tenant).Float64("rate", ask.Limit.Rate).Float64("burst", ask.Limit.Burst))
 	}
 	if g.Short {
 		select {
-		case s.shortage <- l.Tenant:
+		case s.shortage <- ask.Limit.Tenant:
 		default:
 		}
 	}
+	return g
 }
 
 // startFetch starts a call for tokens. The caller holds mu.
@@ -547,15 +565,13 @@
 		return *redirect
 	}
 	s.mu.Lock()
-	g := s.ledger.Take(s.Clock.Now(), role, ask)
-	s.mu.Unlock()
+	g := s.take(s.Clock.Now(), t, role, ask)
 	switch role {
 	case RoleStandIn:
 		s.counters.standIn.Inc(1)
 	case RoleCautious:
 		s.counters.cautious.Inc(1)
 	}
-	s.afterTake(ask.Limit, g)
 	return GrantReply{Grant: g}
 }
 
@@ -675,28 +691,51 @@
 		case tenant := <-s.shortage:
 			now, t := s.Clock.Now(), s.topology.Load()
 			s.mu.Lock()
-			requests := s.ledger.Requests(now, tenant, t.others())
+			requests := s.ledger.Requests(now, tenant, t.others(), false)
 			s.mu.Unlock()
-			for _, r := range requests {
-				home, ok := t.Home(r.Zone, tenant)
-				if !ok {
-					continue
-				}
-				select {
-				case s.transferSlots <- struct{}{}:
-					go func() {
-						defer func() { <-s.transferSlots }()
-						s.transfer(ctx, home, r)
-					}()
-				default:
-				}
-			}
+			s.startTransfers(ctx, t, requests)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// startTransfers starts calls to the homes in other zones, as far as transferSlots permits. The channel gets a value at the end
+// of each, for the returned number of calls.
+func (s *Service) startTransfers(ctx context.Context, t *Topology, requests []Request) (done <-chan struct{}, started int) {
+	ended := make(chan struct{}, len(requests))
+	for _, r := range requests {
+		home, ok := t.Home(r.Zone, r.Limit.Tenant)
+		if !ok {
+			continue
+		}
+		select {
+		case s.transferSlots <- struct{}{}:
+			started++
+			go func() {
+				s.transfer(ctx, home, r)
+				<-s.transferSlots
+				ended <- struct{}{}
+			}()
+		default:
+		}
+	}
+	return ended, started
+}
+
+// awaitTransfers waits until the given number of calls have ended, for transferWait at most.
+func (s *Service) awaitTransfers(done <-chan struct{}, started int) {
+	timer := time.NewTimer(transferWait)
+	defer timer.Stop()
+	for range started {
+		select {
+		case <-done:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // transfer requests tokens from the home in another zone.
 func (s *Service) transfer(ctx context.Context, home Node, r Request) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
