Tell no node of a start where there are no tenants

Each node told the others of its zone that it had started, for the quotas, in every deployment: a call to each node of the zone at each start, where nothing had asked for it.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -322,7 +322,8 @@
 		return
 	}
 	b.Provide(nameQuota, quota.New(quota.Settings{Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, View: state, Complete: follower.InstancesListed,
-		Caller: pool, Version: func() uint64 { return uint64(state.Version()) }, Clock: b.clock, Metrics: b.metrics(), Log: b.callLog,
+		Caller: pool, Version: func() uint64 { return uint64(state.Version()) },
+		Enabled: func() bool { snap := state.Current(); return snap != nil && snap.HasTenants() }, Clock: b.clock, Metrics: b.metrics(), Log: b.callLog,
 		Terms: quota.Terms{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}}, server))
 }
 
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -240,6 +240,36 @@
 	})
 }
 
+// Guards against messages between nodes of a deployment without tenants, and against a node that does not tell that it has
+// started once there are some.
+func TestNoTenantsNoMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 3, 3)
+		m.stop()
+		synctest.Wait()
+		enabled := false
+		m.enabled = func() bool { m.mu.Lock(); defer m.mu.Unlock(); return enabled }
+		calls := m.calls
+		for _, n := range m.nodes {
+			n.start()
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if m.calls != calls {
+			t.Errorf("%d calls without tenants", m.calls-calls)
+		}
+		m.mu.Lock()
+		enabled = true
+		m.mu.Unlock()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if want := calls + 9*2; m.calls != want {
+			t.Errorf("%d calls once there are tenants, want one from each node to the two others of its zone", m.calls-calls)
+		}
+		m.stop()
+	})
+}
+
 // Guards against state that stays for tenants that are not used any more.
 func TestIdleStateIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/quota/mesh_test.go
+++ b/pkg/quota/mesh_test.go
@@ -27,8 +27,10 @@
 // mesh simulates nodes in zones. It runs in a synctest bubble, so that its time is virtual. Calls between nodes can be
 // lost, late, doubled or cut off.
 type mesh struct {
-	nodes []*meshNode
-	byIP  map[string]*meshNode
+	// enabled is that of the settings of nodes that start; nil means always.
+	enabled func() bool
+	nodes   []*meshNode
+	byIP    map[string]*meshNode
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -108,7 +110,7 @@
 	n.mesh.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(Settings{Self: n.record.ID, AvailabilityZone: n.record.AvailabilityZone, View: view, Caller: n, Terms: testTerms, Clock: clock.System{},
-		Metrics: metric.NewSet(), Log: zerolog.Nop(), Random: n.mesh.random}, nil)
+		Metrics: metric.NewSet(), Log: zerolog.Nop(), Random: n.mesh.random, Enabled: n.mesh.enabled}, nil)
 	n.mesh.mu.Lock()
 	n.service, n.cancel = s, cancel
 	n.mesh.mu.Unlock()
--- a/pkg/quota/service.go
+++ b/pkg/quota/service.go
@@ -60,6 +60,8 @@
 	Caller   rpcwire.Caller
 	// Version, if set, returns the version of the configuration in force.
 	Version func() uint64
+	// Enabled, if set, reports whether the configuration has tenants. Without them the node tells nobody that it has started.
+	Enabled func() bool
 	Terms   Terms
 	Clock   clock.Clock
 	Metrics *metric.Set
@@ -154,7 +156,10 @@
 
 // Run follows the membership, probes nodes that do not answer and drops idle state until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	s.announce(s.topology.Load())
+	announced := s.enabled()
+	if announced {
+		s.announce(s.topology.Load())
+	}
 	probe, expire := time.NewTicker(probePeriod), time.NewTicker(expirePeriod)
 	defer probe.Stop()
 	defer expire.Stop()
@@ -167,6 +172,10 @@
 			if s.mustFollow(now) {
 				s.follow(now)
 			}
+			if !announced && s.enabled() {
+				announced = true
+				s.announce(s.topology.Load())
+			}
 			s.probe(now)
 		case <-expire.C:
 			s.expire(s.Clock.Now())
@@ -176,6 +185,8 @@
 	}
 }
 
+func (s *Service) enabled() bool { return s.Enabled == nil || s.Enabled() }
+
 // follow adopts the current membership.
 func (s *Service) follow(now time.Time) {
 	records := s.View.All()
@@ -187,7 +198,7 @@
 		s.ledger.Follow(now, t, old)
 	}
 	s.topology.Store(t)
-	if t.member() && !old.member() {
+	if t.member() && !old.member() && s.enabled() {
 		go s.announce(t)
 	}
 }
