Read the reports of roll-outs and tenants with one function

readRollouts and readTenants of the CLI were the same request, checks and errors twice; readReport now serves both. Their texts, remedies and limits stay as they were. readExplanation is left: it posts a key, follows no redirect and shows the node's own refusal.

--- a/cmd/monsoonlatch/rollout.go
+++ b/cmd/monsoonlatch/rollout.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"strings"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
-	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 )
 
 // maxRolloutBytes limits the response of a node.
@@ -48,26 +44,11 @@
 }
 
 // readRollouts reads what a node knows of the roll-outs.
-func readRollouts(ctx context.Context, e *env, address string) (report directory.RolloutReport, err error) {
-	ctx, cancel := context.WithTimeout(ctx, e.CallTimeout)
-	defer cancel()
-	op := "roll-outs at " + address
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/rollouts", nil)
-	if err != nil {
-		return report, usageError{fault.Wrap(fault.Invalid, op, err, "give an IP address and a port")}
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
-		return report, fault.New(fault.NotFound, op, "the node knows nothing of roll-outs", "ask a node on whose platform roll-outs are in force")
-	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxRolloutBytes)).Decode(&report); err != nil {
-		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
-	}
-	return report, nil
+func readRollouts(ctx context.Context, e *env, address string) (directory.RolloutReport, error) {
+	return readReport[directory.RolloutReport](ctx, e, address, reportSource{
+		op: "roll-outs", path: "/rollouts", maxBytes: maxRolloutBytes,
+		absent: "the node knows nothing of roll-outs", remedy: "ask a node on whose platform roll-outs are in force",
+	})
 }
 
 // deciderAddress returns the operators' address of the deciding node, whose port is that of all nodes; empty if it is the asked
--- a/cmd/monsoonlatch/tenants.go
+++ b/cmd/monsoonlatch/tenants.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
-	"strings"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
-	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 )
 
 // maxTenantReportBytes limits the response of a node.
@@ -62,26 +58,11 @@
 }
 
 // readTenants asks a node for its tenants.
-func readTenants(ctx context.Context, e *env, address string, top int) (report admin.TenantReport, err error) {
-	ctx, cancel := context.WithTimeout(ctx, e.CallTimeout)
-	defer cancel()
-	op := "tenants at " + address
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/tenants?top=%d", address, top), nil)
-	if err != nil {
-		return report, usageError{fault.Wrap(fault.Invalid, op, err, "give an IP address and a port")}
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
-		return report, fault.New(fault.NotFound, op, "the node tells nothing of tenants", "give the operators' address of a node of this version")
-	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxTenantReportBytes)).Decode(&report); err != nil {
-		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
-	}
-	return report, nil
+func readTenants(ctx context.Context, e *env, address string, top int) (admin.TenantReport, error) {
+	return readReport[admin.TenantReport](ctx, e, address, reportSource{
+		op: "tenants", path: fmt.Sprintf("/tenants?top=%d", top), maxBytes: maxTenantReportBytes,
+		absent: "the node tells nothing of tenants", remedy: "give the operators' address of a node of this version",
+	})
 }
 
 func (e *env) writeTenants(reports []admin.TenantReport) error {
