--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -78,13 +78,13 @@
 // reusedAddress: an instance falls silent, and after addrReuseS its address goes to an instance of another service, which
 // announces itself to the node on its VM. ROUTE is broken if that instance runs a request for the first one's service.
 func reusedAddress(w *world, trouble bool) (broken bool, err error) {
-	const desk, office = "lookup-desk", "sealing-office"
-	s, err := newSite(w, smallDeployment, 18, 480*time.Millisecond, []string{office, desk, office, desk},
-		route{"archive-list", "/zira/", "safe", office, 4000, 2500, 2}, route{"capsule-lookup", "/puka/", "safe", desk, 1200, 400, 1})
+	const desk, office = "lookup-desk", "deposit-office"
+	s, err := newSite(w, smallDeployment, 18, 360*time.Millisecond, []string{office, desk, office, desk},
+		route{"deposit-lodge", "/xapu/", "unsafe", office, 3000, 1000, 1}, route{"capsule-lookup", "/puka/", "safe", desk, 1200, 400, 1})
 	if err != nil {
 		return false, err
 	}
-	send := func(c *client) *request { return c.do(http.MethodGet, "/zira/list", "", 8*time.Second) }
+	send := func(c *client) *request { return c.do(http.MethodPost, "/xapu/lodge", "capsule=1", 6*time.Second) }
 	stopFirst, stopSecond := load(w, w.vms[0], 35, 100*time.Millisecond, send), load(w, w.vms[2], 35, 100*time.Millisecond, send)
 	time.Sleep(5 * time.Second)
 	if trouble {
