--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// site is a deployment of four VMs in two zones, with an instance on each.
+// site is a deployment of some VMs in two zones, with an instance on each.
 type site struct {
 	*world
 	runs      *runs
@@ -43,7 +43,7 @@
 	addresses []*address
 }
 
-// newSite starts the VMs of the given services, of which the first two are in one zone, and waits until all are ready.
+// newSite starts the VMs of the given services, of which the first half is in one zone, and waits until all are ready.
 func newSite(w *world, b bounds, slots int, work time.Duration, services []string, routes ...route) (*site, error) {
 	s := &site{world: w, runs: newRuns()}
 	unique := make(map[string]bool)
@@ -79,13 +79,13 @@
 // announces itself to the node on its VM. ROUTE is broken if that instance runs a request for the first one's service.
 func reusedAddress(w *world, trouble bool) (broken bool, err error) {
 	const desk, office = "lookup-desk", "deposit-office"
-	s, err := newSite(w, smallDeployment, 18, 360*time.Millisecond, []string{office, desk, office, desk},
+	s, err := newSite(w, smallDeployment, 18, 360*time.Millisecond, []string{office, desk, office, office, desk, office},
 		route{"deposit-lodge", "/xapu/", "unsafe", office, 3000, 1000, 1}, route{"capsule-lookup", "/puka/", "safe", desk, 1200, 400, 1})
 	if err != nil {
 		return false, err
 	}
 	send := func(c *client) *request { return c.do(http.MethodPost, "/xapu/lodge", "capsule=1", 6*time.Second) }
-	stopFirst, stopSecond := load(w, w.vms[0], 35, 100*time.Millisecond, send), load(w, w.vms[2], 35, 100*time.Millisecond, send)
+	stopFirst, stopSecond := load(w, w.vms[0], 55, 100*time.Millisecond, send), load(w, w.vms[2], 55, 100*time.Millisecond, send)
 	time.Sleep(5 * time.Second)
 	if trouble {
 		first := s.instances[0]
