--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/metastore"
 )
 
 // load runs clients that send one request after the other until the returned function is called, which returns all requests.
@@ -235,3 +237,71 @@
 	}
 	return broken, nil
 }
+
+// lostMark: an instance sends its departure while the store is down, and the node acknowledges it since other nodes hold the
+// record. All node processes are killed at once and start again, and the store is back. Two of the instance's earlier
+// heartbeats arrive seconds late. DRAIN is broken if a request reaches the instance later than drainMs after the
+// acknowledgement, sent on by a node that has run for stabilityMs again.
+func lostMark(w *world, trouble bool) (broken bool, err error) {
+	const desk = "lookup-desk"
+	s, err := newSite(w, smallDeployment, 2, 18, 120*time.Millisecond, []string{desk, desk, desk, desk},
+		route{"capsule-lookup", "/puka/", "safe", desk, 1200, 400, 1})
+	if err != nil {
+		return false, err
+	}
+	lookup := func(c *client) *request { return c.do(http.MethodGet, "/puka/entry", "", 2500*time.Millisecond) }
+	stopFirst, stopSecond := load(w, w.vms[1], 10, 50*time.Millisecond, lookup), load(w, w.vms[3], 10, 50*time.Millisecond, lookup)
+	time.Sleep(2 * time.Second)
+	leaver := s.instances[0]
+	leaver.stopped.Store(true) // It sends its further heartbeats below.
+	time.Sleep(heartbeat)
+	begin := time.Now()
+	at := func(d time.Duration) { time.Sleep(time.Until(begin.Add(d))) }
+	if trouble {
+		w.note("the store is down")
+		w.store.SetFaults(metastore.Faults{Status: http.StatusServiceUnavailable})
+	}
+	at(200 * time.Millisecond)
+	firstLate := leaver.heartbeatBody("ready")
+	at(1700 * time.Millisecond)
+	secondLate := leaver.heartbeatBody("ready")
+	at(2500 * time.Millisecond)
+	leaver.leaving.Store(true)
+	if !leaver.send("instances.deregister", leaver.heartbeatBody("draining")) {
+		w.note("the departure is not acknowledged; nothing is promised")
+		return false, nil
+	}
+	acked, started := time.Now(), time.Now()
+	w.note("the departure of instance %s is acknowledged", leaver.id)
+	at(3500 * time.Millisecond)
+	if trouble {
+		for _, v := range w.vms {
+			v.kill()
+		}
+		w.store.SetFaults(metastore.Faults{})
+		w.note("the store is back")
+		time.Sleep(restartDelay)
+		for _, v := range w.vms {
+			if err := v.start(); err != nil {
+				return false, err
+			}
+		}
+		started = time.Now()
+	}
+	at(5200 * time.Millisecond)
+	leaver.send("instances.heartbeat", firstLate)
+	at(5400 * time.Millisecond)
+	leaver.send("instances.heartbeat", secondLate)
+	at(11 * time.Second)
+	w.note("instance %s exits", leaver.id)
+	for _, r := range append(stopFirst(), stopSecond()...) {
+		for _, ran := range s.runs.of(r.id) {
+			late := ran.at.Sub(acked) - time.Duration(smallDeployment.drainMs)*time.Millisecond
+			if ran.instance == leaver.id && late > 0 && ran.at.Sub(started) > stability {
+				broken = true
+				w.note("DRAIN: request %s reached instance %s %.3f s later than drainMs after the acknowledgement", r.id, leaver.id, late.Seconds())
+			}
+		}
+	}
+	return broken, nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,7 @@
 	"reused-address": reusedAddress,
 	"changed-grace":  changedGrace,
 	"late-beats":     lateBeats,
+	"lost-mark":      lostMark,
 }
 
 func main() {
