Keep the clients of the review's scripts out of step

In one run of review/7 from a clean clone the clients had fallen into step and SIGKILL met none of their requests, so that the rule held.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 				mu.Lock()
 				all = append(all, r)
 				mu.Unlock()
-				time.Sleep(pause)
+				time.Sleep(rand.N(2 * pause)) // Random, so that the clients do not fall into step.
 			}
 		})
 	}
--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -22,7 +23,8 @@
 	service string
 	born    int64
 	slots   int
-	work    time.Duration
+	// work is the mean time of a request; the times are spread over a half to one and a half of it.
+	work time.Duration
 	// onRun is called when the instance begins to work on a request.
 	onRun func(in *instance, r *http.Request)
 
@@ -98,7 +100,7 @@
 	in.w.note("instance %s of %s runs %s %s %s from %s", in.id, in.service, id, r.Method, r.URL.Path, r.Header.Get("X-Caller-Service"))
 	in.onRun(in, r)
 	select {
-	case <-time.After(in.work):
+	case <-time.After(in.work/2 + rand.N(in.work)):
 	case <-r.Context().Done():
 		return
 	}
