Number the records of a stopping node in one place

Cause: the drainer published a copy of the tracker's record with the next sequence, which the tracker did not know. The departure then got the same sequence; the publisher took it for written and acknowledged it, and the store kept the drainer's record, which does not say that the server leaves.

The tracker numbers all records now: Withdraw makes it publish each state but a departure as draining. Announcements during a stop no longer show the node as ready again, nor reopen the admission gate; monsoonlatchd uses the same.

--- a/cmd/monsoonlatch-sidecar/drain.go
+++ b/cmd/monsoonlatch-sidecar/drain.go
@@ -8,10 +8,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/admission"
+	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
-	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
-	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 )
 
@@ -37,7 +36,7 @@
 	ready     *readiness
 	ingress   *proxy.Ingress
 	egress    *proxy.Egress
-	publisher *directory.Publisher
+	announcer *announce.BackendTracker
 	log       zerolog.Logger
 	gate      *admission.Gate
 	// endCalls ends the calls of callers that are still in flight: those that were sent to another node are answered with an
@@ -62,10 +61,7 @@
 		defer time.AfterFunc(time.Until(end), d.endCalls).Stop()
 	}
 	clock.Sleep(ctx, deregistrationTime)
-	if instance := d.publisher.Latest(); instance.State != membership.StateDeparted {
-		instance.State, instance.Sequence = membership.StateDraining, instance.Sequence+1
-		d.publisher.Set(instance)
-	}
+	d.announcer.Withdraw()
 	clock.Sleep(ctx, drainAnnouncementTime)
 	d.egress.BeginDrain()
 	// A call that starts from the queue now could outlast this node. Refused as not run, it moves on to another one.
--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -399,7 +399,7 @@
 		rules.set(bounds)
 	}})
 	b.Register(&drainer{ready: find[*readiness](b, nameReadiness), ingress: find[*proxy.Ingress](b, nameIngress),
-		egress: find[*proxy.Egress](b, nameEgress), publisher: find[*directory.Publisher](b, namePublisher), log: b.log,
+		egress: find[*proxy.Egress](b, nameEgress), announcer: announcer, log: b.log,
 		gate: find[*admission.Gate](b, nameGate), endCalls: find[context.CancelFunc](b, nameEndCalls)})
 }
 
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -731,30 +731,59 @@
 			leaving.kill()
 			store.SetFaults(metastore.Faults{})
 			time.Sleep(leaving.Bounds.Drain)
-			before := leaving.backendServer.requestCount()
-			for range 2 {
-				leaving.start(t)
-				waitFor(t, "the restarted node to be ready", func() bool { return leaving.readyStatus() == http.StatusOK })
-				for i := range 50 {
-					if i%5 == 0 && !leaving.sendHeartbeat("ready") {
-						t.Error("a late heartbeat was not acknowledged")
-					}
-					deskVM.call("GET", "/safe/1", fmt.Sprint("r", i)) // It may be refused while the store is down.
-					leaving.call("GET", "/safe/1", fmt.Sprint("s", i))
-					time.Sleep(10 * time.Millisecond)
-				}
-				if record := store.Get("instances", leaving.Node); strings.Contains(record, `"state":"ready"`) {
-					t.Errorf("the leaving backend server is offered to all nodes: %s", record)
-				}
-				leaving.kill()
-			}
-			if after := leaving.backendServer.requestCount(); after != before {
-				t.Errorf("%d requests reached a backend server that leaves", after-before)
-			}
+			checkLateHeartbeats(t, store, leaving, deskVM)
 		})
 	}
 }
 
+// checkLateHeartbeats starts the node of a backend server that has left twice. Heartbeats that the server sent before arrive after
+// each start; none may bring it back.
+func checkLateHeartbeats(t *testing.T, store *metastore.Store, leaving, caller *vm) {
+	t.Helper()
+	before := leaving.backendServer.requestCount()
+	for range 2 {
+		leaving.start(t)
+		waitFor(t, "the restarted node to be ready", func() bool { return leaving.readyStatus() == http.StatusOK })
+		for i := range 50 {
+			if i%5 == 0 && !leaving.sendHeartbeat("ready") {
+				t.Error("a late heartbeat was not acknowledged")
+			}
+			caller.call("GET", "/safe/1", fmt.Sprint("r", i)) // It may be refused while the store is down.
+			leaving.call("GET", "/safe/1", fmt.Sprint("s", i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		if record := store.Get("instances", leaving.Node); strings.Contains(record, `"state":"ready"`) {
+			t.Errorf("the leaving backend server is offered to all nodes: %s", record)
+		}
+		leaving.kill()
+	}
+	if after := leaving.backendServer.requestCount(); after != before {
+		t.Errorf("%d requests reached a backend server that leaves", after-before)
+	}
+}
+
+// Guards against a departure that is acknowledged while its node stops, and forgotten by then: the record that says so must not be
+// taken for the one that says that the node stops.
+func TestDepartureDuringAStopOfTheNodeIsKept(t *testing.T) {
+	store, officeVMs, deskVM := startMesh(t)
+	leaving, release := officeVMs[0], make(chan struct{})
+	occupied := occupySlots(t, officeVMs, release) // A stopping node lives on as long as work is in progress.
+	leaving.cancel()
+	waitFor(t, "the record of a stopping node", func() bool { return strings.Contains(store.Get("instances", leaving.Node), `"state":"draining"`) })
+	leaving.backendServer.leaving.Store(true)
+	if !leaving.announce("instances.deregister", `{"born":1000}`) {
+		t.Fatal("the departure was not acknowledged")
+	}
+	if record := store.Get("instances", leaving.Node); !strings.Contains(record, `"backendLeaving":true`) {
+		t.Errorf("acknowledged, and the store holds only %s", record)
+	}
+	close(release)
+	occupied()
+	<-leaving.done
+	time.Sleep(leaving.Bounds.Drain)
+	checkLateHeartbeats(t, store, leaving, deskVM)
+}
+
 // Guards against a departure that is acknowledged though nothing but the node knows of it.
 func TestDepartureIsNotAcknowledgedBeforeItIsPreserved(t *testing.T) {
 	store := metastore.New()
--- a/cmd/monsoonlatchd/drainer.go
+++ b/cmd/monsoonlatchd/drainer.go
@@ -7,9 +7,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/announce"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/idempotency"
-	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
 	"github.com/monsoonlatch/monsoonlatch/pkg/syncer"
 )
@@ -28,16 +28,17 @@
 // drainer is the last service to start and the first to stop. Its Stop method shuts the data path down gracefully while
 // all other services are still running.
 type drainer struct {
-	syncer  *syncer.Syncer
-	ingress *proxy.Ingress
-	egress  *proxy.Egress
-	guard   idempotency.Guard
-	log     zerolog.Logger
+	syncer    *syncer.Syncer
+	announcer *announce.BackendTracker
+	ingress   *proxy.Ingress
+	egress    *proxy.Egress
+	guard     idempotency.Guard
+	log       zerolog.Logger
 }
 
 func buildDrainer(b *builder) {
 	b.Register(&drainer{
-		syncer: find[*syncer.Syncer](b, nameSyncer), ingress: find[*proxy.Ingress](b, nameIngress),
+		syncer: find[*syncer.Syncer](b, nameSyncer), announcer: find[*announce.BackendTracker](b, nameAnnounce), ingress: find[*proxy.Ingress](b, nameIngress),
 		egress: find[*proxy.Egress](b, nameEgress), guard: find[idempotency.Guard](b, nameIdempotency), log: b.log,
 	})
 }
@@ -52,9 +53,7 @@
 	event.NodeStopping.Write(event.NodeStopping.Log(&d.log))
 	refusalEnd := time.After(refusalTime)
 	d.egress.BeginDrain()
-	self := d.syncer.Self()
-	self.State = membership.StateDraining
-	d.syncer.UpdateSelf(self)
+	d.announcer.Withdraw()
 	d.ingress.BeginDrain()
 	err := errors.Join(d.egress.WaitIdle(ctx), d.ingress.WaitIdle(ctx))
 	handedOver := d.handOver(ctx)
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -117,7 +117,7 @@
 	// DrainTime is how long the backend server still accepts new requests after a drain or departure has been
 	// acknowledged, so that other nodes learn of it first. Zero means that new requests are rejected at once.
 	DrainTime time.Duration
-	// OnChange, if set, is called with each new record, in order. It must not block.
+	// OnChange, if set, is called with each new record as other nodes are to see it, in order. It must not block.
 	OnChange func(membership.Instance)
 	// AcceptsWork, if set, asks the backend server whether it accepts new requests; false also means that it did not
 	// answer. It is called by Run when the first announcement since the node's start says ready. A wrong answer only delays
@@ -148,6 +148,8 @@
 	recalled bool
 	// checking is set while Run asks the backend server.
 	checking bool
+	// withdrawn is set when the node itself stops.
+	withdrawn bool
 	// held is the latest announcement that has said ready before recalled was set, or while checking is set; heldSince is the
 	// time of the first one of its start.
 	held      *Announcement
@@ -297,6 +299,29 @@
 	t.update(record, current.address)
 }
 
+// Withdraw makes the record say draining to other nodes, since the node itself stops. The backend server goes on, and what it
+// announces meanwhile takes effect here and is told to other nodes as a later change of the same record.
+func (t *BackendTracker) Withdraw() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.withdrawn = true
+	next := *t.current.Load()
+	if t.published(next.record) == next.record {
+		return // The backend server leaves too.
+	}
+	next.record.Sequence++
+	t.current.Store(&next)
+	t.settings.OnChange(t.published(next.record))
+}
+
+// published returns the record as other nodes are to see it.
+func (t *BackendTracker) published(record membership.Instance) membership.Instance {
+	if t.withdrawn && record.State != membership.StateDeparted {
+		record.State = membership.StateDraining
+	}
+	return record
+}
+
 // serviceNamePattern matches a valid service name. The service that the node's settings name is valid too, since those who
 // run the platform choose its name.
 var serviceNamePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -642,7 +667,7 @@
 		line = line.Dur("admits_ms", next.admitUntil.Sub(now))
 	}
 	event.BackendState.Write(line)
-	t.settings.OnChange(record)
+	t.settings.OnChange(t.published(record))
 }
 
 // admitsUntil returns the time until which a draining or departed backend server accepts new requests. A departure
