Replace the own record only under the condition of its version

A write that got no response can be carried out seconds later. If it was that of an older record, it replaced an acknowledged departure in the store, and if all nodes had ended by then, late heartbeats brought the backend server back after their start.

The publisher creates the object, or replaces the version that it has read or written last. On a conflict it reads the object and passes what it says on before it writes again, so that a restarted node does not replace the record of its earlier run unread. Recall and publisher share that read, which saves the failed creation after each restart.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -218,7 +218,7 @@
 	b.Provide(nameGate, gate)
 	b.Provide(nameBackendPool, backendPool)
 	b.Provide(nameHealth, health)
-	recall := &directory.Recall{Store: find[*platform.Store](b, nameStore), Peers: peers, InstancesListed: follower.InstancesListed, Log: b.log}
+	recall := &directory.Recall{Publisher: publisher, Peers: peers, InstancesListed: follower.InstancesListed, Log: b.log}
 	announcer := announce.New(announce.Settings{
 		Instance: membership.Instance{ID: b.self(), Service: b.vm.Service, AvailabilityZone: b.vm.AvailabilityZone, Region: b.vm.Region,
 			PeerAddress: b.vm.Peers.String(), ControlAddress: b.controlAddress(), Link: b.vm.LinkMbps, Incarnation: uint64(b.clock.Now().UnixMilli()), Sequence: 1},
@@ -244,6 +244,7 @@
 			announcer.RaiseIncarnationAbove(known.Incarnation)
 		}
 	}
+	publisher.OnConflict = peers.OnOwnRecord
 	follower.OnOwnRecord = func(stored membership.Instance) {
 		publisher.ObserveStored(stored)
 		peers.OnOwnRecord(stored)
--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -809,6 +809,33 @@
 	checkLateHeartbeats(t, store, leaving, deskVM)
 }
 
+// Guards against an acknowledged departure that an older record replaces in the store: the write of that record got no response
+// and is carried out when all nodes have been killed.
+func TestLateWriteDoesNotUndoADeparture(t *testing.T) {
+	store, officeVMs, deskVM := startMesh(t)
+	leaving := officeVMs[0]
+	puts := store.Calls(http.MethodPut)
+	store.SetFaults(metastore.Faults{DelayWrites: 2 * time.Second})
+	leaving.sequence++
+	if !leaving.announce("instances.heartbeat", fmt.Sprintf(`{"service":"office","slots":5,"state":"ready","sequence":%d,"born":1000}`, leaving.sequence)) {
+		t.Fatal("a heartbeat with another number of slots was not acknowledged")
+	}
+	waitFor(t, "a write", func() bool { return store.Calls(http.MethodPut) > puts })
+	store.SetFaults(metastore.Faults{})
+	leaving.backendServer.leaving.Store(true)
+	waitFor(t, "an acknowledged departure", func() bool { return leaving.announce("instances.deregister", `{"born":1000}`) })
+	others := []*vm{officeVMs[1], deskVM}
+	for _, v := range append([]*vm{leaving}, others...) {
+		v.kill()
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for _, v := range others {
+		v.start(t)
+		waitFor(t, v.Node+" to be ready", func() bool { return v.readyStatus() == http.StatusOK })
+	}
+	checkLateHeartbeats(t, store, leaving, deskVM)
+}
+
 // Guards against a departure that is acknowledged though nothing but the node knows of it.
 func TestDepartureIsNotAcknowledgedBeforeItIsPreserved(t *testing.T) {
 	store := metastore.New()
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
+	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
@@ -17,21 +18,30 @@
 // nodes directly.
 const writeTimeout = 500 * time.Millisecond
 
+// readOwnTimeout is the timeout for one read of the own record.
+const readOwnTimeout = 500 * time.Millisecond
+
 // Publisher writes the record of the own instance to the store and retries until it is stored. Only the latest state is
-// written; superseded states are skipped.
+// written; superseded states are skipped. It replaces only an object that it has read or written itself: a write without a response
+// may be carried out seconds later, and must not replace a newer record then.
 type Publisher struct {
 	State *State
 	Store Store
 	Log   zerolog.Logger
 	// Offer sends a record to the other nodes directly. It is called when a write to the store fails.
 	Offer func(ctx context.Context, in membership.Instance)
+	// OnConflict, if set, is called with the record found in the store in place of the one that this node knew.
+	OnConflict func(membership.Instance)
 
 	mu     sync.Mutex
 	latest membership.Instance
 	// stored is the record that the store holds, as far as is known. Each change of it closes and replaces storedChange.
 	stored       membership.Instance
 	storedChange chan struct{}
-	wake         chan struct{}
+	// version is the version of the object in the store as last read or written by this node; it is empty if the object is not
+	// known to exist.
+	version string
+	wake    chan struct{}
 }
 
 // NewPublisher returns a publisher that has no record yet.
@@ -55,8 +65,8 @@
 	}
 }
 
-// ObserveStored processes the own record as read from the store. A write whose response was lost may take effect late
-// and overwrite the record with an older one; in that case the latest record is written again.
+// ObserveStored processes the own record as read from the store. Another writer may have replaced it, or an older record may have
+// come back; in that case the latest record is written again.
 func (p *Publisher) ObserveStored(in membership.Instance) {
 	p.setStored(in)
 	if _, rewrite := p.unstored(); rewrite {
@@ -65,7 +75,16 @@
 }
 
 // ObserveRemoved records that the store no longer holds the record.
-func (p *Publisher) ObserveRemoved() { p.setStored(membership.Instance{}) }
+func (p *Publisher) ObserveRemoved() {
+	p.setStored(membership.Instance{})
+	p.setVersion("")
+}
+
+func (p *Publisher) setVersion(version string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version = version
+}
 
 func (p *Publisher) setStored(in membership.Instance) {
 	p.mu.Lock()
@@ -94,13 +113,6 @@
 	}
 }
 
-// isStored reports whether, as far as is known, the store holds a record of the instance.
-func (p *Publisher) isStored() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stored.ID != ""
-}
-
 // unstored returns the latest record and whether it still has to be written to the store.
 func (p *Publisher) unstored() (membership.Instance, bool) {
 	p.mu.Lock()
@@ -122,14 +134,22 @@
 
 // flush retries the write until the store holds the latest record or ctx ends.
 func (p *Publisher) flush(ctx context.Context) {
+	conflict := false
 	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
 		in, ok := p.unstored()
 		if !ok {
 			return
 		}
 		err := p.Write(ctx, in)
+		if fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) {
+			again := conflict // Another writer changes the object time and again, or the store contradicts itself.
+			conflict = true
+			if readErr := p.resolveConflict(ctx, in.ID); readErr == nil && !again {
+				continue
+			}
+		}
 		if err == nil {
-			backoff = minBackoff
+			backoff, conflict = minBackoff, false
 			continue
 		}
 		event.RecordNotStored.Write(event.RecordNotStored.Log(&p.Log).Err(err).Str("state", in.State.String()).Uint64("sequence", in.Sequence))
@@ -142,8 +162,40 @@
 	}
 }
 
-// Write stores a record. That of a departed instance is kept, since this node may restart while its backend server still runs,
-// and must not send it requests again.
+// resolveConflict reads the object that is in the store in place of the one that this node knows: that of an earlier run, a late
+// write of it, or one of another writer. What it says of the backend server is taken over before the object is replaced.
+func (p *Publisher) resolveConflict(ctx context.Context, self membership.InstanceID) error {
+	in, found, err := p.Read(ctx, self)
+	if err == nil && found && p.OnConflict != nil {
+		p.OnConflict(in)
+	}
+	return err
+}
+
+// Read returns the own record in the store, currently. An object that does not hold a record counts as none.
+func (p *Publisher) Read(ctx context.Context, self membership.InstanceID) (in membership.Instance, found bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readOwnTimeout)
+	defer cancel()
+	obj, err := p.Store.Get(ctx, platform.KindInstance, string(self))
+	if fault.Is(err, fault.NotFound) {
+		p.ObserveRemoved()
+		return in, false, nil
+	}
+	if err != nil {
+		return in, false, err
+	}
+	p.setVersion(obj.Version)
+	if in, err = decodeRecord(obj); err != nil {
+		event.RecordRefused.Write(event.RecordRefused.Log(&p.Log).Err(err))
+		p.setStored(membership.Instance{})
+		return membership.Instance{}, false, nil
+	}
+	p.ObserveStored(in)
+	return in, true, nil
+}
+
+// Write stores a record in place of the object that this node knows. That of a departed instance is kept, since this node may
+// restart while its backend server still runs, and must not send it requests again.
 func (p *Publisher) Write(ctx context.Context, in membership.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -151,13 +203,18 @@
 	if err != nil {
 		return err
 	}
-	write := p.Store.Put
-	if !p.isStored() {
-		write = p.Store.Create
+	p.mu.Lock()
+	version := p.version
+	p.mu.Unlock()
+	if version == "" {
+		version, err = p.Store.Create(ctx, platform.KindInstance, string(in.ID), spec)
+	} else {
+		version, err = p.Store.Put(ctx, platform.KindInstance, string(in.ID), version, spec)
 	}
-	if err := write(ctx, platform.KindInstance, string(in.ID), spec); err != nil {
+	if err != nil {
 		return err
 	}
+	p.setVersion(version)
 	p.setStored(in)
 	event.RecordStored.Write(event.RecordStored.Log(&p.Log).Str("state", in.State.String()).Str("backend", in.BackendID).
 		Uint64("incarnation", in.Incarnation).Uint64("sequence", in.Sequence))
--- a/pkg/directory/recall.go
+++ b/pkg/directory/recall.go
@@ -9,13 +9,11 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
-	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
-	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
 
 const (
-	// recallTimeout limits one read of the own record from the store and one question to other nodes.
+	// recallTimeout limits one question to other nodes.
 	recallTimeout = 500 * time.Millisecond
 	// recallListingWait is how long a recall waits for the instances, from which it knows the other nodes.
 	recallListingWait = time.Second
@@ -26,8 +24,8 @@
 // Recall finds out what an earlier run of this node has published about its instance. The store holds it, and so do the other
 // nodes if the store did not answer at that time.
 type Recall struct {
-	Store Store
-	Peers *Peers
+	Publisher *Publisher
+	Peers     *Peers
 	// InstancesListed reports whether the instances have been read from the store.
 	InstancesListed func() bool
 	Log             zerolog.Logger
@@ -49,7 +47,7 @@
 
 // once asks the store and other nodes once. It returns the number of answers, which need not contain a record.
 func (r *Recall) once(ctx context.Context) (records []membership.Instance, answers int) {
-	stored, found, err := r.stored(ctx)
+	stored, found, err := r.Publisher.Read(ctx, r.Peers.Self)
 	if err == nil {
 		answers++
 		for start := time.Now(); !r.InstancesListed() && time.Since(start) < recallListingWait && ctx.Err() == nil; {
@@ -63,24 +61,6 @@
 	return append(records, known...), answers + others
 }
 
-// stored returns the own record in the store. A record that cannot be decoded counts as none.
-func (r *Recall) stored(ctx context.Context) (in membership.Instance, found bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
-	defer cancel()
-	obj, err := r.Store.Get(ctx, platform.KindInstance, string(r.Peers.Self))
-	if fault.Is(err, fault.NotFound) {
-		return in, false, nil
-	}
-	if err != nil {
-		return in, false, err
-	}
-	if in, err = decodeRecord(obj); err != nil {
-		event.RecordRefused.Write(event.RecordRefused.Log(&r.Log).Err(err))
-		return in, false, nil
-	}
-	return in, true, nil
-}
-
 // KnownArgs names an instance.
 type KnownArgs struct{ ID membership.InstanceID }
 
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -45,10 +45,12 @@
 	Get(ctx context.Context, kind platform.ObjectKind, name string) (platform.Object, error)
 	// Watch returns the changes after a revision. It returns as soon as there is a change, or without one after wait.
 	Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error)
-	// Create writes an object that is expected not to exist yet; an existing object is replaced.
-	Create(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) error
-	// Put replaces an object, or creates it if it does not exist.
-	Put(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) error
+	// Create writes an object that does not exist yet and returns its version, which is empty if the store does not tell it. The
+	// error is of kind Conflict if the object exists.
+	Create(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) (version string, err error)
+	// Put replaces the spec of an object that still has the given version, and returns the new one. The error is of kind Conflict
+	// if the object has another version, and NotFound if there is none.
+	Put(ctx context.Context, kind platform.ObjectKind, name, version string, spec []byte) (newVersion string, err error)
 	// Delete removes an object. A missing object is not an error.
 	Delete(ctx context.Context, kind platform.ObjectKind, name string) error
 }
