Do not take the word of other nodes for that of the store after a start

If the store went down right after a departure had been stored and acknowledged, other nodes had not heard of it. A node that restarted then took their answers for the end of its recall, and believed the second of two late heartbeats, though the health check had failed at the first.

The recall goes on until the store has answered. Until then an announcement takes effect only if the backend server's health check passes, or if the announcements go on for longer than one can be late. Waiting for the store in any case would leave backend servers without work in a rolling restart beside an outage.

TestRecordOfAnEarlierRunIsRecalled expected that an answer of another node ends the recall; its rows now tell whether the store has answered.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -121,12 +121,13 @@
 	OnChange func(membership.Instance)
 	// AcceptsWork, if set, asks the backend server whether it accepts new requests; false also means that it did not
 	// answer. It is called by Run when the first announcement since the node's start says ready. A wrong answer only delays
-	// the next announcement's effect, or is made up for by Recall.
+	// the effect of an announcement, or is made up for by Recall.
 	AcceptsWork func(ctx context.Context, a Announcement) bool
-	// Recall, if set, returns the records that an earlier run of the node has published, or false if ctx ended first. Until
-	// then no announcement makes the backend server ready, since it may be older than a departure that the earlier run has
-	// acknowledged.
-	Recall func(ctx context.Context) ([]membership.Instance, bool)
+	// Recall, if set, calls found with the records that an earlier run of the node has published, as the store or other nodes hold
+	// them, each time that one of them has answered, until the store has. Before the first call of found no announcement makes the
+	// backend server ready, since it may be older than a departure that the earlier run has acknowledged. Before the store has
+	// answered, one does so only if the backend server confirms it: other nodes may not have heard of the departure.
+	Recall func(ctx context.Context, found func(records []membership.Instance, stored bool))
 	// AwaitStored, if set, blocks until the record would outlast all processes. A drain or a departure is acknowledged only
 	// then.
 	AwaitStored func(ctx context.Context, record membership.Instance) error
@@ -144,20 +145,21 @@
 	lastAnnounced time.Time
 	start         backendStart
 	current       atomic.Pointer[ownState]
-	// recalled is set when the records of an earlier run are known.
-	recalled bool
+	// recalled is set when the store or other nodes have told the records of an earlier run; settled, when the store has, or the
+	// announcements of a start have gone on for longer than one can be late.
+	recalled, settled bool
 	// checking is set while Run asks the backend server.
 	checking bool
 	// withdrawn is set when the node itself stops.
 	withdrawn bool
-	// held is the latest announcement that has said ready before recalled was set, or while checking is set; heldSince is the
-	// time of the first one of its start.
-	held      *Announcement
-	heldSince time.Time
+	// held is the latest announcement that has said ready while recalled was not set, or while checking is set.
+	held *Announcement
+	// announcedSince is the time of the first announcement of the current start to this run of the node.
+	announcedSince time.Time
 	// decided is set once an announcement has been passed to unconfirmed, or a state has been put into effect.
 	decided bool
-	// unconfirmed holds the first announcement since the node's start until Run has asked the backend server. Only one
-	// value is ever sent, so that sending does not block.
+	// unconfirmed holds an announcement until Run has asked the backend server. The next one is sent only after that, so that
+	// sending does not block.
 	unconfirmed chan Announcement
 }
 
@@ -185,7 +187,7 @@
 	if s.OnChange == nil {
 		s.OnChange = func(membership.Instance) {}
 	}
-	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine(), unconfirmed: make(chan Announcement, 1), recalled: s.Recall == nil}
+	tracker := &BackendTracker{settings: s, stateMachine: newStateMachine(), unconfirmed: make(chan Announcement, 1), recalled: s.Recall == nil, settled: s.Recall == nil}
 	tracker.SetDrainTime(s.DrainTime)
 	record := s.Instance
 	record.State = membership.StateStarting
@@ -415,17 +417,17 @@
 	return t.confirmOrApply(a)
 }
 
-// hold keeps an announcement back until the records of an earlier run are known and the backend server has been asked. If
-// neither the store nor another node answers, a start is believed once its announcements have gone on for longer than one can be
-// late.
+// hold keeps an announcement back until the records of an earlier run are known and the backend server has been asked. If the store
+// does not answer, a start is believed once its announcements have gone on for longer than one can be late.
 func (t *BackendTracker) hold(a Announcement) {
-	if t.held == nil || !a.isOfStart(t.start) {
-		t.heldSince = t.settings.Clock.Now()
-	}
 	t.noteAnnounced(a)
 	t.held = &a
-	if !t.recalled && t.lastAnnounced.Sub(t.heldSince) >= t.settings.Timeout {
-		event.AnnouncementUnchecked.Write(event.AnnouncementUnchecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).Uint64("sequence", a.Sequence))
+	if t.settled || t.lastAnnounced.Sub(t.announcedSince) < t.settings.Timeout {
+		return
+	}
+	event.AnnouncementUnchecked.Write(event.AnnouncementUnchecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).Uint64("sequence", a.Sequence))
+	t.settled = true
+	if !t.checking {
 		t.endRecall()
 	}
 }
@@ -452,18 +454,17 @@
 
 // recall takes over the records of an earlier run.
 func (t *BackendTracker) recall(ctx context.Context) {
-	records, ok := t.settings.Recall(ctx)
-	if !ok {
-		return
-	}
-	for _, record := range records {
-		t.ObserveOwn(record)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.recalled {
-		t.endRecall()
-	}
+	t.settings.Recall(ctx, func(records []membership.Instance, stored bool) {
+		for _, record := range records {
+			t.ObserveOwn(record)
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.settled = t.settled || stored
+		if !t.recalled {
+			t.endRecall()
+		}
+	})
 }
 
 // ObserveOwn takes note of the own record as the store or another node holds it. If it says that a start of the backend server
@@ -535,6 +536,9 @@
 
 // noteAnnounced remembers an announcement as the latest.
 func (t *BackendTracker) noteAnnounced(a Announcement) {
+	if t.lastAnnounced.IsZero() || !a.isOfStart(t.start) {
+		t.announcedSince = t.settings.Clock.Now()
+	}
 	t.lastAnnounced = t.settings.Clock.Now()
 	t.start = backendStart{id: a.ID, startedMillis: a.Born, sequence: a.Sequence}
 }
@@ -703,7 +707,8 @@
 
 // confirm asks the backend server whether it accepts new requests, as its first announcement says. If it does not say
 // so, the next announcement decides: it is newer than the first one, and a health check that fails may be wrong. One that
-// arrives meanwhile waits, since the answer also names the limit that the server has.
+// arrives meanwhile waits, since the answer also names the limit that the server has. As long as only other nodes have told what
+// an earlier run published, the announcement is held back instead, and checked again.
 func (t *BackendTracker) confirm(ctx context.Context, a Announcement) {
 	accepts := t.settings.AcceptsWork(ctx, a)
 	event.AnnouncementChecked.Write(event.AnnouncementChecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
@@ -711,6 +716,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.checking = false
+	if !accepts && !t.settled && t.stateMachine.Current() == stateStarting {
+		// The other nodes that have answered may not know what the store holds.
+		t.recalled, t.decided = false, false
+		if t.held == nil {
+			t.held = &a
+		}
+		return
+	}
 	if t.processHeld(t.apply) || !accepts {
 		return
 	}
--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -17,8 +17,10 @@
 func restartedTracker(t *testing.T, clk *manualClock, healthy bool, records []membership.Instance) *BackendTracker {
 	tracker := New(Settings{Instance: membership.Instance{ID: "n1", Service: "desk", Incarnation: 90}, Clock: clk, Log: zerolog.Nop(),
 		DrainTime: time.Second, AcceptsWork: func(context.Context, Announcement) bool { return healthy },
-		Recall: func(ctx context.Context) ([]membership.Instance, bool) {
-			return records, ctx.Err() == nil && records != nil
+		Recall: func(_ context.Context, found func([]membership.Instance, bool)) {
+			if records != nil {
+				found(records, true)
+			}
 		}})
 	if !tracker.recalled && tracker.Admits(clk.now) {
 		t.Fatal("requests are admitted before anything is known")
@@ -169,6 +171,58 @@
 	}
 }
 
+// Guards against late announcements of a backend server that has left, after a restart of its node while the store does not answer:
+// the other nodes have not heard of the departure. Guards also against a backend server without work for as long as the store is
+// down, if it says itself that it accepts work or goes on announcing itself.
+func TestOtherNodesMayNotKnowOfADeparture(t *testing.T) {
+	for _, healthy := range []bool{false, true} {
+		clk := &manualClock{time.Unix(10, 0)}
+		tracker := restartedTracker(t, clk, healthy, nil)
+		answer := func(stored bool, records ...membership.Instance) {
+			tracker.settings.Recall = func(_ context.Context, found func([]membership.Instance, bool)) { found(records, stored) }
+			tracker.recall(t.Context())
+			confirmPending(tracker)
+		}
+		start, sequence := clk.now, uint64(8)
+		announce := func() {
+			sequence++
+			mustAnnounce(t, tracker, announcement("i-1", 1000, sequence, Ready))
+			confirmPending(tracker)
+			clk.now = clk.now.Add(time.Second / 2)
+		}
+		answer(false)
+		for clk.now.Sub(start) < DefaultTimeout {
+			announce()
+			answer(false)
+			if tracker.Admits(clk.now) != healthy {
+				t.Fatalf("healthy %v: %v after the restart requests are admitted: %v", healthy, clk.now.Sub(start), !healthy)
+			}
+		}
+		announce()
+		announce()
+		if !tracker.Admits(clk.now) {
+			t.Errorf("healthy %v: not admitted after announcements for %v", healthy, clk.now.Sub(start))
+		}
+		answer(true, membership.Instance{ID: "n1", BackendID: "i-1", BackendStarted: 1000, BackendLeaving: true, State: membership.StateDeparted})
+		clk.now = clk.now.Add(time.Second) // The drain time.
+		if announce(); tracker.Admits(clk.now) {
+			t.Errorf("healthy %v: admitted, though the store holds the departure", healthy)
+		}
+	}
+
+	tracker := restartedTracker(t, &manualClock{time.Unix(10, 0)}, false, nil)
+	for i, stored := range []bool{false, true} {
+		tracker.settings.Recall = func(_ context.Context, found func([]membership.Instance, bool)) { found(nil, stored) }
+		tracker.recall(t.Context())
+		mustAnnounce(t, tracker, announcement("i-1", 1000, uint64(i+1), Ready))
+		confirmPending(tracker)
+	}
+	mustAnnounce(t, tracker, announcement("i-1", 1000, 3, Ready))
+	if confirmPending(tracker); !tracker.Admits(time.Unix(10, 0)) {
+		t.Error("not admitted, though the store holds nothing against the backend server and announcements go on")
+	}
+}
+
 // Guards against an acknowledgement of a drain or departure that the store does not hold, so that it would be forgotten if all
 // processes ended; new requests end all the same.
 func TestLeavingIsAcknowledgedOnceItIsPreserved(t *testing.T) {
--- a/pkg/directory/recall.go
+++ b/pkg/directory/recall.go
@@ -21,8 +21,8 @@
 	recallNodes = 3
 )
 
-// Recall finds out what an earlier run of this node has published about its instance. The store holds it, and so do the other
-// nodes if the store did not answer at that time.
+// Recall finds out what an earlier run of this node has published about its instance. The store holds all that was acknowledged;
+// other nodes also know what the store has not accepted yet.
 type Recall struct {
 	Publisher *Publisher
 	Peers     *Peers
@@ -31,34 +31,35 @@
 	Log             zerolog.Logger
 }
 
-// Run returns the records of the own instance that the store and other nodes hold. It retries until the store or another node
-// has answered, or ctx ends; then ok is false.
-func (r *Recall) Run(ctx context.Context) (records []membership.Instance, ok bool) {
+// Run calls found with the records of the own instance that the store and other nodes hold, which may be none, after each round of
+// questions that got an answer. It ends when the store has answered, which stored tells, or ctx ends.
+func (r *Recall) Run(ctx context.Context, found func(records []membership.Instance, stored bool)) {
 	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		records, answers := r.once(ctx)
-		if answers > 0 {
-			event.RecordRecalled.Write(event.RecordRecalled.Log(&r.Log).Int("records", len(records)).Int("answers", answers))
-			return records, true
+		records, stored, others := r.once(ctx)
+		if stored || others > 0 {
+			event.RecordRecalled.Write(event.RecordRecalled.Log(&r.Log).Int("records", len(records)).Bool("stored", stored).Int("others", others))
+			found(records, stored)
+		}
+		if stored {
+			return
 		}
 		clock.Sleep(ctx, backoff/2+rand.N(backoff/2))
 	}
-	return nil, false
 }
 
-// once asks the store and other nodes once. It returns the number of answers, which need not contain a record.
-func (r *Recall) once(ctx context.Context) (records []membership.Instance, answers int) {
-	stored, found, err := r.Publisher.Read(ctx, r.Peers.Self)
-	if err == nil {
-		answers++
-		for start := time.Now(); !r.InstancesListed() && time.Since(start) < recallListingWait && ctx.Err() == nil; {
-			clock.Sleep(ctx, minBackoff/10)
-		}
+// once asks the store and other nodes once. It reports whether the store has answered, and how many other nodes have. Their answers
+// need not contain a record.
+func (r *Recall) once(ctx context.Context) (records []membership.Instance, stored bool, others int) {
+	own, found, err := r.Publisher.Read(ctx, r.Peers.Self)
+	stored = err == nil
+	for start := time.Now(); stored && !r.InstancesListed() && time.Since(start) < recallListingWait && ctx.Err() == nil; {
+		clock.Sleep(ctx, minBackoff/10)
 	}
 	if found {
-		records = append(records, stored)
+		records = append(records, own)
 	}
 	known, others := r.Peers.known(ctx)
-	return append(records, known...), answers + others
+	return append(records, known...), stored, others
 }
 
 // KnownArgs names an instance.
--- a/pkg/directory/recall_test.go
+++ b/pkg/directory/recall_test.go
@@ -25,17 +25,20 @@
 func TestRecordOfAnEarlierRunIsRecalled(t *testing.T) {
 	for name, c := range map[string]struct {
 		stored, known *membership.Instance
-		down, alone   bool
+		down, back    bool
+		alone         bool
 		ok, left      bool
+		fromStore     bool
 	}{
-		"first run":                             {ok: true},
-		"first run, alone":                      {alone: true, ok: true},
-		"in the store":                          {stored: ptr(departed("self", 4)), ok: true, left: true},
-		"in the store, alone":                   {stored: ptr(departed("self", 4)), alone: true, ok: true, left: true},
-		"older in the store, left at others":    {stored: ptr(instance("self", 1, 3, membership.StateReady)), known: ptr(departed("self", 4)), ok: true, left: true},
+		"first run":                             {ok: true, fromStore: true},
+		"first run, alone":                      {alone: true, ok: true, fromStore: true},
+		"in the store":                          {stored: ptr(departed("self", 4)), ok: true, left: true, fromStore: true},
+		"in the store, alone":                   {stored: ptr(departed("self", 4)), alone: true, ok: true, left: true, fromStore: true},
+		"older in the store, left at others":    {stored: ptr(instance("self", 1, 3, membership.StateReady)), known: ptr(departed("self", 4)), ok: true, left: true, fromStore: true},
 		"store down, left at others":            {known: ptr(departed("self", 4)), down: true, ok: true, left: true},
 		"store down, others know nothing of it": {down: true, ok: true},
 		"store down, alone":                     {down: true, alone: true},
+		"store back, others know nothing of it": {stored: ptr(departed("self", 4)), down: true, back: true, ok: true, left: true, fromStore: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -61,13 +64,19 @@
 				r := &Recall{Publisher: publisher, Peers: self, InstancesListed: func() bool { return true }, Log: zerolog.Nop()}
 				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 				defer cancel()
-				records, ok := r.Run(ctx)
-				left := false
-				for _, in := range records {
-					left = left || in.BackendLeaving && in.BackendID == "i-1" && in.BackendStarted == 1000
+				if c.back {
+					time.AfterFunc(5*time.Second, func() { m.update(func(m *memoryStore) { m.down = false }) })
 				}
-				if ok != c.ok || left != c.left {
-					t.Errorf("records %+v, answered %v; want left %v, answered %v", records, ok, c.left, c.ok)
+				ok, left, fromStore := false, false, false
+				r.Run(ctx, func(records []membership.Instance, stored bool) {
+					ok = true
+					fromStore = fromStore || stored
+					for _, in := range records {
+						left = left || in.BackendLeaving && in.BackendID == "i-1" && in.BackendStarted == 1000
+					}
+				})
+				if ok != c.ok || left != c.left || fromStore != c.fromStore {
+					t.Errorf("answered %v, left %v, from the store %v; want %+v", ok, left, fromStore, c)
 				}
 			})
 		})
--- a/pkg/event/announce.go
+++ b/pkg/event/announce.go
@@ -19,7 +19,7 @@
 		"the node's incarnation is not above one that others know, or its record was removed; it publishes a higher one",
 		"Check the VM's clock, and that no two nodes share a name.")
 	AnnouncementUnchecked = define(1607, "announcement_unchecked", zerolog.WarnLevel,
-		"neither the store nor another node tells what an earlier run of this node has published; the backend server is believed, since it has announced itself for long enough",
+		"the store does not tell what an earlier run of this node has published; the backend server is believed, since it has announced itself for long enough",
 		"Check the store and the network path to the other nodes.")
 	AnnouncementChecked = define(1606, "announcement_checked", zerolog.InfoLevel,
 		"the backend server was asked whether it accepts calls, since the announcement is the first since the node's start; if it does not, the next announcement decides", "")
