Grant no second drain time when a departure becomes known late

When a restarted node learned from the store or another node that its backend server had left before, it admitted requests for another drain time, though that had begun with the acknowledgement by the earlier run.

Requests end at once now. TestDepartureThatBecomesKnownLate and TestOtherNodesMayNotKnowOfADeparture failed before and pass.

--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -484,6 +484,10 @@
 	} else if t.start != (backendStart{}) && left.Born <= t.start.startedMillis {
 		return
 	}
+	// The drain time began when an earlier run of the node acknowledged the leaving.
+	overdue := *t.current.Load()
+	overdue.admitUntil = t.settings.Clock.Now()
+	t.current.Store(&overdue)
 	leavingState := stateDraining
 	if known.State == membership.StateDeparted {
 		leavingState = stateDeparted
--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -144,6 +144,9 @@
 	}
 	known := membership.Instance{ID: "n1", BackendID: "i-1", BackendStarted: 1000, BackendLeaving: true, State: membership.StateDeparted, Incarnation: 7}
 	tracker.ObserveOwn(known)
+	if tracker.Admits(clk.now) {
+		t.Error("requests are admitted for another drain time, though the first one began with the acknowledgement")
+	}
 	clk.now = clk.now.Add(time.Second)
 	mustAnnounce(t, tracker, announcement("i-1", 1000, 10, Ready))
 	if own, _ := tracker.Instance(); tracker.Admits(clk.now) || own.State != membership.StateDeparted {
@@ -204,7 +207,6 @@
 			t.Errorf("healthy %v: not admitted after announcements for %v", healthy, clk.now.Sub(start))
 		}
 		answer(true, membership.Instance{ID: "n1", BackendID: "i-1", BackendStarted: 1000, BackendLeaving: true, State: membership.StateDeparted})
-		clk.now = clk.now.Add(time.Second) // The drain time.
 		if announce(); tracker.Admits(clk.now) {
 			t.Errorf("healthy %v: admitted, though the store holds the departure", healthy)
 		}
