Reject responses with a status outside the range of HTTP

A backend server in trouble sends status 000. The caller did not get that status, but the bytes after it: taken for an interim response, its body or the next bytes on the connection became the answer, as a success; without such bytes the caller waited until its deadline. Statuses from 600 to 999 were passed on.

Cause: http.ReadResponse accepts any three digits, and the exchange compared the status with 200 only. A status outside 100 to 599 is a malformed response now: the connection is closed, and the caller gets 502, since the outcome is unknown.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -836,6 +836,39 @@
 	checkLateHeartbeats(t, store, leaving, deskVM)
 }
 
+// Guards against a response with a status that HTTP does not have, which reaches the caller as an answer, whose body is taken for the
+// answer, or for which the caller waits until its deadline.
+func TestStatusThatHTTPDoesNotHaveIsNoAnswer(t *testing.T) {
+	_, officeVMs, _ := startMesh(t)
+	office := officeVMs[0]
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for _, framed := range []bool{true, false} {
+			attempt := fmt.Sprint("status-", status, "-", framed)
+			for _, v := range officeVMs {
+				v.backendServer.mu.Lock()
+				v.backendServer.handler = func(w http.ResponseWriter, _ *http.Request) bool {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return true
+					}
+					inner := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: 5\r\n\r\ninner", attempt, attempt)
+					length := ""
+					if framed {
+						length = fmt.Sprintf("Content-Length: %d\r\n", len(inner))
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Trouble\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n%s\r\n%s", status, attempt, attempt, length, inner)
+					return true // The connection stays open.
+				}
+				v.backendServer.mu.Unlock()
+			}
+			if r := office.call("POST", "/lodge/1", attempt); r.err != nil || r.status != http.StatusBadGateway || r.header.Get("X-Server-Seal") != "" {
+				t.Errorf("%s: got %+v, want 502 of the node", attempt, r)
+			}
+		}
+	}
+}
+
 // Guards against a departure that is acknowledged though nothing but the node knows of it.
 func TestDepartureIsNotAcknowledgedBeforeItIsPreserved(t *testing.T) {
 	store := metastore.New()
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,12 @@
 // maxInformational is the maximum number of 1xx responses before the final one.
 const maxInformational = 8
 
+// minStatus and maxStatus are the range of statuses in HTTP (RFC 9110, section 15). http.ReadResponse accepts any three digits.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // pastDeadline, set as a deadline, makes blocked reads and writes return.
 var pastDeadline = time.Unix(1, 0)
 
@@ -273,14 +280,18 @@
 	defer c.unlimitBytes()
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.br, ex.Request)
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			break
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+			return nil, fmt.Errorf("%w: %d", errStatus, resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errInformational
 		}
 	}
-	return nil, errors.New("unexpected protocol switch or too many informational responses")
+	return nil, errInformational
 }
 
 // awaitResponse returns when the first byte of a response has arrived.
--- a/pkg/upstream/result.go
+++ b/pkg/upstream/result.go
@@ -52,6 +52,8 @@
 	ErrRequestIDMismatch = errors.New("response carries the ID of another request or none")
 	ErrUnframed          = errors.New("response has neither Content-Length nor chunked encoding")
 	ErrTrailing          = errors.New("connection holds unexpected data after the response")
+	errStatus            = errors.New("status outside the range of HTTP")
+	errInformational     = errors.New("unexpected protocol switch or too many informational responses")
 	errReadBudget        = errors.New("response head, or the response to another request, is longer than the limit")
 	errConnectionLimit   = errors.New("maximum number of connections to the address in use")
 )
