Compare what the stored record says before a departure is acknowledged

The record of an earlier run whose clock was ahead has a higher incarnation. Since the publisher takes what it reads for stored, a departure would have been acknowledged until the follower raised the own incarnation.

The record in the store must say that the same start leaves. Each read of the own record now raises the incarnation, at the start too.

TestOtherRecordDoesNotStandForADeparture fails without the comparison ("acknowledged", both rows) and passes with it.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -244,7 +244,7 @@
 			announcer.RaiseIncarnationAbove(known.Incarnation)
 		}
 	}
-	publisher.OnConflict = peers.OnOwnRecord
+	publisher.OnRead = peers.OnOwnRecord
 	follower.OnOwnRecord = func(stored membership.Instance) {
 		publisher.ObserveStored(stored)
 		peers.OnOwnRecord(stored)
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -30,8 +30,8 @@
 	Log   zerolog.Logger
 	// Offer sends a record to the other nodes directly. It is called when a write to the store fails.
 	Offer func(ctx context.Context, in membership.Instance)
-	// OnConflict, if set, is called with the record found in the store in place of the one that this node knew.
-	OnConflict func(membership.Instance)
+	// OnRead, if set, is called with each record that Read finds, before it can be replaced.
+	OnRead func(membership.Instance)
 
 	mu     sync.Mutex
 	latest membership.Instance
@@ -94,13 +94,14 @@
 	p.storedChange = make(chan struct{})
 }
 
-// AwaitStored blocks until the store holds the record or a newer one. It returns the context's error if ctx ends first. Other nodes
-// do not count, since all processes may end at once. A write that waits for its next attempt is tried again at once.
+// AwaitStored blocks until the store holds the record of a leaving backend server, or a newer one that says the same. It returns the
+// context's error if ctx ends first. Other nodes do not count, since all processes may end at once. A write that waits for its
+// next attempt is tried again at once.
 func (p *Publisher) AwaitStored(ctx context.Context, in membership.Instance) error {
 	p.signal()
 	for {
 		p.mu.Lock()
-		done, changed := !supersedes(in, p.stored), p.storedChange
+		done, changed := !supersedes(in, p.stored) && sameLeaving(in, p.stored), p.storedChange
 		p.mu.Unlock()
 		if done {
 			return nil
@@ -113,6 +114,11 @@
 	}
 }
 
+// sameLeaving reports whether two records say that the same start of a backend server leaves.
+func sameLeaving(a, b membership.Instance) bool {
+	return a.BackendLeaving && b.BackendLeaving && a.BackendID == b.BackendID && a.BackendStarted == b.BackendStarted
+}
+
 // unstored returns the latest record and whether it still has to be written to the store.
 func (p *Publisher) unstored() (membership.Instance, bool) {
 	p.mu.Lock()
@@ -144,7 +150,7 @@
 		if fault.Is(err, fault.Conflict) || fault.Is(err, fault.NotFound) {
 			again := conflict // Another writer changes the object time and again, or the store contradicts itself.
 			conflict = true
-			if readErr := p.resolveConflict(ctx, in.ID); readErr == nil && !again {
+			if _, _, readErr := p.Read(ctx, in.ID); readErr == nil && !again {
 				continue
 			}
 		}
@@ -162,17 +168,8 @@
 	}
 }
 
-// resolveConflict reads the object that is in the store in place of the one that this node knows: that of an earlier run, a late
-// write of it, or one of another writer. What it says of the backend server is taken over before the object is replaced.
-func (p *Publisher) resolveConflict(ctx context.Context, self membership.InstanceID) error {
-	in, found, err := p.Read(ctx, self)
-	if err == nil && found && p.OnConflict != nil {
-		p.OnConflict(in)
-	}
-	return err
-}
-
-// Read returns the own record in the store, currently. An object that does not hold a record counts as none.
+// Read returns the own record in the store, currently. An object that does not hold a record counts as none. After a conflict it is
+// the record of an earlier run, a late write of it, or one of another writer.
 func (p *Publisher) Read(ctx context.Context, self membership.InstanceID) (in membership.Instance, found bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readOwnTimeout)
 	defer cancel()
@@ -191,6 +188,9 @@
 		return membership.Instance{}, false, nil
 	}
 	p.ObserveStored(in)
+	if p.OnRead != nil {
+		p.OnRead(in)
+	}
 	return in, true, nil
 }
 
--- a/pkg/directory/publisher_test.go
+++ b/pkg/directory/publisher_test.go
@@ -73,7 +73,7 @@
 		p, stop := runPublisher(t, m)
 		defer stop()
 		var found []membership.Instance
-		p.OnConflict = func(in membership.Instance) {
+		p.OnRead = func(in membership.Instance) {
 			found = append(found, in)
 			leaving := departed("self", 3)
 			leaving.Incarnation = 2
@@ -94,6 +94,41 @@
 	})
 }
 
+// Guards against a departure that is acknowledged since the store holds a record with a higher number that says something else: the
+// clock of an earlier run was ahead, or the record is that of another start.
+func TestOtherRecordDoesNotStandForADeparture(t *testing.T) {
+	ready, otherStart := instance("self", 9, 1, membership.StateReady), departed("self", 1)
+	otherStart.Incarnation, otherStart.BackendID = 9, "i-0"
+	for name, other := range map[string]membership.Instance{"ready": ready, "another start left": otherStart} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				putRecord(t, m, other)
+				p, stop := runPublisher(t, m)
+				defer stop()
+				if _, found, err := p.Read(t.Context(), "self"); !found || err != nil {
+					t.Fatalf("found %v, error %v", found, err)
+				}
+				leaving := departed("self", 4)
+				p.Set(leaving)
+				await := func() error {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					return p.AwaitStored(ctx, leaving)
+				}
+				if await() == nil {
+					t.Error("acknowledged")
+				}
+				leaving.Incarnation = 10 // As after RaiseIncarnationAbove.
+				p.Set(leaving)
+				if err := await(); err != nil || storedRecord(t, m) != leaving {
+					t.Errorf("error %v, the store holds %+v", err, storedRecord(t, m))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a loop of calls against a store that contradicts itself: it says of an object that it exists when it is to be
 // created, and that it does not when it is read.
 func TestContradictoryStoreIsNotAskedInALoop(t *testing.T) {
