Let the soak carry out writes late and repeat late heartbeats

Half of the steps in which the store drops the responses to writes now make it carry the writes out later, if their conditions still hold. A replaced backend server sends two late heartbeats instead of one, since the second one was the one that was believed.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -27,6 +27,8 @@
 	// maxDrainAnnouncements is how often a backend server announces a drain without an acknowledgement before it drains
 	// anyway.
 	maxDrainAnnouncements = 5
+	// lateGap is the time between two announcements that arrive late.
+	lateGap = 200 * time.Millisecond
 	// maxServiceTime is the upper limit of the service time of most requests.
 	maxServiceTime = 40 * time.Millisecond
 	// longServiceTime is the service time of one request in longServiceTimeEvery, so that stops and faults hit requests
@@ -129,12 +131,12 @@
 }
 
 // replace performs a planned replacement: it drains and stops the boot and starts the next one. Half of the boots announce
-// their departure without a drain. An announcement that was made before arrives late.
+// their departure without a drain. Two announcements that were made before arrive late.
 func (s *backendServer) replace(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.boot.Load()
-	late, call := b.announcement(), "instances.heartbeat"
+	late, call := []string{b.announcement(), b.announcement()}, "instances.heartbeat"
 	if rand.IntN(2) == 0 {
 		call = "instances.deregister"
 		b.departed.Store(true)
@@ -150,7 +152,10 @@
 	}
 	delay := rand.N(drainLimit)
 	time.Sleep(delay)
-	b.post(ctx, "instances.heartbeat", late)
+	for _, body := range late {
+		b.post(ctx, "instances.heartbeat", body)
+		time.Sleep(lateGap)
+	}
 	time.Sleep(drainLimit - delay + time.Second)
 	b.sendAnnouncement(ctx, "instances.deregister")
 	stop, cancel := context.WithTimeout(context.Background(), 2*longServiceTime)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -212,7 +212,11 @@
 		duringStep(func() { setStoreFaults(stores, s.action == actStoreSilent, status) },
 			func() { setStoreFaults(stores, false, 0) })
 	case actStoreDropsResponses:
-		faultStore(metastore.Faults{LoseWriteResponses: true})
+		f := metastore.Faults{LoseWriteResponses: true}
+		if s.variant%2 == 0 {
+			f = metastore.Faults{DelayWrites: s.duration}
+		}
+		faultStore(f)
 	case actWatchesSilent:
 		faultStore(metastore.Faults{HangWatches: true})
 	case actStoreCompacts:
