--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -796,17 +796,22 @@
 	store.SetFaults(metastore.Faults{Status: http.StatusServiceUnavailable})
 	time.AfterFunc(1500*time.Millisecond, func() { store.SetFaults(metastore.Faults{}) })
 	waitFor(t, "an acknowledged departure", func() bool { return leaving.announce("instances.deregister", `{"born":1000}`) })
-	others := []*vm{officeVMs[1], deskVM}
+	killAllNodes(t, 2*time.Second, leaving, officeVMs[1], deskVM)
+	checkLateHeartbeats(t, store, leaving, deskVM)
+}
+
+// killAllNodes kills the nodes of a backend server that leaves and of the others at once, and starts those of the others after a
+// pause.
+func killAllNodes(t *testing.T, pause time.Duration, leaving *vm, others ...*vm) {
+	t.Helper()
 	for _, v := range append([]*vm{leaving}, others...) {
 		v.kill()
 	}
-	store.SetFaults(metastore.Faults{})
-	time.Sleep(leaving.Bounds.Drain)
+	time.Sleep(pause)
 	for _, v := range others {
 		v.start(t)
 		waitFor(t, v.Node+" to be ready", func() bool { return v.readyStatus() == http.StatusOK })
 	}
-	checkLateHeartbeats(t, store, leaving, deskVM)
 }
 
 // Guards against an acknowledged departure that an older record replaces in the store: the write of that record got no response
@@ -815,7 +820,8 @@
 	store, officeVMs, deskVM := startMesh(t)
 	leaving := officeVMs[0]
 	puts := store.Calls(http.MethodPut)
-	store.SetFaults(metastore.Faults{DelayWrites: 2 * time.Second})
+	const delay = 2 * time.Second
+	store.SetFaults(metastore.Faults{DelayWrites: delay})
 	leaving.sequence++
 	if !leaving.announce("instances.heartbeat", fmt.Sprintf(`{"service":"office","slots":5,"state":"ready","sequence":%d,"born":1000}`, leaving.sequence)) {
 		t.Fatal("a heartbeat with another number of slots was not acknowledged")
@@ -824,15 +830,7 @@
 	store.SetFaults(metastore.Faults{})
 	leaving.backendServer.leaving.Store(true)
 	waitFor(t, "an acknowledged departure", func() bool { return leaving.announce("instances.deregister", `{"born":1000}`) })
-	others := []*vm{officeVMs[1], deskVM}
-	for _, v := range append([]*vm{leaving}, others...) {
-		v.kill()
-	}
-	time.Sleep(2500 * time.Millisecond)
-	for _, v := range others {
-		v.start(t)
-		waitFor(t, v.Node+" to be ready", func() bool { return v.readyStatus() == http.StatusOK })
-	}
+	killAllNodes(t, delay+500*time.Millisecond, leaving, officeVMs[1], deskVM)
 	checkLateHeartbeats(t, store, leaving, deskVM)
 }
 
