Do not take a reset for the end of a response without a length

A backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got the part as a whole answer, with the server's signature.

Cause: Linux reports the failure of a connection to one system call only. A long request is written while its response is read; if the write got the reset, the next read returned the buffered bytes and then the end of the stream, as after an orderly close. http.Transport writes and reads at the same time too, so the clients of the store, of the platform and of the command line had the same fault.

Change: network.DetectReset wraps a connection and remembers the error of a failed write; a later end of the stream is then an error. A read that finds the end first ends a pending write, which may have got the report without having returned. pkg/upstream wraps each connection, and strict.NewTransport those of all other clients. A response that is whole is kept: after an orderly close the kernel reports a reset as EPIPE, and a response with a length or in chunks does not depend on the end of its connection.

Ruled out: that the end of such a body is not checked at all. The reset of a short request was detected before.

--- a/cmd/monsoonlatch-sidecar/node_test.go
+++ b/cmd/monsoonlatch-sidecar/node_test.go
@@ -241,7 +241,16 @@
 }
 
 func (v *vm) call(method, path, attempt string, headers ...string) result {
-	req, err := http.NewRequest(method, "http://"+v.Callers.String()+path, strings.NewReader(""))
+	return v.send(method, path, attempt, "", headers...)
+}
+
+// upload sends a POST with a body.
+func (v *vm) upload(path, attempt, body string) result {
+	return v.send(http.MethodPost, path, attempt, body)
+}
+
+func (v *vm) send(method, path, attempt, body string, headers ...string) result {
+	req, err := http.NewRequest(method, "http://"+v.Callers.String()+path, strings.NewReader(body))
 	if err != nil {
 		return result{err: err}
 	}
--- a/cmd/monsoonlatch/explain.go
+++ b/cmd/monsoonlatch/explain.go
@@ -93,7 +93,8 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	// A redirect would send the key to another address.
-	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	client := *nodeClient
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	resp, err := client.Do(req)
 	if err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
--- a/cmd/monsoonlatch/report.go
+++ b/cmd/monsoonlatch/report.go
@@ -7,8 +7,12 @@
 	"strings"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
+// nodeClient sends requests to nodes.
+var nodeClient = &http.Client{Transport: strict.NewTransport(http.DefaultTransport.(*http.Transport))}
+
 // reportSource is a report that a node gives operators.
 type reportSource struct {
 	// op names the report in errors.
@@ -31,7 +35,7 @@
 	if err != nil {
 		return report, usageError{fault.Wrap(fault.Invalid, op, err, "give an IP address and a port")}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := nodeClient.Do(req)
 	if err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
 	}
--- a/internal/convergence/node.go
+++ b/internal/convergence/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/admin"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 const (
@@ -21,7 +22,7 @@
 
 // newClient returns the HTTP client for polls. It keeps one idle connection per node.
 func newClient() *http.Client {
-	return &http.Client{Timeout: readTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2}}
+	return &http.Client{Timeout: readTimeout, Transport: strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2})}
 }
 
 func getJSON(ctx context.Context, c *http.Client, url string, out any) error {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 // maxResponseBytes is the largest response body that the client reads. The rest of a longer one is not read.
@@ -19,21 +21,21 @@
 
 // sender sends each request once and never repeats it.
 type sender struct {
-	transport *http.Transport
+	transport *strict.Transport
 	targets   []string
 	// runID is a prefix that makes request IDs and idempotency keys unique to this run.
 	runID string
 }
 
 func newSender(targets []string, runID string, maxInFlight int) *sender {
-	return &sender{targets: targets, runID: runID, transport: &http.Transport{
+	return &sender{targets: targets, runID: runID, transport: strict.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: maxInFlight,
 		// Shorter than common server idle timeouts, so that the server does not close a connection while a new request
 		// is sent on it.
 		IdleConnTimeout:    2 * time.Second,
 		DisableCompression: true,
-	}}
+	})}
 }
 
 func (s *sender) close() { s.transport.CloseIdleConnections() }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 const (
@@ -39,7 +40,7 @@
 
 func newCaller(v *vm, name string) *caller {
 	return &caller{vm: v, checker: v.checker, name: name,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+		client: &http.Client{Transport: strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true})}}
 }
 
 // run sends requests until ctx ends. Every second one is unsafe: it must run at most once.
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 // Names and limits of the object API. The names follow Kubernetes custom resources.
@@ -62,14 +63,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true) // The HTTP/2 transport repeats requests in further cases.
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: strict.NewTransport(&http.Transport{
 			Proxy:               http.ProxyFromEnvironment,
 			DialContext:         settings.Dial,
 			DisableKeepAlives:   !keepAlive,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     10 * time.Second,
 			Protocols:           protocols,
-		},
+		}),
 		// Following a redirect with status 307 or 308 would repeat a write.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
 // bufferSize is the size of the read and write buffers. Most requests and responses fit, so that each takes one system
@@ -54,7 +56,7 @@
 }
 
 func newConn(nc net.Conn, h *host) *conn {
-	c := &conn{Conn: nc, host: h}
+	c := &conn{Conn: network.DetectReset(nc), host: h}
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
