Use a response only after its end has been read

The command line showed reports of nodes that were cut after their JSON value or had a malformed trailer, and exited with 0. The client of the platform took a cut 404 for a missing object, and a cut 403, 409, 422 or 429 for a write that can't be done.

Cause: json.Decoder stops at the end of the first value, and the error of reading a refusal was dropped. Whether a response is whole is known only at its end.

Change: strict.DecodeJSON reads a response to its end before it decodes it; the command line, the measurement of convergence and the count of doubled keys use it. The client of the platform reads refusals to their end; a broken one is unavailable, so that the outcome of a write is unknown.

--- a/cmd/monsoonlatch/explain.go
+++ b/cmd/monsoonlatch/explain.go
@@ -14,6 +14,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/proxy"
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 const (
@@ -100,19 +101,20 @@
 		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	decoder := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxExplainReportBytes))
-	switch {
-	case !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json"):
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		return report, fault.New(fault.NotFound, op, "the node explains no requests", "give the operators' address of a node of this version")
-	case resp.StatusCode != http.StatusOK:
-		var refused struct{ Error string }
-		_ = decoder.Decode(&refused)
-		return report, usageError{fmt.Errorf("%s: %s", op, oneLine(refused.Error))}
 	}
-	if err := decoder.Decode(&report); err != nil {
+	var answer struct {
+		proxy.ExplainReport
+		Error string
+	}
+	if err := strict.DecodeJSON(resp, maxExplainReportBytes, &answer); err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
 	}
-	return report, nil
+	if resp.StatusCode != http.StatusOK {
+		return report, usageError{fmt.Errorf("%s: %s", op, oneLine(answer.Error))}
+	}
+	return answer.ExplainReport, nil
 }
 
 func (e *env) writeExplanation(r proxy.ExplainReport) error {
--- a/cmd/monsoonlatch/report.go
+++ b/cmd/monsoonlatch/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -43,7 +42,7 @@
 	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		return report, fault.New(fault.NotFound, op, s.absent, s.remedy)
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, s.maxBytes)).Decode(&report); err != nil {
+	if err := strict.DecodeJSON(resp, s.maxBytes, &report); err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
 	}
 	return report, nil
--- a/internal/convergence/node.go
+++ b/internal/convergence/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -38,7 +36,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("GET %s: unexpected status %s", url, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out); err != nil {
+	if err := strict.DecodeJSON(resp, maxResponseBytes, out); err != nil {
 		return fmt.Errorf("GET %s: decode response: %w", url, err)
 	}
 	return nil
--- a/internal/load/doubled.go
+++ b/internal/load/doubled.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/strict"
 )
 
 // CountDoubledKeys reads from backend stand-ins how often the request with each idempotency key was run. It returns the
@@ -34,6 +35,9 @@
 	return doubled, nil
 }
 
+// maxCountsBytes limits the response of a backend stand-in, some 100 bytes for each request of a run.
+const maxCountsBytes = 256 << 20
+
 func fetchRunCounts(ctx context.Context, address string) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
@@ -41,7 +45,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("read run counts of %s: %w", address, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: strict.NewTransport(&http.Transport{DisableKeepAlives: true})}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("read run counts of %s: %w", address, err)
 	}
@@ -49,7 +54,7 @@
 	var counts struct {
 		Keys map[string]int `json:"keys"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+	if err := strict.DecodeJSON(resp, maxCountsBytes, &counts); err != nil {
 		return nil, fmt.Errorf("read run counts of %s: %w", address, err)
 	}
 	return counts.Keys, nil
--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -36,3 +36,13 @@
 	}
 	return variants
 }
+
+// Cut returns variants of a response, given as for InvalidNames, that are cut after the bytes of the body.
+func Cut(head, body string) map[string]string {
+	chunk := fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(body), body)
+	return map[string]string{
+		"cut before the length is reached": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+1, body),
+		"cut before the last chunk":        chunk,
+		"cut in the trailer":               chunk + "0\r\nX-Sum: 1\r\n",
+	}
+}
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -24,7 +24,6 @@
 	maxListBytes = 64 << 20
 	// maxResponseBytes limits any other response, which is at most an object of MaxObjectBytes with its metadata.
 	maxResponseBytes = 2 * MaxObjectBytes
-	maxErrorBytes    = 4 << 10
 )
 
 var wireKinds = map[ObjectKind]string{
@@ -238,12 +237,16 @@
 	return fault.Wrap(fault.Unavailable, op, err, "check the platform's address and the network; read the object before writing again")
 }
 
-// statusError returns an error for a response whose status is not 2xx.
+// statusError returns an error for a response whose status is not 2xx. It reads the body to its end, since the status of a
+// broken response says nothing.
 func statusError(op string, resp *http.Response) error {
 	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
 		return nil
 	}
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return unavailable(op, err)
+	}
 	status := wireStatus{Code: resp.StatusCode}
 	if json.Unmarshal(data, &status) != nil || status.Message == "" {
 		status.Message = http.StatusText(resp.StatusCode)
--- a/pkg/platform/http_test.go
+++ b/pkg/platform/http_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	standin "github.com/monsoonlatch/monsoonlatch/internal/standin/platform"
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/rawhttp"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -33,6 +34,21 @@
 	return platform.Object{Kind: platform.KindRelayLease, Name: name, Spec: json.RawMessage(spec)}
 }
 
+// Guards against a refusal that was cut and that counts: an object is taken for missing, or a write for one that can't be done.
+func TestCutRefusalIsUnavailable(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "409 Conflict", "403 Forbidden", "429 Too Many Requests", "422 Unprocessable Entity"} {
+		for name, raw := range rawhttp.Cut("HTTP/1.1 "+status+"\r\n", `{"message":"refused"}`) {
+			client := newClient(t, rawhttp.Handler(raw))
+			if _, err := client.Get(t.Context(), platform.KindRelayLease, "a"); !fault.Is(err, fault.Unavailable) {
+				t.Errorf("read, status %s %s: error %v, want kind unavailable", status, name, err)
+			}
+			if _, err := client.Create(t.Context(), lease("a", "{}")); !fault.Is(err, fault.Unavailable) {
+				t.Errorf("write, status %s %s: error %v, want kind unavailable", status, name, err)
+			}
+		}
+	}
+}
+
 // Guards against an update or deletion that overwrites another writer's change, and against errors of the wrong kind.
 func TestConditionalUpdates(t *testing.T) {
 	ctx, client := t.Context(), newClient(t, standin.NewServer())
