--- a/pkg/network/reset.go
+++ b/pkg/network/reset.go
@@ -33,7 +33,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	if c.failure == nil && connectionFailed(err) {
+	if err != nil && c.failure == nil && connectionFailed(err) {
 		c.failure = err
 	}
 	return n, err
