Test early answers that are streamed to the client

A body of more than 64 KiB is passed on while it is read, so that it ends on another path than a short one. Now the client's connection is broken off. The row with an orderly close guards against the opposite fault.

The test also waits until an answer has arrived before it resets a connection that it has closed, since a reset discards what has not been sent.

--- a/cmd/monsoonlatch-sidecar/broken_test.go
+++ b/cmd/monsoonlatch-sidecar/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,7 +21,7 @@
 
 // answerRaw makes the backend servers of the VMs answer each request with the bytes that answer returns, and then end the
 // connection.
-func answerRaw(t *testing.T, vms []*vm, answer func(attempt string) string, end func(*net.TCPConn)) {
+func answerRaw(t *testing.T, vms []*vm, answer func(attempt string) string, end func(*testing.T, *net.TCPConn)) {
 	for _, v := range vms {
 		v.backendServer.mu.Lock()
 		v.backendServer.handler = func(w http.ResponseWriter, r *http.Request) bool {
@@ -32,28 +33,39 @@
 			conn := nc.(*net.TCPConn)
 			_ = conn.SetReadBuffer(16 << 10)
 			_, _ = io.WriteString(conn, answer(r.Header.Get("X-Attempt-Id")))
-			end(conn)
+			end(t, conn)
 			return true
 		}
 		v.backendServer.mu.Unlock()
 	}
 }
 
-// closeUnread closes a connection once it holds bytes that have not been read. Linux then resets the connection.
-func closeUnread(t *testing.T, c *net.TCPConn) {
+// queued returns the number of bytes in a queue of a connection, unix.SIOCINQ for those that have not been read and
+// unix.SIOCOUTQ for those that the peer has not acknowledged.
+func queued(c *net.TCPConn, queue uint) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		t.Error(err)
-		return
-	}
-	waitFor(t, "more of the request", func() bool {
-		unread := 0
-		_ = raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-		return err != nil || unread > 0
-	})
-	if err != nil {
-		t.Error(err)
+		return 0, err
 	}
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), queue) })
+	return n, errors.Join(controlErr, err)
+}
+
+func resetConnection(_ *testing.T, c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// closeThenReset closes the sending side and resets the connection once all of the answer has arrived.
+func closeThenReset(t *testing.T, c *net.TCPConn) {
+	_ = c.CloseWrite()
+	waitFor(t, "the answer to arrive", func() bool { n, err := queued(c, unix.SIOCOUTQ); return err != nil || n == 0 })
+	resetConnection(t, c)
+}
+
+// closeUnread closes a connection once it holds bytes that have not been read. Linux then resets the connection.
+func closeUnread(t *testing.T, c *net.TCPConn) {
+	waitFor(t, "more of the request", func() bool { n, err := queued(c, unix.SIOCINQ); return err != nil || n > 0 })
 	_ = c.Close()
 }
 
@@ -68,33 +80,38 @@
 	const attempts = 30
 	_, officeVMs, deskVM := startMesh(t)
 	upload := strings.Repeat("u", 1_000_000)
-	body := strings.Repeat("b", 2000)
-	reset := func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() }
-	closeAndReset := func(c *net.TCPConn) { _ = c.CloseWrite(); reset(c) }
+	body, long := strings.Repeat("b", 2000), strings.Repeat("l", 200_000)
 	for name, c := range map[string]struct {
-		answer func(attempt string) string
-		end    func(*net.TCPConn)
+		// sent is the status that the backend server sends, and rest what follows the first lines of the head.
+		sent int
+		rest string
+		end  func(*testing.T, *net.TCPConn)
+		// status is that of the response; zero means that the response is broken off, or that of a node.
 		status int
+		body   string
 	}{
-		"no length, reset":    {func(a string) string { return head(a, "") + body }, reset, http.StatusBadGateway},
-		"no length, not read": {func(a string) string { return head(a, "") + body }, func(c *net.TCPConn) { closeUnread(t, c) }, http.StatusBadGateway},
-		"no length, closed":   {func(a string) string { return head(a, "") + body }, closeAndReset, http.StatusOK},
-		"length, cut":         {func(a string) string { return head(a, "Content-Length: 2001\r\n") + body }, reset, http.StatusBadGateway},
-		"length":              {func(a string) string { return head(a, "Content-Length: 2000\r\n") + body }, reset, http.StatusOK},
-		"chunks": {func(a string) string {
-			return head(a, "Transfer-Encoding: chunked\r\n") + "7d0\r\n" + body + "\r\n0\r\n\r\n"
-		}, reset, http.StatusOK},
-		"refusal": {func(a string) string {
-			return "HTTP/1.1 503 Full\r\nX-Attempt-Id: " + a + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-		}, reset, http.StatusServiceUnavailable},
+		"no length, reset":           {200, "\r\n" + body, resetConnection, http.StatusBadGateway, ""},
+		"no length, not read":        {200, "\r\n" + body, closeUnread, http.StatusBadGateway, ""},
+		"no length, closed":          {200, "\r\n" + body, closeThenReset, http.StatusOK, body},
+		"length, cut":                {200, "Content-Length: 2001\r\n\r\n" + body, resetConnection, http.StatusBadGateway, ""},
+		"length":                     {200, "Content-Length: 2000\r\n\r\n" + body, resetConnection, http.StatusOK, body},
+		"chunks":                     {200, "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + body + "\r\n0\r\n\r\n", resetConnection, http.StatusOK, body},
+		"no length, streamed, reset": {200, "\r\n" + long, resetConnection, 0, ""},
+		"no length, streamed":        {200, "\r\n" + long, closeThenReset, http.StatusOK, long},
+		"refusal":                    {503, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", resetConnection, http.StatusServiceUnavailable, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			answerRaw(t, officeVMs, c.answer, c.end)
+			answerRaw(t, officeVMs, func(attempt string) string {
+				return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%s", c.sent, attempt, c.rest)
+			}, c.end)
 			wrong := make(map[string]int)
 			for i := range attempts {
 				via := []*vm{deskVM, officeVMs[0]}[i%2]
 				r := via.upload("/lodge/1", fmt.Sprint("early-", name, "-", i), upload)
-				if r.err != nil || r.status != c.status || r.status == http.StatusOK && r.body != body {
+				switch {
+				case c.status == 0 && (r.err != nil || r.status == http.StatusBadGateway):
+				case r.err == nil && r.status == c.status && (r.status != http.StatusOK || r.body == c.body):
+				default:
 					wrong[fmt.Sprintf("status %d, %d bytes, error %v", r.status, len(r.body), r.err)]++
 				}
 			}
@@ -127,7 +144,7 @@
 				return head(a, "Transfer-Encoding: chunked\r\n") + "186a0\r\n" + strings.Repeat("s", 100_000) + "\r\n0\r\n" + field + "\r\n"
 			},
 		} {
-			answerRaw(t, officeVMs, answer, func(c *net.TCPConn) { _ = c.Close() })
+			answerRaw(t, officeVMs, answer, func(_ *testing.T, c *net.TCPConn) { _ = c.Close() })
 			for _, via := range []*vm{deskVM, officeVMs[0]} {
 				r := via.call("POST", "/lodge/1", fmt.Sprint("name-", strings.TrimSpace(place), "-", via.Node))
 				if r.err == nil && (r.status != http.StatusBadGateway || r.header.Get("X-Server-Seal") != "") {
