Let the soak send early, malformed and oddly named responses

While a backend server of the soak is faulty, it also answers with status 000, with a field whose name has a blank (in the head or in that of an interim response), and with a part of a response without a length before it has read the request, whose connection it resets. One in five of the requests that are not safe has a body of 1,000,000 bytes, so that it is still being written then; the receive buffers of the backend servers are small.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -37,6 +37,8 @@
 	longServiceTimeEvery = 20
 	// maxBodyBytes is the upper limit of a response body in bytes: about a dozen chunks of a link.
 	maxBodyBytes = 120 << 10
+	// receiveBuffer is the size in bytes of the receive buffers of a backend server. Long requests don't fit.
+	receiveBuffer = 16 << 10
 	// healthPath is the path of the health check.
 	healthPath = "/healthz"
 )
@@ -84,7 +86,13 @@
 	b := &boot{backendServer: s, id: fmt.Sprintf("%s-boot-%d", s.vm.name, s.bootNumber),
 		startedMillis: time.Now().UnixMilli(), slotsInUse: make(chan struct{}, slots), cancel: cancel}
 	b.state.Store("ready")
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if c, ok := c.(*net.TCPConn); ok {
+				_ = c.SetReadBuffer(receiveBuffer) // Without it, early responses are rarely early.
+			}
+			return ctx
+		}}
 	s.boot.Store(b)
 	go func() { _ = b.server.Serve(ln) }() // Returns when the boot ends.
 	go b.sendHeartbeats(ctx)
@@ -211,9 +219,42 @@
 	if r.Header.Get("X-Caller-Service") == "" {
 		b.checker.addViolation("unasked", "request %s arrived without the header X-Caller-Service", id)
 	}
+	fault := b.nextFault()
+	if fault == faultEarlyReset {
+		b.respondEarly(w, r, id)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body) // A truncated body shows in the caller's response.
 	b.waitServiceTime(r.Context())
-	b.respond(w, r, id)
+	b.respond(w, r, id, fault)
+}
+
+// responseFault is a fault of a response.
+type responseFault int
+
+const (
+	faultNone responseFault = iota
+	// faultStatus500 is no broken response, but a failure of the backend server.
+	faultStatus500
+	faultCutLength
+	faultCutChunks
+	// faultRepeated sends the response twice, faultGarbage bytes that are not HTTP.
+	faultRepeated
+	faultGarbage
+	// faultStatus sends a status that HTTP does not have, faultName a field whose name has a blank.
+	faultStatus
+	faultName
+	// faultEarlyReset sends a part of a response without a length before the request has been read, and resets the connection.
+	faultEarlyReset
+	faultCount
+)
+
+// nextFault returns the fault of a response: while the backend server is faulty, any fault for two of three requests.
+func (b *boot) nextFault() responseFault {
+	if !b.failing.Load() || rand.IntN(3) == 0 {
+		return faultNone
+	}
+	return 1 + rand.N(faultCount-1)
 }
 
 // checkDrain checks that no request arrives later than the drain limit after an acknowledged drain, whatever happens to
@@ -240,28 +281,24 @@
 	clock.Sleep(ctx, d)
 }
 
-// respond sends the response that the caller expects; while the fault is active, it sends a faulty one to five of eight
-// requests. The header X-Server-Seal shows the caller which request the response belongs to.
-func (b *boot) respond(w http.ResponseWriter, r *http.Request, id string) {
+// respond sends the response that the caller expects, or a faulty one. The header X-Server-Seal shows the caller which request
+// the response belongs to.
+func (b *boot) respond(w http.ResponseWriter, r *http.Request, id string, fault responseFault) {
 	body := expectedBody(id, r.URL.Path)
 	w.Header().Set("X-Server-Seal", "seal-"+id)
-	kind := rand.IntN(8)
-	if !b.failing.Load() {
-		kind = 7
-	}
-	switch kind {
-	case 0:
+	switch fault {
+	case faultStatus500:
 		w.WriteHeader(http.StatusInternalServerError)
-	case 1: // Truncated body with a Content-Length.
+	case faultCutLength:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2]) // The caller may have disconnected.
 		panic(http.ErrAbortHandler)
-	case 2: // Truncated body without a Content-Length.
+	case faultCutChunks:
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
-	case 3, 4: // Response sent twice, or bytes that are not HTTP.
-		b.sendStrayBytes(w, id, body, kind == 4)
+	case faultRepeated, faultGarbage, faultStatus, faultName:
+		b.respondRaw(w, id, body, fault)
 	default:
 		if len(id)%2 == 0 {
 			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -270,22 +307,50 @@
 	}
 }
 
-// sendStrayBytes sends the response twice, or bytes that are not HTTP in its place.
-func (b *boot) sendStrayBytes(w http.ResponseWriter, id, body string, garbage bool) {
+// respondRaw sends a response with a fault that net/http does not send.
+func (b *boot) respondRaw(w http.ResponseWriter, id, body string, fault responseFault) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	if garbage {
+	head := fmt.Sprintf("X-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n", id, id)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	whole := "HTTP/1.1 200 OK\r\n" + head + length + "\r\n" + body
+	switch fault {
+	case faultGarbage:
 		_, _ = io.WriteString(conn, "these bytes are no answer\r\n\r\n")
+	case faultStatus:
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 Trouble\r\n"+head+"\r\n"+whole)
+	case faultName:
+		odd := []string{"X Odd: 1\r\n", "X-Odd : 1\r\n", "Content-Length : 1\r\n"}[rand.IntN(3)]
+		_, _ = io.WriteString(conn, []string{
+			"HTTP/1.1 200 OK\r\n" + head + odd + length + "\r\n" + body,
+			"HTTP/1.1 200 OK\r\n" + head + odd + "\r\n" + body + "more",
+			"HTTP/1.1 103 Early Hints\r\n" + odd + "\r\n" + whole,
+		}[rand.IntN(3)])
+	default:
+		_, _ = io.WriteString(conn, whole)
+		time.Sleep(rand.N(maxServiceTime))
+		_, _ = io.WriteString(conn, whole)
+	}
+}
+
+// respondEarly sends a part of the response before it has read the request, and resets the connection at once or soon.
+func (b *boot) respondEarly(w http.ResponseWriter, r *http.Request, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		return
 	}
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
-		id, id, len(body), body)
-	_, _ = io.WriteString(conn, response)
-	time.Sleep(rand.N(maxServiceTime))
-	_, _ = io.WriteString(conn, response)
+	defer conn.Close()
+	body := expectedBody(id, r.URL.Path)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n\r\n%s", id, id, body[:len(body)/2])
+	if rand.IntN(4) == 0 {
+		time.Sleep(rand.N(maxServiceTime))
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
 }
 
 // expectedBody returns the body of the response to a request. The id determines its size.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -20,6 +20,10 @@
 	requestTimeout = 2 * time.Second
 	// requestPause is the pause between two requests of a caller.
 	requestPause = 15 * time.Millisecond
+	// longRequestBytes is the size of a long request body. It must not fit into the socket buffers between a node and a
+	// backend server.
+	longRequestBytes = 1_000_000
+	longRequestEvery = 5
 	// lossTolerance is how long after a request was written its connection may be closed without a response if no
 	// backend server ran the request.
 	lossTolerance = 200 * time.Millisecond
@@ -58,6 +62,15 @@
 	}
 }
 
+// requestBody returns the body of a request, a long one for one in longRequestEvery of those that are not safe.
+func (c *caller) requestBody(id, method string) string {
+	body := "order of " + id
+	if method == http.MethodPost && c.requests/2%longRequestEvery == 0 {
+		body += strings.Repeat(".", longRequestBytes)
+	}
+	return body
+}
+
 // call sends one request with an API key and checks its response. It returns the status, or 0 if there was no complete
 // response.
 func (c *caller) call(ctx context.Context, method, path string, as credential) int {
@@ -73,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), requestTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.vm.address(portCallers)+path,
-		strings.NewReader("order of "+id))
+		strings.NewReader(c.requestBody(id, method)))
 	if err != nil {
 		return 0
 	}
