--- a/internal/load/doubled.go
+++ b/internal/load/doubled.go
@@ -35,7 +35,7 @@
 	return doubled, nil
 }
 
-// maxCountsBytes limits the response of a backend stand-in, some 100 bytes for each request of a run.
+// maxCountsBytes limits the response of a backend stand-in.
 const maxCountsBytes = 256 << 20
 
 func fetchRunCounts(ctx context.Context, address string) (map[string]int, error) {
