Read a refusal of a node to its end before it counts

A command that reads a report took a refusal that was cut, or had a malformed trailer, for that of a node without the report (not_found), since the status was looked at first. It is unavailable now, as for reports and explanations.

A refusal that holds more than its JSON value is whole, and is left out for that reason.

The limit on informational responses stood in two packages; pkg/upstream uses that of pkg/strict.

--- a/cmd/monsoonlatch/report.go
+++ b/cmd/monsoonlatch/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 
@@ -39,10 +40,14 @@
 		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	data, err := strict.ReadBody(resp, s.maxBytes)
+	if err != nil {
+		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
+	}
 	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		return report, fault.New(fault.NotFound, op, s.absent, s.remedy)
 	}
-	if err := strict.DecodeJSON(resp, s.maxBytes, &report); err != nil {
+	if err := json.Unmarshal(data, &report); err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
 	}
 	return report, nil
--- a/pkg/strict/transport.go
+++ b/pkg/strict/transport.go
@@ -12,8 +12,8 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/network"
 )
 
-// maxInformational is the maximum number of 1xx responses before the final one.
-const maxInformational = 8
+// MaxInformational is the maximum number of 1xx responses before the final one.
+const MaxInformational = 8
 
 var errInformational = errors.New("too many informational responses")
 
@@ -43,7 +43,7 @@
 	informational := 0
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 		// With this hook, net/http does not limit the number of informational responses.
-		if informational++; informational > maxInformational {
+		if informational++; informational > MaxInformational {
 			return errInformational
 		}
 		return CheckNames(http.Header(h))
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -18,9 +18,6 @@
 // HeaderRequestID is the header that identifies a request between nodes; the response repeats it.
 const HeaderRequestID = "Ml-Request-Id"
 
-// maxInformational is the maximum number of 1xx responses before the final one.
-const maxInformational = 8
-
 // minStatus and maxStatus are the range of statuses in HTTP (RFC 9110, section 15). http.ReadResponse accepts any three digits.
 const (
 	minStatus = 100
@@ -292,7 +289,7 @@
 	}
 	c.limitBytes(maxHeadBytes)
 	defer c.unlimitBytes()
-	for range maxInformational {
+	for range strict.MaxInformational {
 		resp, err := http.ReadResponse(c.br, ex.Request)
 		switch {
 		case err != nil:
