Hold the order of events in the test of early answers

TestEarlyAnswerIsPassedOnOnlyIfItIsWhole lost a whole answer in 1 of 10 runs beside load. Two causes, both in its backend server, traced with the logs of the nodes and the queues of the connections:

- It kept the connection, by leaving out Connection: close, and reset it.
The lost request was the next one on that connection and had not reached it.
- It made the receive buffer smaller while an upload was in flight, so that Linux dropped bytes of it and then the acknowledgements of the answer; a streamed answer then ended at the deadline, in 5 of 750 runs.

The checks are as before. The soak limits the receive buffers the same way.

--- a/cmd/monsoonlatch-sidecar/broken_test.go
+++ b/cmd/monsoonlatch-sidecar/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -20,9 +20,18 @@
 )
 
 // answerRaw makes the backend servers of the VMs answer each request with the bytes that answer returns, and then end the
-// connection.
-func answerRaw(t *testing.T, vms []*vm, answer func(attempt string) string, end func(*testing.T, *net.TCPConn)) {
+// connection. New connections to them have small receive buffers, so that long requests don't fit. Shrinking the buffer of a
+// connection in use instead makes Linux drop what is in flight, which can stall the answer for seconds.
+func answerRaw(t *testing.T, vms []*vm, answer func(attempt string) string, end func(*net.TCPConn)) {
 	for _, v := range vms {
+		raw, err := v.backendServer.server.Listener.(*net.TCPListener).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 16<<10) })
+		if err != nil {
+			t.Fatal(err)
+		}
 		v.backendServer.mu.Lock()
 		v.backendServer.handler = func(w http.ResponseWriter, r *http.Request) bool {
 			nc, _, err := http.NewResponseController(w).Hijack()
@@ -31,41 +40,46 @@
 				return true
 			}
 			conn := nc.(*net.TCPConn)
-			_ = conn.SetReadBuffer(16 << 10)
 			_, _ = io.WriteString(conn, answer(r.Header.Get("X-Attempt-Id")))
-			end(t, conn)
+			end(conn)
 			return true
 		}
 		v.backendServer.mu.Unlock()
 	}
 }
 
-// queued returns the number of bytes in a queue of a connection, unix.SIOCINQ for those that have not been read and
-// unix.SIOCOUTQ for those that the peer has not acknowledged.
-func queued(c *net.TCPConn, queue uint) (n int, err error) {
+// awaitQueue waits until the length of a queue of a connection fulfils a condition, or is not known. The queue is unix.SIOCINQ for
+// bytes that have not been read, or unix.SIOCOUTQ for those that the peer has not acknowledged.
+func awaitQueue(c *net.TCPConn, queue uint, condition func(length int) bool) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0, err
+		return
+	}
+	for range 5000 {
+		length := 0
+		controlErr := raw.Control(func(fd uintptr) { length, err = unix.IoctlGetInt(int(fd), queue) })
+		if controlErr != nil || err != nil || condition(length) {
+			return
+		}
+		time.Sleep(time.Millisecond)
 	}
-	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), queue) })
-	return n, errors.Join(controlErr, err)
 }
 
-func resetConnection(_ *testing.T, c *net.TCPConn) {
+func resetConnection(c *net.TCPConn) {
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
 
 // closeThenReset closes the sending side and resets the connection once all of the answer has arrived.
-func closeThenReset(t *testing.T, c *net.TCPConn) {
+func closeThenReset(c *net.TCPConn) {
 	_ = c.CloseWrite()
-	waitFor(t, "the answer to arrive", func() bool { n, err := queued(c, unix.SIOCOUTQ); return err != nil || n == 0 })
-	resetConnection(t, c)
+	awaitQueue(c, unix.SIOCOUTQ, func(length int) bool { return length == 0 })
+	resetConnection(c)
 }
 
 // closeUnread closes a connection once it holds bytes that have not been read. Linux then resets the connection.
-func closeUnread(t *testing.T, c *net.TCPConn) {
-	waitFor(t, "more of the request", func() bool { n, err := queued(c, unix.SIOCINQ); return err != nil || n > 0 })
+func closeUnread(c *net.TCPConn) {
+	awaitQueue(c, unix.SIOCINQ, func(length int) bool { return length > 0 })
 	_ = c.Close()
 }
 
@@ -85,7 +99,7 @@
 		// sent is the status that the backend server sends, and rest what follows the first lines of the head.
 		sent int
 		rest string
-		end  func(*testing.T, *net.TCPConn)
+		end  func(*net.TCPConn)
 		// status is that of the response; zero means that the response is broken off, or that of a node.
 		status int
 		body   string
@@ -102,7 +116,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			answerRaw(t, officeVMs, func(attempt string) string {
-				return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n%s", c.sent, attempt, c.rest)
+				// A connection that is kept may carry the next request when it is reset.
+				return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nConnection: close\r\n%s", c.sent, attempt, c.rest)
 			}, c.end)
 			wrong := make(map[string]int)
 			for i := range attempts {
@@ -144,7 +159,7 @@
 				return head(a, "Transfer-Encoding: chunked\r\n") + "186a0\r\n" + strings.Repeat("s", 100_000) + "\r\n0\r\n" + field + "\r\n"
 			},
 		} {
-			answerRaw(t, officeVMs, answer, func(_ *testing.T, c *net.TCPConn) { _ = c.Close() })
+			answerRaw(t, officeVMs, answer, func(c *net.TCPConn) { _ = c.Close() })
 			for _, via := range []*vm{deskVM, officeVMs[0]} {
 				r := via.call("POST", "/lodge/1", fmt.Sprint("name-", strings.TrimSpace(place), "-", via.Node))
 				if r.err == nil && (r.status != http.StatusBadGateway || r.header.Get("X-Server-Seal") != "") {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
@@ -78,7 +80,7 @@
 	if !sameID || s.bootNumber == 0 {
 		s.bootNumber++
 	}
-	ln, err := net.Listen("tcp", s.vm.backendAddress())
+	ln, err := (&net.ListenConfig{Control: limitReceiveBuffer}).Listen(context.Background(), "tcp", s.vm.backendAddress())
 	if err != nil {
 		return err
 	}
@@ -86,19 +88,22 @@
 	b := &boot{backendServer: s, id: fmt.Sprintf("%s-boot-%d", s.vm.name, s.bootNumber),
 		startedMillis: time.Now().UnixMilli(), slotsInUse: make(chan struct{}, slots), cancel: cancel}
 	b.state.Store("ready")
-	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			if c, ok := c.(*net.TCPConn); ok {
-				_ = c.SetReadBuffer(receiveBuffer) // Without it, early responses are rarely early.
-			}
-			return ctx
-		}}
+	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
 	s.boot.Store(b)
 	go func() { _ = b.server.Serve(ln) }() // Returns when the boot ends.
 	go b.sendHeartbeats(ctx)
 	return nil
 }
 
+// limitReceiveBuffer limits the receive buffers of the connections of a listener.
+func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	return errors.Join(err, optionErr)
+}
+
 // sendHeartbeats sends heartbeats until the boot ends.
 func (b *boot) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil && !b.departed.Load() {
