Count only the tested transfer in TestServiceOverRPC

Cause, in the test: a home that is short of tokens asks other zones by itself (RunTransfers), and its bucket is new, so nearly empty. The test counted what that transfer brought as well; usually it comes later.

Change: the test ends the service's own transfers before it makes one, and expects exactly 1 token more. The rest is as before.

--- a/pkg/quota/wire_test.go
+++ b/pkg/quota/wire_test.go
@@ -40,7 +40,9 @@
 	defer cancel()
 	var servers []*rpcwire.Server
 	var services []*Service
-	var running sync.WaitGroup
+	transferring, stopTransfers := context.WithCancel(ctx)
+	defer stopTransfers()
+	var running, transfers sync.WaitGroup
 	for i, in := range all {
 		set := metric.NewSet()
 		server := rpcwire.NewServer(rpcwire.ServerSettings{Networks: networks}, zerolog.Nop(), set)
@@ -53,12 +55,13 @@
 			Metrics: set, Log: zerolog.Nop()}, server)
 		server.Serve(listeners[i])
 		running.Go(func() { s.Run(ctx) })
-		running.Go(func() { s.RunTransfers(ctx) })
+		transfers.Go(func() { s.RunTransfers(transferring) })
 		servers, services = append(servers, server), append(services, s)
 		defer pool.Close()
 		defer func() { _ = server.Stop(context.Background()) }()
 	}
 	defer running.Wait()
+	defer transfers.Wait()
 	defer cancel()
 	l := Limit{Tenant: "wired", Rate: 1e4, Burst: 1e4}
 	home, _ := services[0].topology.Load().Home("zone-0", l.Tenant)
@@ -79,8 +82,16 @@
 		t.Error("the home has no bucket of the tenant")
 	}
 	other, _ := services[0].topology.Load().Home("zone-1", l.Tenant)
+	// A home that is short of tokens starts transfers of its own, which count too.
+	stopTransfers()
+	transfers.Wait()
+	for len(services[homeIndex].transferSlots) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	tokensReceived := func() int64 { return services[homeIndex].Metrics.Snapshot()["quota.tokens_received"] }
+	before := tokensReceived()
 	services[homeIndex].transfer(t.Context(), other, Request{Zone: "zone-1", Limit: l, Want: 1})
-	if n := services[homeIndex].Metrics.Snapshot()["quota.tokens_received"]; n != 1 {
+	if n := tokensReceived() - before; n != 1 {
 		t.Errorf("%d tokens received from the other zone, want 1", n)
 	}
 	_ = servers[homeIndex].Stop(t.Context())
