Let a backend server of the soak wait for its address

Cause, in the soak: it starts the processes of the nodes, and a child holds copies of all listeners from its fork until its exec has closed them. A backend server that ends and listens again in that time, milliseconds, finds its address in use.

Change: while the address is in use, the backend server tries again, for 1 s.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -41,6 +41,8 @@
 	maxBodyBytes = 120 << 10
 	// receiveBuffer is the size in bytes of the receive buffers of a backend server. Long requests don't fit.
 	receiveBuffer = 16 << 10
+	// listenTimeout is how long a backend server tries to listen while its address is in use.
+	listenTimeout = time.Second
 	// healthPath is the path of the health check.
 	healthPath = "/healthz"
 )
@@ -80,7 +82,7 @@
 	if !sameID || s.bootNumber == 0 {
 		s.bootNumber++
 	}
-	ln, err := (&net.ListenConfig{Control: limitReceiveBuffer}).Listen(context.Background(), "tcp", s.vm.backendAddress())
+	ln, err := s.listen()
 	if err != nil {
 		return err
 	}
@@ -95,6 +97,18 @@
 	return nil
 }
 
+// listen listens on the address of the backend server. Each process that is being started holds a copy of the listener of the boot
+// before for some milliseconds, until its exec has closed it, so that the address may still be in use.
+func (s *backendServer) listen() (net.Listener, error) {
+	config := net.ListenConfig{Control: limitReceiveBuffer}
+	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(time.Millisecond) {
+		ln, err := config.Listen(context.Background(), "tcp", s.vm.backendAddress())
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return ln, err
+		}
+	}
+}
+
 // limitReceiveBuffer limits the receive buffers of the connections of a listener.
 func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
 	var optionErr error
