Read a refusal that is not JSON to its end before it counts

explain took a refusal that was cut, or had a malformed trailer, for that of a node that explains no requests (not_found) if its content type was not JSON, since the type was looked at first. It is unavailable now, as for reports.

--- a/cmd/monsoonlatch/broken_test.go
+++ b/cmd/monsoonlatch/broken_test.go
@@ -13,8 +13,9 @@
 
 // Guards against a malformed answer of a node, or one that was cut after its JSON value, that a command shows as the node's.
 func TestBrokenAnswerOfANode(t *testing.T) {
-	for _, c := range []struct{ status, body string }{{"200 OK", `{"node":"a"}`}, {"400 Bad Request", `{"error":"the path is invalid"}`}} {
-		head := "HTTP/1.1 " + c.status + "\r\nContent-Type: application/json\r\n"
+	for _, c := range []struct{ status, contentType, body string }{{"200 OK", "application/json", `{"node":"a"}`},
+		{"400 Bad Request", "application/json", `{"error":"the path is invalid"}`}, {"404 Not Found", "text/plain", "404 page not found"}} {
+		head := "HTTP/1.1 " + c.status + "\r\nContent-Type: " + c.contentType + "\r\n"
 		answers := rawhttp.InvalidNames(head, c.body)
 		maps.Copy(answers, rawhttp.Cut(head, c.body))
 		if c.status == "200 OK" {
--- a/cmd/monsoonlatch/explain.go
+++ b/cmd/monsoonlatch/explain.go
@@ -101,6 +101,10 @@
 		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	data, err := strict.ReadBody(resp, maxExplainReportBytes)
+	if err != nil {
+		return report, fault.Wrap(fault.Unavailable, op, err, "check the node, or ask another one")
+	}
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json") {
 		return report, fault.New(fault.NotFound, op, "the node explains no requests", "give the operators' address of a node of this version")
 	}
@@ -108,7 +112,7 @@
 		proxy.ExplainReport
 		Error string
 	}
-	if err := strict.DecodeJSON(resp, maxExplainReportBytes, &answer); err != nil {
+	if err := json.Unmarshal(data, &answer); err != nil {
 		return report, fault.Wrap(fault.Unavailable, op, err, "give the operators' address of a node")
 	}
 	if resp.StatusCode != http.StatusOK {
