--- a/review/standin-3/mesh.go
+++ b/review/standin-3/mesh.go
@@ -78,14 +78,13 @@
 }
 
 type machine struct {
-	mesh                *mesh
-	name, ip, zone      string
-	service, version    string
-	bad                 float64 // the share of requests that the instance fails
-	cmd                 *exec.Cmd
-	ended               chan struct{}
-	instance            *instance
-	startedAt, killedAt time.Time
+	mesh             *mesh
+	name, ip, zone   string
+	service, version string
+	bad              float64 // the share of requests that the instance fails
+	cmd              *exec.Cmd
+	ended            chan struct{}
+	instance         *instance
 }
 
 // newMesh starts the store and picks addresses: a network of 127.0.0.0/8 and a range of ports that are free there.
@@ -234,7 +233,7 @@
 	if err := v.cmd.Start(); err != nil {
 		return err
 	}
-	v.ended, v.startedAt = make(chan struct{}), time.Now()
+	v.ended = make(chan struct{})
 	v.mesh.record.line("node %s: started", v.name)
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		err := cmd.Wait()
