--- a/review/standin-3/mesh.go
+++ b/review/standin-3/mesh.go
@@ -388,7 +388,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if i.machine.mesh.recordsRuns.Load() {
-		i.machine.mesh.record.line("instance %s of %s on %s: runs %s %s (%s) of tenant %q", i.id, i.service, i.machine.name, r.Method, r.URL.Path, id, r.Header.Get("X-Tenant"))
+		i.machine.mesh.record.line("instance %s of %s on %s: runs %s %s (%s) of tenant %q", i.id, i.service, i.machine.name, r.Method, r.RequestURI, id, r.Header.Get("X-Tenant"))
 	}
 	i.machine.mesh.countRun(i.service, i.machine.version)
 	time.Sleep(i.work)
