--- a/review/standin-3/mesh.go
+++ b/review/standin-3/mesh.go
@@ -51,10 +51,13 @@
 
 // mesh is a small deployment on loopback addresses: a store, and machines with a node and an instance each.
 type mesh struct {
-	record   *record
-	dir      string
-	prefix   string
-	port     int
+	record *record
+	dir    string
+	prefix string
+	port   int
+	// grace is the time between SIGTERM and SIGKILL in the settings.
+	grace    time.Duration
+	work     time.Duration // of each request
 	store    *store
 	machines []*machine
 	attempts atomic.Int64
@@ -70,6 +73,19 @@
 	m.runs[service+" "+version]++
 }
 
+// ran reports whether any instance has begun to run the request.
+func (m *mesh) ran(id string) bool {
+	for _, v := range m.machines {
+		v.instance.mu.Lock()
+		n := v.instance.runs[id]
+		v.instance.mu.Unlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ranSoFar returns the number of requests that the instances of a version have run.
 func (m *mesh) ranSoFar(service, version string) int {
 	m.runsMu.Lock()
@@ -93,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &mesh{record: rec, dir: dir, runs: map[string]int{}}
+	m := &mesh{record: rec, dir: dir, grace: 6 * time.Second, work: 200 * time.Millisecond, runs: map[string]int{}}
 	for range 50 {
 		m.prefix = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250))
 		m.port = 12000 + rand.IntN(15000)
@@ -112,8 +128,13 @@
 
 // add adds a machine, with its instance and its node. After it boots for the first time, bootstrap is false.
 func (m *mesh) add(service, version string, bad float64, bootstrap bool) (*machine, error) {
+	return m.addIn(zones[len(m.machines)%len(zones)], service, version, bad, bootstrap)
+}
+
+// addIn adds a machine in a zone.
+func (m *mesh) addIn(zone, service, version string, bad float64, bootstrap bool) (*machine, error) {
 	i := len(m.machines)
-	v := &machine{mesh: m, name: fmt.Sprint("sidecar-", i+1), ip: m.prefix + strconv.Itoa(i+1), zone: zones[i%len(zones)], service: service, version: version, bad: bad}
+	v := &machine{mesh: m, name: fmt.Sprint("sidecar-", i+1), ip: m.prefix + strconv.Itoa(i+1), zone: zone, service: service, version: version, bad: bad}
 	m.machines = append(m.machines, v)
 	if err := os.WriteFile(v.settingsPath(), []byte(v.settings(bootstrap)), 0o600); err != nil {
 		return nil, err
@@ -194,7 +215,7 @@
 ackMs = 5000
 catchUpS = 6
 drainMs = %d
-graceS = 6
+graceS = %d
 lossSlackMs = 200
 configApplyMs = %d
 rollbackSlackMs = 250
@@ -214,7 +235,7 @@
 `, v.name, v.ip, v.zone, bootstrap, v.address(portApp), v.service, v.mesh.port+portInternal, v.mesh.port+portInternal+15,
 		v.address(portInbound), v.address(portOutbound), v.address(portReady), v.address(portControl),
 		heartbeat.Milliseconds(), v.mesh.address(250, portStore), int(addrReuse.Seconds()), stability.Milliseconds(),
-		drainBound.Milliseconds(), configApply.Milliseconds(), maxStretch.Milliseconds(), exposeShare, exposeSlack)
+		drainBound.Milliseconds(), int(v.mesh.grace.Seconds()), configApply.Milliseconds(), maxStretch.Milliseconds(), exposeShare, exposeSlack)
 }
 
 // start starts the node with the command of the deploy file.
@@ -289,7 +310,6 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	runs     map[string]int
-	work     time.Duration
 	ackedAt  time.Time // when the leaving was acknowledged
 	lateRuns int
 }
@@ -301,7 +321,7 @@
 	if err != nil {
 		return err
 	}
-	i := &instance{machine: v, id: id, service: service, born: time.Now().UnixMilli(), runs: map[string]int{}, work: 200 * time.Millisecond}
+	i := &instance{machine: v, id: id, service: service, born: time.Now().UnixMilli(), runs: map[string]int{}}
 	i.state.Store("ready")
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	i.server = &http.Server{Handler: i, IdleTimeout: 10 * time.Second}
@@ -391,7 +411,7 @@
 		i.machine.mesh.record.line("instance %s of %s on %s: runs %s %s (%s) of tenant %q", i.id, i.service, i.machine.name, r.Method, r.RequestURI, id, r.Header.Get("X-Tenant"))
 	}
 	i.machine.mesh.countRun(i.service, i.machine.version)
-	time.Sleep(i.work)
+	time.Sleep(i.machine.mesh.work)
 	if rand.Float64() < i.machine.bad {
 		w.Header().Set("X-Server-Seal", "seal-"+id)
 		w.WriteHeader(http.StatusInternalServerError)
