Order roll-outs by the era of the store and the revision

What callers saw: after the store had come back from a copy of itself, an order to roll out a bad version was not carried out.

Cause: the store gives revisions out again after a restore. Plans and objects were compared by the revision alone, so that the new order counted as older than the last status of the one before. No code read the Store-Era header.

Change: package era has positions, which are compared by era first, and keeps the latest era that any answer has told. The client of the store reads the era of each answer; objects, listings and changes carry it, and an answer of an earlier era than the latest known one is refused. A status is written only under a condition that was read in the present era, and a write whose answer is of another era counts as a conflict. A listing no longer withdraws an order that is known from an earlier era.

Why this works: whatever the store returns after a restore has a later era, so it counts as later than all that was read before, and nothing that was read before can follow it.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/balance"
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
@@ -185,7 +186,8 @@
 // buildDirectory creates the components that watch the store, synchronise with other nodes, and publish this
 // node's instance record.
 func buildDirectory(b *builder) {
-	store, state := platform.NewStore(b.vm.StoreAddress), find[*directory.State](b, nameDirectoryState)
+	eras := era.NewTracker()
+	store, state := platform.NewStore(b.vm.StoreAddress, eras), find[*directory.State](b, nameDirectoryState)
 	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: b.self(), Clock: b.clock, Log: b.log,
 		Metrics: b.metrics()}
 	follower.SetApplyBound(b.vm.Bounds.Apply)
--- /dev/null
+++ b/cmd/monsoonlatch-sidecar/restore_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/internal/standin/metastore"
+)
+
+// startStore starts a store with a configuration and returns its address.
+func startStore(t *testing.T, routes ...string) (store *metastore.Store, addr string) {
+	store = metastore.New()
+	store.Put("config", "main", configurationJSON(3, routes...))
+	srv := httptest.NewServer(store)
+	t.Cleanup(srv.CloseClientConnections)
+	return store, strings.TrimPrefix(srv.URL, "http://")
+}
+
+// restore makes the store unreachable for a while, and brings it back from a copy.
+func restore(store *metastore.Store, c *metastore.Copy, away time.Duration) {
+	store.SetFaults(metastore.Faults{Away: true})
+	time.Sleep(away)
+	store.Restore(c)
+	store.SetFaults(metastore.Faults{})
+}
+
+// Guards against an order that is dropped as older than the last one, since the store has come back from a copy and has given its
+// revision out before: a bad version then gets its full share of the requests.
+func TestOrderAfterTheStoreIsRestored(t *testing.T) {
+	store, addr := startStore(t, "/safe/>office", "/desk/>desk")
+	var all, bad atomic.Int64
+	answer := func(fails bool) func(http.ResponseWriter, *http.Request) bool {
+		return func(w http.ResponseWriter, _ *http.Request) bool {
+			all.Add(1)
+			if !fails {
+				return false
+			}
+			if bad.Add(1)%2 == 0 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+			return false
+		}
+	}
+	vms := []*vm{versionVM(t, addr, "office-1", "office", "v2", answer(false)), versionVM(t, addr, "office-2", "office", "v2", answer(false)),
+		versionVM(t, addr, "desk-1", "desk", "v1", nil)}
+	for _, v := range vms {
+		waitFor(t, v.Node+" to be ready", func() bool { return v.readyStatus() == http.StatusOK })
+	}
+	deskVM := vms[2]
+	waitFor(t, "the first response", func() bool { return deskVM.call("GET", "/safe/x", "warm").status == 200 })
+	store.Put("rollouts", "office", `{"service":"office","targetVersion":"v2","durationS":8}`)
+	before := store.Copy()
+	for i := range 30 { // Other writes, so that the later order gets a revision that was given out before.
+		store.Put("others", "a", fmt.Sprint(i))
+	}
+	waitFor(t, "the end of the first order", func() bool { state, _ := rolloutState(store); return state == "completed" })
+	restore(store, before, 300*time.Millisecond)
+	for _, name := range []string{"office-3", "office-4"} {
+		versionVMBornAt(t, addr, name, "office", "v3", time.Now().UnixMilli(), answer(true))
+	}
+	store.Put("rollouts", "office", `{"service":"office","targetVersion":"v3","durationS":8}`)
+	all.Store(0)
+	stop := make(chan struct{})
+	var calls sync.WaitGroup
+	for i := range 4 {
+		calls.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				deskVM.call("GET", "/safe/x", fmt.Sprintf("c%d-%d", i, n))
+			}
+		})
+	}
+	for range 90 {
+		if state, version := rolloutState(store); version == "v3" && state == "rolled_back" {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	calls.Wait()
+	if state, version := rolloutState(store); state != "rolled_back" || version != "v3" {
+		t.Errorf("status %s, want rolled_back", store.Status("rollouts", "office"))
+	}
+	if limit := 0.1*float64(all.Load()) + 50; float64(bad.Load()) > limit {
+		t.Errorf("the bad version got %d of %d requests, more than %.0f", bad.Load(), all.Load(), limit)
+	}
+}
--- a/cmd/monsoonlatch-sidecar/rollout_test.go
+++ b/cmd/monsoonlatch-sidecar/rollout_test.go
@@ -22,6 +22,12 @@
 
 // versionVM starts a VM on which roll-outs are in force, with a backend server of the given version.
 func versionVM(t *testing.T, store, name, service, version string, handler func(http.ResponseWriter, *http.Request) bool) *vm {
+	t.Helper()
+	return versionVMBornAt(t, store, name, service, version, 1000, handler)
+}
+
+// versionVMBornAt is versionVM for a backend server that names the given time of its start, in Unix milliseconds.
+func versionVMBornAt(t *testing.T, store, name, service, version string, born int64, handler func(http.ResponseWriter, *http.Request) bool) *vm {
 	t.Helper()
 	v := &vm{backendServer: newTestBackendServer(t, "i-"+name)}
 	v.backendServer.handler = handler
@@ -31,8 +37,8 @@
 	v.start(t)
 	heartbeat := func() bool {
 		v.sequence++
-		return v.announce("instances.heartbeat", fmt.Sprintf(`{"service":%q,"zone":"west","version":%q,"slots":4,"state":"ready","coldLeftMs":0,"sequence":%d,"born":1000}`,
-			service, version, v.sequence))
+		return v.announce("instances.heartbeat", fmt.Sprintf(`{"service":%q,"zone":"west","version":%q,"slots":4,"state":"ready","coldLeftMs":0,"sequence":%d,"born":%d}`,
+			service, version, v.sequence, born))
 	}
 	waitFor(t, "an acknowledged heartbeat of "+name, heartbeat)
 	stop, stopped := make(chan struct{}), make(chan struct{})
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -1,9 +1,10 @@
 // Package metastore is a stand-in for the users' metadata store. It holds objects by kind and name under one revision
-// counter, serves watches and injects faults on demand. Store is an http.Handler.
+// counter, serves watches, comes back from a copy of itself and injects faults on demand. Store is an http.Handler.
 package metastore
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,6 +38,8 @@
 
 // Faults are the faults that tests inject. The zero value is a store without faults.
 type Faults struct {
+	// Away resets all connections.
+	Away bool
 	// Status is the HTTP status with which all calls are rejected, if not zero.
 	Status int
 	// Silent leaves all calls without a response until the client disconnects.
@@ -48,14 +51,20 @@
 	DelayWrites time.Duration
 	// HangWatches leaves watches without a response, even if objects change.
 	HangWatches bool
+	// Era, if set, returns the era that an answer names instead of the store's own; empty for none.
+	Era func() string
 }
 
 // Store is the metadata store stand-in. Create it with New.
 type Store struct {
+	// restore is held by Restore, and shared by the calls whose answers name the era.
+	restore  sync.RWMutex
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]map[string]object
-	history  []change
+	// era counts how often the store has come back from a copy.
+	era     uint64
+	objects map[string]map[string]object
+	history []change
 	// compacted is the revision up to which the history was compacted.
 	compacted uint64
 	faults    Faults
@@ -67,7 +76,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), calls: make(map[string]int),
+		revision: 1, era: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), calls: make(map[string]int),
 	}
 }
 
@@ -76,6 +85,49 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.notifyWatches()
+}
+
+// Copy is the state of a store at a moment.
+type Copy struct {
+	revision  uint64
+	objects   map[string]map[string]object
+	history   []change
+	compacted uint64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{s.revision, cloneObjects(s.objects), slices.Clone(s.history), s.compacted}
+}
+
+// Restore brings the store back from a copy: what was written since is gone, and its revisions are given out again. Pending
+// watches end without a response. It may be called several times with the same copy.
+func (s *Store) Restore(c *Copy) {
+	s.restore.Lock()
+	defer s.restore.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects, s.history, s.compacted = c.revision, cloneObjects(c.objects), slices.Clone(c.history), c.compacted
+	s.era++
+	s.notifyWatches()
+}
+
+func cloneObjects(objects map[string]map[string]object) map[string]map[string]object {
+	out := make(map[string]map[string]object, len(objects))
+	for kind, byName := range objects {
+		out[kind] = maps.Clone(byName)
+	}
+	return out
+}
+
+// Era returns the number of times that the store has come back from a copy, plus one.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // Compact drops the history. A watch from an earlier revision, including a pending one, fails with 410.
@@ -156,12 +208,24 @@
 	f := s.faults
 	s.mu.Unlock()
 	switch {
+	case f.Away:
+		panic(http.ErrAbortHandler)
 	case f.Silent:
 		<-r.Context().Done()
 	case f.Status != 0:
-		w.WriteHeader(f.Status)
+		eraWriter{w, s.Era(), f}.WriteHeader(f.Status)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind, f)
+	default:
+		s.restore.RLock()
+		defer s.restore.RUnlock()
+		s.serveCall(eraWriter{w, s.Era(), f}, r, kind, name, f)
+	}
+}
+
+// serveCall serves all calls but watches, between two restores.
+func (s *Store) serveCall(w http.ResponseWriter, r *http.Request, kind, name string, f Faults) {
+	switch {
 	case r.Method == http.MethodGet && name != "":
 		s.serveObject(w, kind, name)
 	case r.Method == http.MethodGet:
@@ -171,6 +235,24 @@
 	}
 }
 
+// eraWriter names the era in the header of each answer.
+type eraWriter struct {
+	http.ResponseWriter
+	era    uint64
+	faults Faults
+}
+
+func (w eraWriter) WriteHeader(status int) {
+	named := strconv.FormatUint(w.era, 10)
+	if w.faults.Era != nil {
+		named = w.faults.Era()
+	}
+	if named != "" {
+		w.Header().Set("Store-Era", named)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (s *Store) serveObject(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind][name]
@@ -184,7 +266,6 @@
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	var names []string
 	for name := range s.objects[kind] {
 		if name > r.URL.Query().Get("after") {
@@ -198,7 +279,9 @@
 	for _, name := range names {
 		items = append(items, s.objects[kind][name])
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "storeRevision": s.revision})
+	at := s.revision
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "storeRevision": at})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, f Faults) {
@@ -209,9 +292,15 @@
 		return
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	began := s.Era()
+	w = eraWriter{w, began, f}
 	for {
 		s.mu.Lock()
-		if after < s.compacted {
+		if s.era != began || s.faults.Away {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.compacted || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -38,7 +39,8 @@
 // memoryStore is an in-memory Store with injectable faults.
 type memoryStore struct {
 	mu           sync.Mutex
-	revision     Revision
+	revision     uint64
+	era          era.Number
 	objects      map[platform.ObjectKind]map[string]string
 	changes      []memoryChange
 	changeNotice chan struct{}
@@ -48,21 +50,21 @@
 	// delayWrites leaves writes without a response and performs them after this time, if their conditions still hold then.
 	delayWrites time.Duration
 	// versions holds the revision of the last change of each object.
-	versions map[platform.ObjectKind]map[string]Revision
+	versions map[platform.ObjectKind]map[string]uint64
 
 	puts  int
 	calls int
 }
 
 type memoryChange struct {
-	at   Revision
+	at   uint64
 	kind platform.ObjectKind
 	Change
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{objects: make(map[platform.ObjectKind]map[string]string), changeNotice: make(chan struct{}),
-		versions: make(map[platform.ObjectKind]map[string]Revision)}
+		versions: make(map[platform.ObjectKind]map[string]uint64)}
 }
 
 // set stores an object and wakes the watches.
@@ -75,7 +77,7 @@
 func (m *memoryStore) setLocked(kind platform.ObjectKind, name, spec string) {
 	m.revision++
 	if m.objects[kind] == nil {
-		m.objects[kind], m.versions[kind] = make(map[string]string), make(map[string]Revision)
+		m.objects[kind], m.versions[kind] = make(map[string]string), make(map[string]uint64)
 	}
 	m.objects[kind][name], m.versions[kind][name] = spec, m.revision
 	m.changes = append(m.changes, memoryChange{m.revision, kind, Change{Object: m.object(kind, name)}})
@@ -83,8 +85,11 @@
 	m.changeNotice = make(chan struct{})
 }
 
+// at returns the position of the store's latest change.
+func (m *memoryStore) at() era.Position { return era.Position{Era: m.era, Revision: m.revision} }
+
 func (m *memoryStore) object(kind platform.ObjectKind, name string) platform.Object {
-	return platform.Object{Kind: kind, Name: name, Version: fmt.Sprint(m.versions[kind][name]), Spec: []byte(m.objects[kind][name])}
+	return platform.Object{Kind: kind, Name: name, Version: fmt.Sprint(m.versions[kind][name]), Era: m.era, Spec: []byte(m.objects[kind][name])}
 }
 
 // update calls f with the store locked, for instance to set its faults.
@@ -144,7 +149,7 @@
 	if m.down {
 		return Listing{}, errStoreDown
 	}
-	l := Listing{Revision: m.revision}
+	l := Listing{At: m.at()}
 	for name := range m.objects[kind] {
 		l.Objects = append(l.Objects, m.object(kind, name))
 	}
@@ -165,7 +170,7 @@
 	return m.object(kind, name), nil
 }
 
-func (m *memoryStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+func (m *memoryStore) Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error) {
 	timeout := time.After(wait)
 	for first := true; ; first = false {
 		m.mu.Lock()
@@ -177,9 +182,9 @@
 			m.mu.Unlock()
 			return Changes{}, fault.New(fault.Stale, "watch", "gone", "")
 		}
-		c := Changes{Revision: m.revision}
+		c := Changes{At: m.at()}
 		for _, e := range m.changes {
-			if e.at > after && e.kind == kind {
+			if e.at > after.Revision && e.kind == kind {
 				c.Changes = append(c.Changes, e.Change)
 			}
 		}
@@ -710,7 +715,7 @@
 	s.down, s.hangWatches = down, hangWatches
 }
 
-func (s *nodeStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+func (s *nodeStore) Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error) {
 	// A fault set during a watch fails it at once (down) or withholds its response until ctx ends (hangWatches).
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -66,8 +67,8 @@
 	// that describes no instance.
 	OnOwnRecordRemoved func()
 	// OnRollouts, if set, is called with the changes of the orders to roll out a version, whose kind is RolloutKind. With complete
-	// set they are all orders as of a revision.
-	OnRollouts  func(changes []Change, at Revision, complete bool)
+	// set they are all orders as of a position.
+	OnRollouts  func(changes []Change, at era.Position, complete bool)
 	RolloutKind platform.ObjectKind
 	// OnStoreLost, if set, is called when the store stops answering.
 	OnStoreLost func()
@@ -119,7 +120,7 @@
 			}, f.OnRollouts)
 		})
 	}
-	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, f.CanSkipWatch, func(changes []Change, _ Revision, complete bool) {
+	f.follow(ctx, platform.KindInstance, func() time.Duration { return instanceWatchWait }, f.CanSkipWatch, func(changes []Change, _ era.Position, complete bool) {
 		f.applyInstances(changes, complete)
 		if len(changes) > 0 && !complete {
 			clock.Sleep(ctx, instanceBatchDelay)
@@ -128,14 +129,14 @@
 	others.Wait()
 }
 
-// changeHandler processes changes. With complete set they are the full list of objects of a kind as of a revision.
-type changeHandler func(changes []Change, at Revision, complete bool)
+// changeHandler processes changes. With complete set they are the full list of objects of a kind as of a position.
+type changeHandler func(changes []Change, at era.Position, complete bool)
 
-// follow lists a kind and then watches it from the listed revision, until ctx ends. While canSkip returns true it does not watch.
+// follow lists a kind and then watches it from the listed position, until ctx ends. While canSkip returns true it does not watch.
 func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, canSkip func() bool, handle changeHandler) {
-	var revision Revision
+	var at era.Position
 	// watchedSinceListing is set once a watch has been answered since the last listing. listCurrent is set when the
-	// next listing must be current: a stale one could again have a revision that is older than the retained history.
+	// next listing must be current: a stale one could again have a position that is older than the retained history.
 	listed, watchedSinceListing, failing, listCurrent, backoff := false, false, false, false, minBackoff
 	// A long watch tells only at its end that the store answers again. That of the orders therefore says nothing about the store,
 	// and is not made while other calls fail.
@@ -147,16 +148,16 @@
 		}
 		var err error
 		if listed {
-			revision, err = f.watch(ctx, kind, revision, jitter(wait()), handle)
+			at, err = f.watch(ctx, kind, at, jitter(wait()), handle)
 			watchedSinceListing = watchedSinceListing || err == nil
 		} else {
-			revision, err = f.list(ctx, kind, !listCurrent, handle)
+			at, err = f.list(ctx, kind, !listCurrent, handle)
 			watchedSinceListing = false
 		}
 		if err == nil {
 			if failing && tellsOfStore {
 				f.failingKinds.Add(-1)
-				event.StoreRegained.Write(event.StoreRegained.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
+				event.StoreRegained.Write(event.StoreRegained.Log(&f.Log).Str("kind", string(kind)).Uint64("era", uint64(at.Era)).Uint64("revision", at.Revision))
 			}
 			f.lastResponse.Set(f.Clock.Now())
 			listed, failing = true, false
@@ -172,7 +173,7 @@
 		timedOut := listed && kind == f.Schema.ConfigurationKind() && errors.Is(err, context.Canceled)
 		if fault.Is(err, fault.Stale) {
 			listed, listCurrent = false, true
-			event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
+			event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("era", uint64(at.Era)).Uint64("revision", at.Revision))
 			if watchedSinceListing {
 				// The changes since the last response may be overdue, so list again at once. If the history is lost
 				// right after a listing, back off as after other failures.
@@ -181,7 +182,7 @@
 		} else if !failing && tellsOfStore {
 			failing = true
 			f.failingKinds.Add(1)
-			event.StoreLost.Write(event.StoreLost.Log(&f.Log).Err(err).Str("kind", string(kind)).Uint64("revision", uint64(revision)))
+			event.StoreLost.Write(event.StoreLost.Log(&f.Log).Err(err).Str("kind", string(kind)).Uint64("era", uint64(at.Era)).Uint64("revision", at.Revision))
 			if f.OnStoreLost != nil {
 				f.OnStoreLost()
 			}
@@ -205,7 +206,7 @@
 	defer cancel()
 	start := f.Clock.Now()
 	if object, err := f.Store.Get(ctx, kind, f.Schema.ConfigurationName()); err == nil {
-		handle([]Change{{Object: object}}, 0, false)
+		handle([]Change{{Object: object}}, era.Position{}, false)
 		f.confirm(kind, start)
 	}
 }
@@ -213,26 +214,26 @@
 // jitter shortens a wait by a random part.
 func jitter(wait time.Duration) time.Duration { return wait - rand.N(wait/watchJitterDivisor) }
 
-func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, allowStale bool, handle changeHandler) (Revision, error) {
+func (f *Follower) list(ctx context.Context, kind platform.ObjectKind, allowStale bool, handle changeHandler) (era.Position, error) {
 	ctx, cancel := withStallLimit(ctx, listTimeout)
 	defer cancel()
 	start := f.Clock.Now()
 	listing, err := f.Store.List(ctx, kind, allowStale)
 	if err != nil {
-		return 0, err
+		return era.Position{}, err
 	}
 	changes := make([]Change, len(listing.Objects))
 	for i, obj := range listing.Objects {
 		changes[i].Object = obj
 	}
-	handle(changes, listing.Revision, true)
+	handle(changes, listing.At, true)
 	if !allowStale {
 		f.confirm(kind, start)
 	}
-	return listing.Revision, nil
+	return listing.At, nil
 }
 
-func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration, handle changeHandler) (Revision, error) {
+func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration, handle changeHandler) (era.Position, error) {
 	ctx, cancel := withStallLimit(ctx, wait+watchResponseGrace)
 	defer cancel()
 	start := f.Clock.Now()
@@ -240,12 +241,15 @@
 	if err != nil {
 		return after, err
 	}
-	handle(c.Changes, c.Revision, false)
+	handle(c.Changes, c.At, false)
 	if end := start.Add(wait); len(c.Changes) == 0 && !f.Clock.Now().Before(end) {
 		start = end // The store waited for a change until then. Its response may have been read much later.
 	}
 	f.confirm(kind, start)
-	return max(after, c.Revision), nil
+	if c.At.Compare(after) < 0 {
+		return after, nil
+	}
+	return c.At, nil
 }
 
 // confirm records that the configuration in force was the newest one in the store at the given time, if the store's response
@@ -258,7 +262,7 @@
 
 // applyConfiguration accepts the newest configuration among the changes. If one cannot be decoded or is invalid, the
 // current configuration stays in force.
-func (f *Follower) applyConfiguration(changes []Change, _ Revision, _ bool) {
+func (f *Follower) applyConfiguration(changes []Change, _ era.Position, _ bool) {
 	for _, c := range changes {
 		if c.Removed || c.Object.Name != f.Schema.ConfigurationName() {
 			continue
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
@@ -79,9 +80,9 @@
 type StatusStore interface {
 	// Get is that of Store.
 	Get(ctx context.Context, kind platform.ObjectKind, name string) (platform.Object, error)
-	// PutStatus replaces the status of an object if its revision is still the given one, and returns the object. The error is of
-	// kind Conflict if the object has changed, NotFound if there is none.
-	PutStatus(ctx context.Context, kind platform.ObjectKind, name string, revision uint64, status []byte) (platform.Object, error)
+	// PutStatus replaces the status of an object if its last change is still at the given position, and returns the object. The error
+	// is of kind Conflict if the object has changed or the store is in another era by now, NotFound if there is no such object.
+	PutStatus(ctx context.Context, kind platform.ObjectKind, name string, at era.Position, status []byte) (platform.Object, error)
 }
 
 // RolloutSchema describes how orders to roll out a version are represented in the store.
@@ -154,7 +155,7 @@
 }
 
 // ObserveChanges takes in objects of the store; it is the handler of Follower.OnRollouts.
-func (r *Rollouts) ObserveChanges(changes []Change, at Revision, complete bool) {
+func (r *Rollouts) ObserveChanges(changes []Change, at era.Position, complete bool) {
 	var plans []rollout.Plan
 	present := make(map[string]bool)
 	for _, c := range changes {
@@ -165,8 +166,9 @@
 	}
 	if complete {
 		for _, p := range r.Table.All() {
-			// An order that came after the listing may have been learnt from another node.
-			if !present[p.Service] && p.Revision <= uint64(at) {
+			// An order that came after the listing may have been learnt from another node. One of an earlier era may have been lost
+			// with what the store had written since its copy, and will be written again.
+			if !present[p.Service] && p.Era == at.Era && p.Revision <= at.Revision {
 				plans = append(plans, r.observeObject(rollout.Object{Name: p.Service, Removed: true})...)
 			}
 		}
@@ -192,7 +194,7 @@
 	}
 	if r.Table.Get(obj.Name).Order != obj.ID() {
 		event.RolloutOrdered.Write(event.RolloutOrdered.Log(&r.Log).Str("service", obj.Name).Str("version", obj.Order.Target).
-			Dur("duration", obj.Order.Duration).Uint64("revision", obj.Revision))
+			Dur("duration", obj.Order.Duration).Uint64("era", uint64(obj.At.Era)).Uint64("revision", obj.At.Revision))
 	}
 	return r.merge(rollout.PlanOf(&obj))
 }
@@ -359,7 +361,7 @@
 	status, err := r.Schema.RolloutStatus(w.Status)
 	var stored platform.Object
 	if err == nil {
-		stored, err = r.Store.PutStatus(ctx, r.Schema.RolloutKind(), w.Service, w.Revision, status)
+		stored, err = r.Store.PutStatus(ctx, r.Schema.RolloutKind(), w.Service, w.At, status)
 	}
 	switch {
 	case err == nil:
@@ -376,7 +378,7 @@
 		r.Metrics.Counter(countWritesUnanswered).Inc(1)
 		r.wrote(w, rollout.WriteUnknown, nil)
 	}
-	event.RolloutNotWritten.Write(event.RolloutNotWritten.Log(&r.Log).Err(err).Str("service", w.Service).Stringer("phase", w.Status.Phase).Uint64("revision", w.Revision))
+	event.RolloutNotWritten.Write(event.RolloutNotWritten.Log(&r.Log).Err(err).Str("service", w.Service).Stringer("phase", w.Status.Phase).Uint64("era", uint64(w.At.Era)).Uint64("revision", w.At.Revision))
 }
 
 // wrote passes the result of a write to the decider.
--- a/pkg/directory/rollouts_test.go
+++ b/pkg/directory/rollouts_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -27,7 +28,8 @@
 
 func (testRolloutSchema) Rollout(obj platform.Object) rollout.Object {
 	out := rollout.Object{Name: obj.Name, Created: "1", Removed: obj.Deleting}
-	out.Revision, _ = strconv.ParseUint(obj.Version, 10, 64)
+	out.At.Era = obj.Era
+	out.At.Revision, _ = strconv.ParseUint(obj.Version, 10, 64)
 	if out.Err = json.Unmarshal(obj.Spec, &out.Order); out.Err == nil {
 		out.Err = out.Order.Validate(obj.Name)
 	}
@@ -71,7 +73,7 @@
 	return l, err
 }
 
-func (s *rolloutStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+func (s *rolloutStore) Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error) {
 	c, err := s.nodeStore.Watch(ctx, kind, after, wait)
 	for i := range c.Changes {
 		c.Changes[i].Object = s.current(c.Changes[i].Object)
@@ -98,11 +100,11 @@
 
 func (s *rolloutStore) put(o platform.Object) {
 	s.memoryStore.set(o.Kind, o.Name, string(o.Spec))
-	s.memoryStore.update(func(m *memoryStore) { o.Version = strconv.FormatUint(uint64(m.revision), 10) })
+	s.memoryStore.update(func(m *memoryStore) { o.Version, o.Era = strconv.FormatUint(m.revision, 10), m.era })
 	s.shared.object = o
 }
 
-func (s *rolloutStore) PutStatus(_ context.Context, _ platform.ObjectKind, _ string, revision uint64, status []byte) (platform.Object, error) {
+func (s *rolloutStore) PutStatus(_ context.Context, _ platform.ObjectKind, _ string, at era.Position, status []byte) (platform.Object, error) {
 	s.nodeStore.mu.Lock()
 	down := s.nodeStore.down
 	s.nodeStore.mu.Unlock()
@@ -112,7 +114,7 @@
 	s.shared.mu.Lock()
 	defer s.shared.mu.Unlock()
 	o := s.shared.object
-	if o.Version != strconv.FormatUint(revision, 10) {
+	if o.Era != at.Era || o.Version != strconv.FormatUint(at.Revision, 10) {
 		return o, fault.New(fault.Conflict, "status", "changed", "")
 	}
 	o.Status = status
@@ -333,11 +335,11 @@
 		wg.Wait()
 		r := nodes[0]
 		r.receive([]rollout.Plan{{Service: "desk", Order: "a", Target: "v2", Revision: 9, Phase: rollout.PhaseTrial}})
-		r.ObserveChanges(nil, 8, true)
+		r.ObserveChanges(nil, era.Position{Revision: 8}, true)
 		if p := r.Table.Get("desk"); p.Withdrawn {
 			t.Error("a listing at revision 8 has withdrawn an order of revision 9")
 		}
-		r.ObserveChanges(nil, 10, true)
+		r.ObserveChanges(nil, era.Position{Revision: 10}, true)
 		if p := r.Table.Get("desk"); !p.Withdrawn {
 			t.Error("a listing at revision 10 has not withdrawn an order of revision 9 that is gone")
 		}
--- a/pkg/directory/silent_test.go
+++ b/pkg/directory/silent_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -38,7 +39,7 @@
 	return s.silent
 }
 
-func (s *silentStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+func (s *silentStore) Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error) {
 	if kind == testConfigurationKind {
 		s.mu.Lock()
 		s.watches++
@@ -200,7 +201,7 @@
 	fail chan struct{}
 }
 
-func (s *lossyStore) Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error) {
+func (s *lossyStore) Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error) {
 	if kind == s.kind {
 		select {
 		case <-s.fail:
@@ -220,7 +221,7 @@
 		kind := testRolloutSchema{}.RolloutKind()
 		store := &lossyStore{memoryStore: m, kind: kind, fail: make(chan struct{}, 1)}
 		f := &Follower{State: NewState(), Store: store, Schema: versionSchema{}, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
-			Metrics: metric.NewSet(), CanSkipWatch: neverSkipWatch, RolloutKind: kind, OnRollouts: func([]Change, Revision, bool) {}}
+			Metrics: metric.NewSet(), CanSkipWatch: neverSkipWatch, RolloutKind: kind, OnRollouts: func([]Change, era.Position, bool) {}}
 		f.SetApplyBound(2 * time.Second)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -8,16 +8,14 @@
 	"time"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
 
-// Revision is a position in the change history of the store.
-type Revision uint64
-
-// Listing holds all objects of a kind as of a revision.
+// Listing holds all objects of a kind as of a position.
 type Listing struct {
-	Objects  []platform.Object
-	Revision Revision
+	Objects []platform.Object
+	At      era.Position
 }
 
 // Change is one change of an object. For a removed object only the name is meaningful.
@@ -26,25 +24,28 @@
 	Removed bool
 }
 
-// Changes holds the changes of the objects of a kind up to a revision.
+// Changes holds the changes of the objects of a kind up to a position.
 type Changes struct {
-	Changes  []Change
-	Revision Revision
+	Changes []Change
+	At      era.Position
 }
 
-// Store is the interface to the platform's store. Errors are fault.Error values: Stale when the history since the
-// requested revision has been discarded, Unavailable when the store did not answer, Limited when it is rejecting
-// calls temporarily.
+// Store is the interface to the platform's store. Errors are fault.Error values: Stale when the store no longer has the history
+// since the requested position, or the answer is of an earlier era than the latest known one, Unavailable when the store did not
+// answer, Limited when it is rejecting calls temporarily.
+//
+// A Store tells the era of each answer to an era.Tracker before it returns, also that of an error.
 //
 // While a Store reads a response, it calls ReportProgress with the context of the call.
 type Store interface {
 	// List returns all objects of a kind. With allowStale the result may be seconds old, which makes the call
-	// cheaper; a watch that starts at the revision of the listing delivers the changes since.
+	// cheaper; a watch that starts at the position of the listing delivers the changes since.
 	List(ctx context.Context, kind platform.ObjectKind, allowStale bool) (Listing, error)
 	// Get returns the current state of an object. The error is of kind NotFound if there is none.
 	Get(ctx context.Context, kind platform.ObjectKind, name string) (platform.Object, error)
-	// Watch returns the changes after a revision. It returns as soon as there is a change, or without one after wait.
-	Watch(ctx context.Context, kind platform.ObjectKind, after Revision, wait time.Duration) (Changes, error)
+	// Watch returns the changes after a position. It returns as soon as there is a change, or without one after wait. The error is
+	// of kind Stale if the answer is of another era than the position.
+	Watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration) (Changes, error)
 	// Create writes an object that does not exist yet and returns its version, which is empty if the store does not tell it. The
 	// error is of kind Conflict if the object exists.
 	Create(ctx context.Context, kind platform.ObjectKind, name string, spec []byte) (version string, err error)
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 )
 
 // ObjectKind is the plural name of an object kind, as used in the paths of the API.
@@ -31,8 +33,10 @@
 	Name    string
 	Version string
 	Spec    json.RawMessage
-	// Created, Status and Deleting are set only by stores that tell them.
+	// Created, Status, Deleting and Era are set only by stores that tell them. Era is that of the store when the object was read:
+	// Version names a state of the object only together with it.
 	Created  string
+	Era      era.Number
 	Status   json.RawMessage
 	Deleting bool
 }
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -10,6 +10,7 @@
 
 	"github.com/looplab/fsm"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -112,10 +113,10 @@
 
 // Write is a conditional write of the status of one object. Its answer goes to Decider.ObserveWrite.
 type Write struct {
-	Service  string
-	Revision uint64
-	Status   Status
-	// before is Status.Granted at Revision; the difference belongs to this decider once the store has confirmed the write.
+	Service string
+	At      era.Position
+	Status  Status
+	// before is Status.Granted at the position At; the difference belongs to this decider once the store has confirmed the write.
 	before uint64
 }
 
@@ -252,7 +253,7 @@
 		delete(d.runs, o.Name)
 		return
 	}
-	if r != nil && o.Revision < r.object.Revision {
+	if r != nil && o.At.Compare(r.object.At) < 0 {
 		return
 	}
 	if !o.usable() {
@@ -565,7 +566,7 @@
 // write returns a write that changes nothing yet.
 func (r *run) write() *Write {
 	s := r.object.status()
-	w := &Write{Service: r.object.Name, Revision: r.object.Revision, Status: s, before: s.Granted}
+	w := &Write{Service: r.object.Name, At: r.object.At, Status: s, before: s.Granted}
 	w.Status.Requests = r.requests()
 	w.Status.Barred = bar(s.Barred, s.Target, r.plan.Barred...)
 	return w
--- a/pkg/rollout/mesh_test.go
+++ b/pkg/rollout/mesh_test.go
@@ -66,7 +66,7 @@
 
 func (s *simStore) put(o Object) {
 	s.revision++
-	o.Revision = s.revision
+	o.At.Revision = s.revision
 	s.object, s.exists = o, true
 }
 
@@ -76,7 +76,7 @@
 	if lost && s.writes%2 == 0 {
 		return WriteUnknown, nil // Neither done nor answered.
 	}
-	if !s.exists || s.object.Revision != w.Revision {
+	if !s.exists || s.object.At != w.At {
 		if lost {
 			return WriteUnknown, nil
 		}
--- a/pkg/rollout/order.go
+++ b/pkg/rollout/order.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 )
 
@@ -119,10 +120,11 @@
 type Object struct {
 	// Name is the name of the object, which is that of the service.
 	Name string
-	// Revision is that of the object's last change.
-	Revision uint64
-	Created  string
-	Order    Order
+	// At is the position of the object's last change. For an object that the store has kept since an earlier era, the era is that in
+	// which it was read.
+	At      era.Position
+	Created string
+	Order   Order
 	// Err is set if the object holds no valid order.
 	Err error
 	// Removed is set if the object was removed or is about to be.
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -12,7 +13,8 @@
 	Service string
 	Order   OrderID
 	Target  string
-	// Revision is the latest known revision of the order's object. It tells which of two orders is the later one.
+	// Era and Revision are the latest known position of the order's object. It tells which of two orders is the later one.
+	Era      era.Number
 	Revision uint64
 	// Step counts the plans of one phase; that which follows from the store alone has step 0.
 	Step  uint64
@@ -36,10 +38,15 @@
 // Active reports whether nodes report what they see of the two versions.
 func (p *Plan) Active() bool { return !p.Phase.Ended() && !p.Withdrawn }
 
+// at is the latest known position of the order's object.
+func (p *Plan) at() era.Position { return era.Position{Era: p.Era, Revision: p.Revision} }
+
+func (p *Plan) setAt(at era.Position) { p.Era, p.Revision = at.Era, at.Revision }
+
 // PlanOf returns the plan that follows from an object alone.
 func PlanOf(o *Object) Plan {
 	s := o.status()
-	return Plan{Service: o.Name, Order: s.Order, Target: s.Target, Revision: o.Revision, Phase: s.Phase, Barred: s.Barred, DecidedMillis: s.DecidedMillis}
+	return Plan{Service: o.Name, Order: s.Order, Target: s.Target, Era: o.At.Era, Revision: o.At.Revision, Phase: s.Phase, Barred: s.Barred, DecidedMillis: s.DecidedMillis}
 }
 
 // merge returns what follows from two plans of one service, and whether nodes must learn of the result. Of two orders, that with
@@ -47,7 +54,7 @@
 // a phase the later step counts.
 func merge(known, in Plan) (Plan, bool) {
 	if known.Order != in.Order {
-		if in.Revision <= known.Revision {
+		if in.at().Compare(known.at()) <= 0 {
 			return known, false
 		}
 		if known.Phase != PhaseCompleted {
@@ -59,7 +66,9 @@
 	if in.Phase > known.Phase || in.Phase == known.Phase && in.Step > known.Step {
 		out = in
 	}
-	out.Revision = max(known.Revision, in.Revision)
+	if out.setAt(known.at()); in.at().Compare(known.at()) > 0 {
+		out.setAt(in.at())
+	}
 	out.Halted = (known.Halted || in.Halted) && out.Phase != PhaseCompleted
 	out.Withdrawn = known.Withdrawn || in.Withdrawn
 	out.Barred = bar(known.Barred, known.Target, in.Barred...)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 )
 
 const testDuration = 20 * time.Second
@@ -170,9 +172,33 @@
 		phase Phase
 		want  []string
 	}{{PhaseTrial, []string{"v1", simNew}}, {PhaseRolledBack, []string{"v1", simNew}}, {PhaseCompleted, []string{"v1"}}} {
-		o := Object{Name: simService, Created: "1", Revision: 5, Order: order, Status: &Status{Order: "earlier", Target: simNew, Phase: c.phase, Barred: []string{"v1", "v3"}}}
+		o := Object{Name: simService, Created: "1", At: era.Position{Revision: 5}, Order: order, Status: &Status{Order: "earlier", Target: simNew, Phase: c.phase, Barred: []string{"v1", "v3"}}}
 		if p := PlanOf(&o); !slices.Equal(p.Barred, c.want) || p.Phase != PhasePending {
 			t.Errorf("after %v: barred %v in phase %v, want %v", c.phase, p.Barred, p.Phase, c.want)
 		}
 	}
 }
+
+// Guards against an order that is dropped, or a plan that is taken up again, because revisions of two eras of the store are compared.
+func TestPlansOfTwoEras(t *testing.T) {
+	now := time.Now()
+	object := func(at era.Position, target string, phase Phase) *Object {
+		o := &Object{Name: simService, Created: "1", At: at, Order: Order{Service: simService, Target: target, Duration: time.Minute}}
+		o.Status = &Status{Order: o.ID(), Target: target, Phase: phase}
+		return o
+	}
+	earlier, later := object(era.Position{Era: 1, Revision: 60}, "v2", PhaseCompleted), object(era.Position{Era: 2, Revision: 17}, "v3", PhasePending)
+	for _, sequence := range [][]*Object{{earlier, later}, {later, earlier}, {earlier, later, earlier}} {
+		table, decider := NewTable(true), NewDecider(simSettings, 1)
+		for _, o := range sequence {
+			table.Merge(PlanOf(o))
+			decider.ObserveObject(now, *o)
+		}
+		if p := table.Get(simService); p.Order != later.ID() || p.at() != later.At {
+			t.Errorf("after %d objects the plan is %+v, want that of version v3", len(sequence), p)
+		}
+		if !decider.Knows(simService, later.ID()) {
+			t.Errorf("after %d objects the decider does not know the order of version v3", len(sequence))
+		}
+	}
+}
