Watch the store only from positions of its present era

What callers saw: after the store had come back from a copy, a new version of the configuration was in force at no node.

Cause: a node kept the revision of its last answer as its position. When the store had given out as many revisions again before the next watch, that watch was answered without 410 and without the changes up to its position.

Evidence: in the logs of the case no node lists again (no event 1142) and none refuses the version (no event 1113); the empty answers of the watches went on.

Change: an answer of another era than the position of its watch counts as a lost history, so that the objects are listed again, currently. A watch ends once any other answer has told that the store is restored, and a node that has paused its watches lists before the next one.

Why this works: a position is used only while the store is in the era in which the position was given out, and an era does not return.

A restore costs one listing of each kind at a node that watches and none at another.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -188,7 +188,7 @@
 func buildDirectory(b *builder) {
 	eras := era.NewTracker()
 	store, state := platform.NewStore(b.vm.StoreAddress, eras), find[*directory.State](b, nameDirectoryState)
-	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Self: b.self(), Clock: b.clock, Log: b.log,
+	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Eras: eras, Self: b.self(), Clock: b.clock, Log: b.log,
 		Metrics: b.metrics()}
 	follower.SetApplyBound(b.vm.Bounds.Apply)
 	server := find[*rpcwire.Server](b, nameControl)
--- a/cmd/monsoonlatch-sidecar/restore_test.go
+++ b/cmd/monsoonlatch-sidecar/restore_test.go
@@ -96,3 +96,45 @@
 		t.Errorf("the bad version got %d of %d requests, more than %.0f", bad.Load(), all.Load(), limit)
 	}
 }
+
+// Guards against a configuration that never comes in force, since its revision was given out before the store came back from a copy:
+// routes that were dropped stay in use until the next change.
+func TestConfigurationAfterTheStoreIsRestored(t *testing.T) {
+	store, addr := startStore(t, "/safe/first/>office", "/lodge/>office")
+	vms := []*vm{startVM(t, addr, "office-1", "office"), startVM(t, addr, "office-2", "office"), startVM(t, addr, "desk-1", "desk")}
+	for _, v := range vms {
+		v := v
+		waitFor(t, "an acknowledged heartbeat of "+v.Node, func() bool { return v.sendHeartbeat("ready") })
+		waitFor(t, v.Node+" to be ready", func() bool { return v.readyStatus() == http.StatusOK })
+		v.keepAnnouncing(t)
+	}
+	served := func(v *vm, path string) bool { return v.call("GET", path, "x"+path).status == http.StatusOK }
+	before := store.Copy()
+	for i := range 10 { // Other writes, which are lost too.
+		store.Put("others", "a", fmt.Sprint(i))
+	}
+	store.Put("config", "main", configurationJSON(5, "/safe/first/>office", "/safe/second/>office"))
+	for _, v := range vms {
+		waitFor(t, "the second version at "+v.Node, func() bool { return served(v, "/safe/second/x") })
+	}
+	time.Sleep(1500 * time.Millisecond) // All nodes watch on from the last revision.
+	store.SetFaults(metastore.Faults{Away: true})
+	last := store.Revision()
+	time.Sleep(time.Second)
+	store.Restore(before)
+	store.Put("config", "main", configurationJSON(5, "/safe/first/>office", "/safe/second/>office"))
+	for store.Revision() < last-1 {
+		store.Put("others", "a", "again")
+	}
+	store.Put("config", "main", configurationJSON(9, "/safe/first/>office", "/safe/third/>office"))
+	store.SetFaults(metastore.Faults{})
+	time.Sleep(5 * time.Second)
+	for _, v := range vms {
+		if !served(v, "/safe/third/x") {
+			t.Errorf("%s does not serve the route of version 9, which was accepted 5 s ago", v.Node)
+		}
+		if served(v, "/safe/second/x") {
+			t.Errorf("%s serves a route that version 9 has dropped", v.Node)
+		}
+	}
+}
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -130,6 +130,13 @@
 	return s.era
 }
 
+// Revision returns the revision of the latest change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Compact drops the history. A watch from an earlier revision, including a pending one, fails with 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -177,7 +177,7 @@
 		if first {
 			m.calls++
 		}
-		if m.staleOnce || m.alwaysStale {
+		if m.staleOnce || m.alwaysStale || after.Era != m.era || after.Revision > m.revision {
 			m.staleOnce = false
 			m.mu.Unlock()
 			return Changes{}, fault.New(fault.Stale, "watch", "gone", "")
@@ -242,8 +242,9 @@
 
 // startFollower starts a follower that applies the store's contents to a new state within 2 s.
 func startFollower(t *testing.T, m *memoryStore, canSkipWatch func() bool) *Follower {
-	f := &Follower{State: NewState(), Store: m, Schema: versionSchema{}, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
-		Metrics: metric.NewSet(), CanSkipWatch: canSkipWatch}
+	eras := era.NewTracker()
+	f := &Follower{State: NewState(), Store: &trackedStore{Store: m, memory: m, eras: eras}, Schema: versionSchema{}, Eras: eras, Self: "self", Clock: clock.System{},
+		Log: zerolog.Nop(), Metrics: metric.NewSet(), CanSkipWatch: canSkipWatch}
 	f.SetApplyBound(2 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -388,7 +389,7 @@
 		in.ControlAddress = addr
 		p := newPeer(c, string(in.ID), addr, 0)
 		p.AvailabilityZone = in.AvailabilityZone
-		f := &Follower{State: p.State, Store: m, Schema: versionSchema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+		f := &Follower{State: p.State, Store: m, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
 			Metrics: p.Metrics, CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward}
 		f.SetApplyBound(2 * time.Second)
 		p.StoreSilence = f.StoreSilence
@@ -771,7 +772,7 @@
 				putRecord(t, m, in)
 				p, store := newPeer(c, string(in.ID), addr, 0), &nodeStore{memoryStore: m}
 				stores[in.ID] = store
-				f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+				f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
 					Metrics: p.Metrics, CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward, OnStoreLost: func() { p.Forward(nil) }}
 				f.SetApplyBound(2 * time.Second)
 				p.StoreSilence, p.AvailabilityZone = f.StoreSilence, in.AvailabilityZone
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -49,9 +49,11 @@
 
 // Follower keeps a State synchronised with the store.
 type Follower struct {
-	State   *State
-	Store   Store
-	Schema  Schema
+	State  *State
+	Store  Store
+	Schema Schema
+	// Eras knows the latest era of the store.
+	Eras    *era.Tracker
 	Self    membership.InstanceID
 	Clock   clock.Clock
 	Log     zerolog.Logger
@@ -132,7 +134,8 @@
 // changeHandler processes changes. With complete set they are the full list of objects of a kind as of a position.
 type changeHandler func(changes []Change, at era.Position, complete bool)
 
-// follow lists a kind and then watches it from the listed position, until ctx ends. While canSkip returns true it does not watch.
+// follow lists a kind and then watches it from the listed position, until ctx ends. While canSkip returns true it does not watch. Once
+// the store has come back from a copy, the position is in a history that has ended, and the kind is listed again before the next watch.
 func (f *Follower) follow(ctx context.Context, kind platform.ObjectKind, wait func() time.Duration, canSkip func() bool, handle changeHandler) {
 	var at era.Position
 	// watchedSinceListing is set once a watch has been answered since the last listing. listCurrent is set when the
@@ -146,6 +149,10 @@
 			clock.Sleep(ctx, skipWatchCheckPeriod)
 			continue
 		}
+		if listed && f.Eras.Latest() != at.Era {
+			listed, listCurrent = false, true
+			f.noteHistoryLost(kind, at)
+		}
 		var err error
 		if listed {
 			at, err = f.watch(ctx, kind, at, jitter(wait()), handle)
@@ -170,10 +177,11 @@
 			return
 		}
 		f.Metrics.CountRetry(metric.RetryPlatformRequest)
-		timedOut := listed && kind == f.Schema.ConfigurationKind() && errors.Is(err, context.Canceled)
-		if fault.Is(err, fault.Stale) {
+		eraEnded := listed && f.Eras.Latest() != at.Era
+		timedOut := listed && !eraEnded && kind == f.Schema.ConfigurationKind() && errors.Is(err, context.Canceled)
+		if fault.Is(err, fault.Stale) || eraEnded {
 			listed, listCurrent = false, true
-			event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("era", uint64(at.Era)).Uint64("revision", at.Revision))
+			f.noteHistoryLost(kind, at)
 			if watchedSinceListing {
 				// The changes since the last response may be overdue, so list again at once. If the history is lost
 				// right after a listing, back off as after other failures.
@@ -195,6 +203,11 @@
 	}
 }
 
+func (f *Follower) noteHistoryLost(kind platform.ObjectKind, at era.Position) {
+	event.HistoryLost.Write(event.HistoryLost.Log(&f.Log).Str("kind", string(kind)).Uint64("era", uint64(at.Era)).
+		Uint64("revision", at.Revision).Uint64("latest_era", uint64(f.Eras.Latest())))
+}
+
 // readAfterTimeout reads the configuration once after a watch of it got no response, since a change may be overdue by then,
 // and the next watch could hang too. It makes at most one call, and none after a failure that was reported at once. The
 // timeouts of the nodes are spread by the jitter of their watches.
@@ -236,6 +249,13 @@
 func (f *Follower) watch(ctx context.Context, kind platform.ObjectKind, after era.Position, wait time.Duration, handle changeHandler) (era.Position, error) {
 	ctx, cancel := withStallLimit(ctx, wait+watchResponseGrace)
 	defer cancel()
+	go func() {
+		select {
+		case <-f.Eras.Ended(after.Era):
+			cancel() // Another answer has told that the store has come back from a copy.
+		case <-ctx.Done():
+		}
+	}()
 	start := f.Clock.Now()
 	c, err := f.Store.Watch(ctx, kind, after, wait)
 	if err != nil {
--- a/pkg/directory/rollouts_test.go
+++ b/pkg/directory/rollouts_test.go
@@ -182,7 +182,7 @@
 		local := rollout.NewLocal(&rollout.Local{Table: table, Service: "desk", GrantTime: GrantTime(5 * time.Second), Version: func() (string, int64) { return in.Version, in.BackendStarted }})
 		r := NewRollouts(&Rollouts{Table: table, Local: local, Settings: rollout.Settings{ExposeShare: 0.1, ExposeSlack: 50, RollbackTime: 5 * time.Second}, Peers: p,
 			Store: store, Schema: testRolloutSchema{}, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metric.NewSet()})
-		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: p.Metrics,
+		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: p.Metrics,
 			CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward, OnStoreLost: func() { p.Forward(nil) }, OnRollouts: r.ObserveChanges, RolloutKind: testRolloutSchema{}.RolloutKind()}
 		f.SetApplyBound(2 * time.Second)
 		p.StoreSilence, p.AvailabilityZone = f.StoreSilence, in.AvailabilityZone
--- a/pkg/directory/silent_test.go
+++ b/pkg/directory/silent_test.go
@@ -178,7 +178,7 @@
 		records = append(records, in)
 		putRecord(t, n.store, in)
 		p, store := newPeer(n.caller, string(in.ID), addr, 0), &silentStore{memoryStore: n.store}
-		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
 			Metrics: p.Metrics, CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward, OnStoreLost: func() { p.Forward(nil) },
 			OnWatchTimeout: p.RequestPullFromAny}
 		f.SetApplyBound(2 * time.Second)
@@ -220,7 +220,7 @@
 		m.set(testConfigurationKind, "main", "3")
 		kind := testRolloutSchema{}.RolloutKind()
 		store := &lossyStore{memoryStore: m, kind: kind, fail: make(chan struct{}, 1)}
-		f := &Follower{State: NewState(), Store: store, Schema: versionSchema{}, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
+		f := &Follower{State: NewState(), Store: store, Schema: versionSchema{}, Eras: era.NewTracker(), Self: "self", Clock: clock.System{}, Log: zerolog.Nop(),
 			Metrics: metric.NewSet(), CanSkipWatch: neverSkipWatch, RolloutKind: kind, OnRollouts: func([]Change, era.Position, bool) {}}
 		f.SetApplyBound(2 * time.Second)
 		ctx, cancel := context.WithCancel(context.Background())
