Tell the era of the store in all messages between nodes

What callers would see: in a mesh in which most nodes do not read the store, a node learns of a restore only when it watches the store itself or changes its record. Until then its record stays lost, and a node that starts meanwhile sends its backend server nothing.

Cause: only the answers of the store told the era.

Change: the question and the reply of a pull and each offer tell the latest era that the sender knows. A node that learns of a raise tells the nodes that it serves at once, and logs event 1152 with both eras; store.era and store.restores show it in the metrics.

Measured: TestMessagesTellTheEra fails in all three cases if told eras are ignored, and passes.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -17,6 +17,7 @@
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/directory"
 	"github.com/monsoonlatch/monsoonlatch/pkg/era"
+	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/hedge"
 	"github.com/monsoonlatch/monsoonlatch/pkg/intake"
 	"github.com/monsoonlatch/monsoonlatch/pkg/kernel"
@@ -102,6 +103,12 @@
 	nameIntake         = "intake" // as returned by intake.Budget.Name
 )
 
+// Names of the metrics of the store's eras.
+const (
+	gaugeStoreEra      = "store.era"
+	countStoreRestores = "store.restores"
+)
+
 // builder assembles the node. Each component finds the components that it needs by name.
 type builder struct {
 	*kernel.Builder
@@ -196,7 +203,13 @@
 		return
 	}
 	peers := directory.NewPeers(&directory.Peers{State: state, Caller: find[*rpcwire.Pool](b, nameRPCPool), Control: b.controlAddress(),
-		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
+		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Eras: eras, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
+	eras.OnRaise = func(before, now era.Number) {
+		event.StoreRestored.Write(event.StoreRestored.Log(&b.log).Uint64("era_before", uint64(before)).Uint64("era", uint64(now)))
+		b.metrics().Gauge(gaugeStoreEra).Update(int64(now))
+		b.metrics().Counter(countStoreRestores).Inc(1)
+		peers.Forward(nil) // Tells it to the nodes that this one serves.
+	}
 	publisher := directory.NewPublisher(state, store, eras, b.log, peers.Offer)
 	follower.CanSkipWatch, follower.OnChange, follower.OnStoreLost = peers.CanSkipWatch, peers.Forward, func() { peers.Forward(nil) }
 	follower.OnWatchTimeout = peers.RequestPullFromAny
--- a/pkg/directory/accepted_test.go
+++ b/pkg/directory/accepted_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 )
 
 // Guards against a configuration that the store has accepted, but that a node refuses because it is beyond a limit of release
@@ -23,7 +24,7 @@
 		t.Fatal("the configuration is within the limits of release notes")
 	}
 	log := zerolog.Nop()
-	fromStore, fromPeer := NewState(), &Peers{State: NewState()}
+	fromStore, fromPeer := NewState(), &Peers{State: NewState(), Eras: era.NewTracker()}
 	if err := fromStore.validateAndAccept(&log, 9, large, nil, "store"); err != nil || fromStore.Version() != 9 {
 		t.Errorf("version %d is in force after the store offered 9: %v", fromStore.Version(), err)
 	}
@@ -34,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	small := &Peers{State: NewState()}
+	small := &Peers{State: NewState(), Eras: era.NewTracker()}
 	if err := small.State.validateAndAccept(&log, 5, config.Configuration{}, nil, "store"); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -389,11 +389,12 @@
 		in.ControlAddress = addr
 		p := newPeer(c, string(in.ID), addr, 0)
 		p.AvailabilityZone = in.AvailabilityZone
-		f := &Follower{State: p.State, Store: m, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+		store := &trackedStore{Store: m, memory: m, eras: p.Eras}
+		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: p.Eras, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(),
 			Metrics: p.Metrics, CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward}
 		f.SetApplyBound(2 * time.Second)
 		p.StoreSilence = f.StoreSilence
-		pub := NewPublisher(p.State, m, era.NewTracker(), zerolog.Nop(), p.Offer)
+		pub := NewPublisher(p.State, store, p.Eras, zerolog.Nop(), p.Offer)
 		f.OnOwnRecord = pub.ObserveStored
 		states = append(states, p.State)
 		start = append(start, func() {
@@ -675,7 +676,7 @@
 
 // newPeer returns a node at addr for which the store has been silent for the given time.
 func newPeer(c *fakeCaller, id, addr string, silence time.Duration) *Peers {
-	p := &Peers{State: NewState(), Caller: c, Self: membership.InstanceID(id), Control: addr, ControlPort: "81", Log: zerolog.Nop(),
+	p := &Peers{State: NewState(), Eras: era.NewTracker(), Caller: c, Self: membership.InstanceID(id), Control: addr, ControlPort: "81", Log: zerolog.Nop(),
 		Metrics: metric.NewSet(), StoreSilence: func() time.Duration { return silence }, pullRequests: make(chan string, 1), forwardQueue: make(chan []membership.Instance, 1)}
 	c.peers[addr] = p
 	return p
--- a/pkg/directory/odd_test.go
+++ b/pkg/directory/odd_test.go
@@ -53,7 +53,7 @@
 
 // Guards against an odd record that comes from another node instead of the store.
 func TestOddRecordsOfPeersAreRefused(t *testing.T) {
-	p := &Peers{State: NewState(), Self: "self", Log: zerolog.Nop()}
+	p := &Peers{State: NewState(), Eras: era.NewTracker(), Self: "self", Log: zerolog.Nop()}
 	odd, good := instance("odd", 1, 2, membership.StateReady), instance("good", 1, 2, membership.StateReady)
 	odd.PeerAddress, odd.Slots = "10.0.0.1:70000", -5
 	if n := p.mergeOthers([]membership.Instance{odd, good}); n != 1 || len(p.State.All()) != 1 {
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/event"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/metric"
@@ -68,6 +69,8 @@
 	ConfirmedAge time.Duration
 	// Format is configurationFormat of the replying node.
 	Format int
+	// Era is the latest era of the store that the replying node knows; zero if it knows none.
+	Era era.Number
 	// Plans holds the plans for roll-outs if those of the requesting node differ. RolloutsKnown answers Digest.RolloutsUnknown.
 	Plans         []rollout.Plan
 	RolloutsKnown bool
@@ -91,6 +94,8 @@
 	Silent  bool
 	// Plans are changed plans for roll-outs.
 	Plans []rollout.Plan
+	// Era is the latest era of the store that the sending node knows; zero if it knows none.
+	Era era.Number
 }
 
 // OfferReply is the empty reply to an offer.
@@ -106,8 +111,11 @@
 	Self        membership.InstanceID
 	// AvailabilityZone is this node's availability zone.
 	AvailabilityZone string
-	Log              zerolog.Logger
-	Metrics          *metric.Set
+	// Eras knows the latest era of the store. All messages tell it, so that a node that does not read the store itself learns of a
+	// restore too.
+	Eras    *era.Tracker
+	Log     zerolog.Logger
+	Metrics *metric.Set
 	// OnOwnRecord, if set, is called with this node's own record as received from another node.
 	OnOwnRecord func(membership.Instance)
 	// StoreSilence returns the time since the store last answered.
@@ -152,6 +160,8 @@
 
 // handlePull serves a pull request from another node.
 func (p *Peers) handlePull(args *Digest, reply *PullReply) error {
+	p.observeEra(args.Era)
+	reply.Era = p.Eras.Latest()
 	reply.Heard = p.StoreSilence() <= maxStoreSilence
 	// A watcher that the store does not answer must not derive freshness from another node's reply: that node may be
 	// watching the store in place of the watcher, and would stop its watch on getting a fresh reply.
@@ -183,6 +193,7 @@
 }
 
 func (p *Peers) handleOffer(args *OfferArgs, _ *OfferReply) error {
+	p.observeEra(args.Era)
 	if n := p.mergeOthers(args.Records); n > 0 {
 		event.RecordsFromPeer.Write(event.RecordsFromPeer.Log(&p.Log).Int("records", n))
 		p.Forward(args.Records)
@@ -196,6 +207,13 @@
 	return nil
 }
 
+// observeEra takes in the era that another node has told.
+func (p *Peers) observeEra(told era.Number) {
+	if told != 0 {
+		p.Eras.Observe(told)
+	}
+}
+
 // mergeOthers stores newer valid records of other instances and returns their number. Only this node itself changes its own
 // record, so that a received one is passed to OnOwnRecord.
 func (p *Peers) mergeOthers(records []membership.Instance) int {
@@ -336,6 +354,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	start := time.Now()
+	digest.Era = p.Eras.Latest()
 	if p.requestFull.Swap(false) {
 		digest.Version = 0
 	}
@@ -347,6 +366,7 @@
 		event.PeerNotHeard.Write(event.PeerNotHeard.Log(&p.Log).Err(err).Str("peer", addr))
 		return reply, false
 	}
+	p.observeEra(reply.Era)
 	if reply.Version != 0 && reply.Format < configurationFormat {
 		event.PeerFormatOld.Write(event.PeerFormatOld.Log(&p.Log).Str("peer", addr).Uint64("version", uint64(reply.Version)).Int("format", reply.Format))
 		reply.Version, reply.Heard, reply.Fresh, reply.Confirmed = 0, false, false, false
@@ -417,6 +437,7 @@
 
 // sendOffer sends an offer to the given nodes and waits until all calls have completed or timed out.
 func (p *Peers) sendOffer(ctx context.Context, targets []membership.Instance, args OfferArgs) {
+	args.Era = p.Eras.Latest()
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -361,3 +361,31 @@
 		}
 	})
 }
+
+// Guards against a node that does not read the store and does not learn of a restore, so that its record stays lost: the question and
+// the reply of a pull, and an offer, each tell the era to a node that knows an earlier one.
+func TestMessagesTellTheEra(t *testing.T) {
+	for name, c := range map[string]struct {
+		asking, asked era.Number
+		send          func(asking *Peers)
+	}{
+		"question": {2, 1, func(p *Peers) { p.pullFrom(t.Context(), "b:81") }},
+		"reply":    {1, 2, func(p *Peers) { p.pullFrom(t.Context(), "b:81") }},
+		"offer": {2, 1, func(p *Peers) {
+			to := instance("b", 1, 1, membership.StateReady)
+			to.ControlAddress = "b:81"
+			p.sendOffer(t.Context(), []membership.Instance{to}, OfferArgs{})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			calls := &fakeCaller{peers: make(map[string]*Peers)}
+			asking, asked := newPeer(calls, "a", "a:81", 0), newPeer(calls, "b", "b:81", 0)
+			asking.Eras.Observe(c.asking)
+			asked.Eras.Observe(c.asked)
+			c.send(asking)
+			if asking.Eras.Latest() != 2 || asked.Eras.Latest() != 2 {
+				t.Errorf("the nodes know eras %d and %d, want 2", asking.Eras.Latest(), asked.Eras.Latest())
+			}
+		})
+	}
+}
--- a/pkg/directory/state.go
+++ b/pkg/directory/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/config"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -220,6 +221,8 @@
 	// requesting node knows whether there are any.
 	PlanSum         uint64
 	RolloutsUnknown bool
+	// Era is the latest era of the store that the requesting node knows; zero if it knows none.
+	Era era.Number
 }
 
 // Digest returns the digest of the state without Records.
--- a/pkg/event/directory.go
+++ b/pkg/event/directory.go
@@ -28,6 +28,9 @@
 	RecordLost = define(1151, "record_lost", zerolog.WarnLevel,
 		"the store no longer holds this node's instance record; the record is written again",
 		"None after a restore of the store; otherwise find out what removes instance records.")
+	StoreRestored = define(1152, "store_restored", zerolog.WarnLevel,
+		"the store has come back from an earlier copy of itself, and has lost what it had written since; each node writes its record again",
+		"Check that the store holds the latest configuration and orders, and write again what is missing.")
 	PeerFormatOld = define(1320, "peer_format_old", zerolog.WarnLevel,
 		"a configuration from a node of an earlier build was ignored, since it may lack the workspaces and their keys",
 		"None while nodes are being upgraded; otherwise upgrade the named node.")
