Keep instances in use that a first listing lacks

What callers saw: after a restore of the store, and while many nodes start, instances that were well got no requests for a second or more, until their nodes had come back with a higher incarnation.

Cause: a complete listing without a record was taken for its removal. After a restore, and at the first listing of a node, it shows only that the store does not hold the record yet, or not again.

Between two listings of one era nothing changes.

Ruled out: to wait for the owner without a limit; an instance that is gone for good would then stay in use at all nodes that knew it.

--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -86,6 +86,7 @@
 	lastResponse    clock.EventTime
 	failingKinds    atomic.Int32
 	instancesListed atomic.Bool
+	missing         missingRecords
 	// configurationRefused is set while the newest configuration in the store could not be put in force.
 	configurationRefused atomic.Bool
 }
@@ -345,6 +346,7 @@
 	for _, c := range changes {
 		id := membership.InstanceID(c.Object.Name)
 		present[id] = true
+		f.missing.found(id)
 		if c.Removed && id == f.Self {
 			if f.OnOwnRecordRemoved != nil {
 				f.OnOwnRecordRemoved(at.Era)
@@ -374,16 +376,22 @@
 		records = append(records, in)
 	}
 	f.State.Merge(records...)
+	now := f.Clock.Now()
+	removed := f.missing.expired(now, f.State.find)
 	if complete {
 		f.instancesListed.Store(true)
+		var lacking []membership.Instance
 		for _, in := range f.State.All() {
-			if present[in.ID] || in.ID == f.Self {
-				continue
-			}
-			if departed, ok := f.State.MarkDeparted(in.ID); ok {
-				records = append(records, departed)
+			if !present[in.ID] && in.ID != f.Self {
+				lacking = append(lacking, in)
 			}
 		}
+		removed = append(removed, f.missing.observe(now, at.Era, lacking)...)
+	}
+	for _, in := range removed {
+		if departed, ok := f.State.MarkDeparted(in.ID); ok {
+			records = append(records, departed)
+		}
 	}
 	if len(records) > 0 {
 		f.notifyChange(records)
--- a/pkg/directory/odd_test.go
+++ b/pkg/directory/odd_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -30,7 +31,7 @@
 			state, removed := NewState(), 0
 			known := instance("known", 1, 2, membership.StateReady)
 			state.Merge(known)
-			f := &Follower{State: state, Self: "self", Log: zerolog.Nop(), OnOwnRecordRemoved: func(era.Number) { removed++ }}
+			f := &Follower{State: state, Self: "self", Clock: clock.System{}, Log: zerolog.Nop(), OnOwnRecordRemoved: func(era.Number) { removed++ }}
 			f.applyInstances([]Change{
 				{Object: platform.Object{Name: "known", Spec: []byte(odd)}},
 				{Object: platform.Object{Name: "self", Spec: []byte(odd)}},
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
 	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -389,3 +390,202 @@
 		})
 	}
 }
+
+// restoredNode is a node of a mesh whose store is restored.
+type restoredNode struct {
+	*Peers
+	follower  *Follower
+	publisher *Publisher
+	store     *trackedStore
+	mu        sync.Mutex
+	record    membership.Instance
+}
+
+// newRestoredNode returns a node of a mesh. As the tracker of the backend server does, it raises its incarnation when its record is
+// lost, or held for departed by others.
+func newRestoredNode(c *fakeCaller, m *memoryStore, i int) *restoredNode {
+	addr := fmt.Sprintf("10.0.0.%d:81", i+1)
+	n := &restoredNode{record: instance(fmt.Sprintf("%c%03d", 'a'+i%4, i), 1, 1, membership.StateReady)}
+	n.record.ControlAddress = addr
+	n.Peers = newPeer(c, string(n.record.ID), addr, 0)
+	n.AvailabilityZone = n.record.AvailabilityZone
+	n.store = &trackedStore{Store: m, memory: m, eras: n.Eras}
+	n.follower = &Follower{State: n.State, Store: n.store, Schema: versionSchema{}, Eras: n.Eras, Self: n.record.ID, Clock: clock.System{}, Log: zerolog.Nop(),
+		Metrics: n.Metrics, CanSkipWatch: n.CanSkipWatch, OnChange: n.Forward}
+	n.follower.SetApplyBound(2 * time.Second)
+	n.StoreSilence = n.follower.StoreSilence
+	n.publisher = NewPublisher(n.State, n.store, n.Eras, zerolog.Nop(), n.Offer)
+	n.Eras.OnRaise = func(era.Number, era.Number) { n.Forward(nil) }
+	n.publisher.OnLost = n.raise
+	n.follower.OnOwnRecord = n.publisher.ObserveStored
+	n.follower.OnOwnRecordMissing = n.publisher.ObserveMissing
+	n.follower.OnOwnRecordRemoved = func(read era.Number) { n.publisher.ObserveRemoved(read); n.raise() }
+	n.OnOwnRecord = func(known membership.Instance) {
+		if known.State == membership.StateDeparted && supersedes(known, n.own()) {
+			n.raise()
+		}
+	}
+	return n
+}
+
+func (n *restoredNode) own() membership.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.record
+}
+
+func (n *restoredNode) raise() {
+	n.mu.Lock()
+	n.record.Incarnation++
+	in := n.record
+	n.mu.Unlock()
+	n.publisher.Set(in)
+}
+
+func (n *restoredNode) start(ctx context.Context, wg *sync.WaitGroup) {
+	for _, duty := range []func(context.Context){n.follower.Run, n.Run, n.RunForward, n.publisher.Run} {
+		wg.Go(func() { duty(ctx) })
+	}
+	n.publisher.Set(n.own())
+}
+
+// startRestoredMesh starts nodes whose records are in the store, and more of them after the copy that it returns was taken.
+func startRestoredMesh(t *testing.T, ctx context.Context, wg *sync.WaitGroup, m *memoryStore, inCopy, later int) ([]*restoredNode, *storeCopy) {
+	t.Helper()
+	m.set(testConfigurationKind, "main", "3")
+	m.update(func(m *memoryStore) { m.era = 1 })
+	c := &fakeCaller{peers: make(map[string]*Peers)}
+	var nodes []*restoredNode
+	for i := range inCopy + later {
+		nodes = append(nodes, newRestoredNode(c, m, i))
+	}
+	for _, n := range nodes[:inCopy] {
+		n.start(ctx, wg)
+	}
+	time.Sleep(5 * time.Second)
+	before := m.copy()
+	for _, n := range nodes[inCopy:] {
+		n.start(ctx, wg)
+	}
+	m.set(testConfigurationKind, "main", "7")
+	time.Sleep(5 * time.Second)
+	for _, n := range nodes {
+		if known := len(n.State.Instances("desk")); known != len(nodes) || n.State.Version() != 7 {
+			t.Fatalf("node %s knows %d instances and version %d before the restore", n.record.ID, known, n.State.Version())
+		}
+	}
+	return nodes, before
+}
+
+// Guards against nodes that do not watch the store and do not learn of a restore, so that their records stay lost; and against a restore
+// that costs more than the lost writes and a listing of each kind at the nodes that watch, which are all while the watchers hear nothing
+// from the store.
+func TestMeshAfterARestore(t *testing.T) {
+	for away, watching := range map[time.Duration]int{0: watcherCount, 3 * time.Second: 60} {
+		t.Run(away.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const inCopy, later = 40, 20
+				m := newMemoryStore()
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				defer func() { cancel(); wg.Wait() }()
+				nodes, before := startRestoredMesh(t, ctx, &wg, m, inCopy, later)
+				m.update(func(m *memoryStore) { m.down = away > 0 })
+				time.Sleep(away)
+				m.restore(before)
+				m.update(func(m *memoryStore) { m.down, m.puts = false, 0 })
+				for _, n := range nodes {
+					n.store.listings.Store(0)
+				}
+				time.Sleep(8 * time.Second)
+				listings := 0
+				for _, n := range nodes {
+					listings += int(n.store.listings.Load())
+					if known := len(n.State.Instances("desk")); known != len(nodes) || n.State.Version() != 7 {
+						t.Errorf("node %s knows %d instances and version %d, want %d and 7", n.record.ID, known, n.State.Version(), len(nodes))
+					}
+				}
+				m.update(func(m *memoryStore) {
+					if stored := len(m.objects[platform.KindInstance]); stored != len(nodes) || m.puts != later || listings > 2*watching {
+						t.Errorf("the store holds %d records after %d writes and %d listings, want %d, %d and %d", stored, m.puts, listings, len(nodes), later, 2*watching)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against instances that get no requests for a while although they are well, since a listing of the restored store lacks them
+// until their nodes have written their records again.
+func TestInstancesStayInUseDuringARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		defer func() { cancel(); wg.Wait() }()
+		nodes, before := startRestoredMesh(t, ctx, &wg, m, 40, 20)
+		for range 2 {
+			m.restore(before)
+			for range 80 {
+				time.Sleep(100 * time.Millisecond)
+				for _, n := range nodes {
+					if known := len(n.State.Instances("desk")); known != len(nodes) {
+						t.Fatalf("node %s knows %d instances, want %d", n.record.ID, known, len(nodes))
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against an instance that is held for departed too early, too late or never when listings lack its record.
+func TestMissingRecords(t *testing.T) {
+	a, newer, gone := instance("a", 1, 2, membership.StateReady), instance("a", 1, 3, membership.StateReady), instance("a", 1, 3, membership.StateDeparted)
+	start := time.Now()
+	for name, c := range map[string]struct {
+		// steps are taken one second after each other: "list" is a listing without the record, "other" one of the next era, "found" the
+		// record in an event, "wait" the passing of the grace time.
+		steps   []string
+		lacking membership.Instance
+		known   membership.Instance
+		want    int // the number of the step, from 1, with which the record is removed; zero for none
+	}{
+		"removed between two listings": {[]string{"present", "list"}, a, a, 2},
+		"unknown at the first listing": {[]string{"list", "wait"}, a, a, 2},
+		"lost in a restore":            {[]string{"present", "other", "list", "wait"}, a, a, 4},
+		"written again":                {[]string{"present", "other", "found", "wait"}, a, a, 0},
+		"removed after that":           {[]string{"present", "other", "found", "list"}, a, a, 4},
+		"lost in a second restore":     {[]string{"present", "other", "other", "wait"}, a, a, 4},
+		"its node lives":               {[]string{"present", "other", "wait"}, a, newer, 0},
+		"departed before":              {[]string{"present", "other", "wait", "list"}, gone, gone, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var m missingRecords
+			now, read, removedAt := start, era.Number(1), 0
+			for i, step := range c.steps {
+				now = now.Add(time.Second)
+				if step == "wait" {
+					now = now.Add(restoreGrace)
+				}
+				removed := m.expired(now, func(membership.InstanceID) membership.Instance { return c.known })
+				switch step {
+				case "present":
+					removed = append(removed, m.observe(now, read, nil)...)
+				case "other":
+					read++
+					removed = append(removed, m.observe(now, read, []membership.Instance{c.lacking})...)
+				case "list":
+					removed = append(removed, m.observe(now, read, []membership.Instance{c.lacking})...)
+				case "found":
+					m.found("a")
+				}
+				if len(removed) > 0 && removedAt == 0 {
+					removedAt = i + 1
+				}
+			}
+			if removedAt != c.want {
+				t.Errorf("removed with step %d, want %d", removedAt, c.want)
+			}
+		})
+	}
+}
