Keep the progress of a roll-out that the store has lost

What operators would see: a roll-out that was completed is rolled back after a restore of the store, when the old instances have stopped, or its status stays at an earlier phase for good.

Cause: deciders believed the status in the store alone, which may lack what was acknowledged before the restore, and nobody wrote it again.

Evidence: TestProgressOutlastsARestore without the change: with new deciders the history of one order is trial, shifting, closing, completed, trial, rolled_back, and in three others the store ends with closing.

Change: a decider that reads an order in a later era keeps the phase, the grants and the number of requests that it knew. An end that other nodes know of an order at the same or an earlier position is taken over. What the store lacks is written again, under the position that was read.

Why this works: in one history the phase of an order never falls, so that an earlier phase at a later position is a loss and no delay.

--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -196,7 +196,15 @@
 		event.RolloutOrdered.Write(event.RolloutOrdered.Log(&r.Log).Str("service", obj.Name).Str("version", obj.Order.Target).
 			Dur("duration", obj.Order.Duration).Uint64("era", uint64(obj.At.Era)).Uint64("revision", obj.At.Revision))
 	}
-	return r.merge(rollout.PlanOf(&obj))
+	changed := r.merge(rollout.PlanOf(&obj))
+	r.mu.Lock()
+	r.decider.ObservePlan(r.Table.Get(obj.Name)) // It may know an end that the store has lost.
+	owes := r.decider.Owes()
+	r.mu.Unlock()
+	if owes {
+		signal(r.wakeDecider)
+	}
+	return changed
 }
 
 // merge takes plans in and returns those that have changed.
@@ -288,7 +296,7 @@
 // RunDecider decides on the orders in progress until ctx ends. While there are none, it waits for one.
 func (r *Rollouts) RunDecider(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !r.anyActive() {
+		if !r.busy() {
 			select {
 			case <-r.wakeDecider:
 			case <-ctx.Done():
@@ -304,8 +312,14 @@
 	}
 }
 
-func (r *Rollouts) anyActive() bool {
-	return slices.ContainsFunc(r.Table.All(), func(p rollout.Plan) bool { return p.Active() })
+// busy reports whether there is an order to decide on, or progress of one that the store has lost.
+func (r *Rollouts) busy() bool {
+	if slices.ContainsFunc(r.Table.All(), func(p rollout.Plan) bool { return p.Active() }) {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decider.Owes()
 }
 
 func (r *Rollouts) decide() {
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -156,6 +156,8 @@
 	// seenAt is when this node first saw the order, ageAtSight how old it was then.
 	seenAt     time.Time
 	ageAtSight time.Duration
+	// owed is set while the store holds less of the order's progress than is known, since it has come back from a copy.
+	owed bool
 	// withoutOldSince is the time since which no instance of another version is known.
 	withoutOldSince time.Time
 	halted          bool
@@ -260,7 +262,8 @@
 		delete(d.runs, o.Name)
 		return
 	}
-	s := o.status()
+	stored := o.status()
+	s := stored
 	if r == nil || r.object.ID() != o.ID() {
 		r = &run{grants: make(map[reporter]uint64), reports: make(map[reporter]*received), seenAt: now, phaseSince: now, lifecycle: newLifecycle(s.Phase)}
 		if s.StartedMillis > 0 {
@@ -268,7 +271,11 @@
 			r.ageAtSight = min(max(0, time.Duration(now.UnixMilli()-s.StartedMillis)*time.Millisecond), o.Order.Duration)
 		}
 		d.runs[o.Name] = r
+	} else if o.At.Era > r.object.At.Era || r.owed {
+		s = stored.withProgress(r.object.status())
+		o.Status = &s
 	}
+	r.owed = s.Phase != stored.Phase || s.Granted != stored.Granted
 	if r.lifecycle.Current() != s.Phase.String() {
 		r.lifecycle.SetState(s.Phase.String())
 		r.phaseSince = now
@@ -297,6 +304,10 @@
 	if r == nil || r.plan.Order != p.Order || r.plan.Phase.Ended() {
 		return
 	}
+	if p.Phase.Ended() && r.object.At.Compare(p.at()) >= 0 {
+		r.restoreEnd(p)
+		return
+	}
 	r.halted = r.halted || p.Halted
 	if p.Phase != r.plan.Phase {
 		p.Phase, p.Step = r.plan.Phase, 0 // Only the store moves the phase here.
@@ -304,6 +315,26 @@
 	r.plan, _ = merge(r.plan, p)
 }
 
+// restoreEnd takes over the end of the order from another node. The store has lost it, as it holds an earlier phase at the same or a later
+// position.
+func (r *run) restoreEnd(p Plan) {
+	s := r.object.status()
+	s.Phase, s.DecidedMillis, s.Reason = p.Phase, p.DecidedMillis, "ended before the store came back from a copy"
+	r.object.Status, r.owed, r.reason = &s, true, s.Reason
+	r.lifecycle.SetState(s.Phase.String())
+	r.rebase()
+}
+
+// Owes reports whether the store has lost progress of an order that this node knows.
+func (d *Decider) Owes() bool {
+	for _, r := range d.runs {
+		if r.owed {
+			return true
+		}
+	}
+	return false
+}
+
 // Plans returns the plans of all orders.
 func (d *Decider) Plans() []Plan {
 	out := make([]Plan, 0, len(d.runs))
@@ -433,10 +464,16 @@
 		} else if r.leadsSince.IsZero() {
 			r.leadsSince = now
 		}
-		if !r.plan.Active() || !leads && !r.hears(now) {
+		if !r.plan.Active() && !r.owed || !leads && !r.hears(now) {
 			continue
 		}
-		w := d.decide(now, r, members(service))
+		var w *Write
+		if r.plan.Active() {
+			w = d.decide(now, r, members(service))
+		}
+		if w == nil && r.owed {
+			w = r.write()
+		}
 		if w != nil && !r.writing && !now.Before(r.retryAt) {
 			r.writing = true
 			out = append(out, *w)
--- a/pkg/rollout/faults_test.go
+++ b/pkg/rollout/faults_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -408,3 +409,59 @@
 		}
 	}
 }
+
+// Guards against an order whose progress is taken back, judged or counted again, or ended in another way, since the store has come back
+// from a copy that lacks the last writes of its status; also if the deciders that knew them have ended with the restore.
+func TestProgressOutlastsARestore(t *testing.T) {
+	const lost = 4 * time.Second
+	for name, answers := range map[string]behaviour{"good": healthy, "bad": failing(0.3)} {
+		for _, deciders := range []string{"go on", "are new"} {
+			for at := lost; at <= testDuration; at += time.Second {
+				t.Run(fmt.Sprintf("%s, deciders %s, at %v", name, deciders, at), func(t *testing.T) {
+					s := newSim(t, uint64(at/time.Second), 14, 600)
+					s.store.era = 1
+					s.order(testDuration, 14, answers)
+					var before simStore
+					var end Phase
+					s.onStep = func() {
+						switch s.now.Sub(s.orderAt) {
+						case at - lost:
+							before = s.store.copy()
+						case at:
+							s.store.restore(before)
+							if deciders == "are new" {
+								for i := range s.deciders {
+									s.deciders[i] = s.newDecider()
+									s.deciders[i].table.Merge(s.instances[i].local.Table.All()...) // As with the first pull.
+								}
+							}
+						}
+						plan := s.instances[0].local.Table.Get(simService)
+						if end != PhasePending && plan.Phase != end {
+							t.Errorf("the plan went from %v to %v", end, plan.Phase)
+						}
+						if plan.Phase.Ended() {
+							end = plan.Phase
+						}
+					}
+					s.run(testDuration + 5*time.Second)
+					want := map[string]Phase{"good": PhaseCompleted, "bad": PhaseRolledBack}[name]
+					if s.phase() != want || end != want {
+						t.Errorf("the store holds phase %v (%s) and the nodes follow %v, want %v", s.phase(), s.reason(), end, want)
+					}
+					for _, p := range s.store.history {
+						if p.Ended() && p != want {
+							t.Errorf("history %v", s.store.history)
+						}
+					}
+					if name == "bad" {
+						s.mustKeepExposure()
+					}
+					if s.refused > 0 {
+						t.Errorf("%d requests found no instance", s.refused)
+					}
+				})
+			}
+		}
+	}
+}
--- a/pkg/rollout/mesh_test.go
+++ b/pkg/rollout/mesh_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 )
 
@@ -57,6 +58,7 @@
 	object   Object
 	exists   bool
 	revision uint64
+	era      era.Number
 	writes   int
 	// lose makes the answer of a write get lost; the write may be done or not.
 	lose func() bool
@@ -66,10 +68,21 @@
 
 func (s *simStore) put(o Object) {
 	s.revision++
-	o.At.Revision = s.revision
+	o.At = era.Position{Era: s.era, Revision: s.revision}
 	s.object, s.exists = o, true
 }
 
+// copy returns the state of the store, and restore brings it back from one.
+func (s *simStore) copy() simStore {
+	return simStore{object: s.object, exists: s.exists, revision: s.revision}
+}
+
+func (s *simStore) restore(c simStore) {
+	s.era++
+	s.object, s.exists, s.revision = c.object, c.exists, c.revision
+	s.object.At.Era = s.era
+}
+
 func (s *simStore) putStatus(w Write) (WriteResult, *Object) {
 	s.writes++
 	lost := s.lose != nil && s.lose()
@@ -213,6 +226,7 @@
 		if !d.storeDown && s.store.exists {
 			d.decider.ObserveObject(s.now, s.store.object)
 			d.table.Merge(PlanOf(&s.store.object))
+			d.decider.ObservePlan(d.table.Get(simService))
 		}
 		plans = append(plans, d.table.Merge(d.decider.Plans()...)...)
 		plans = append(plans, d.table.All()...)
--- a/pkg/rollout/order.go
+++ b/pkg/rollout/order.go
@@ -116,6 +116,20 @@
 	Reason string
 }
 
+// withProgress returns the status with the progress of the same order that was known before the store came back from a copy. The
+// progress that was acknowledged then binds on: what was granted is used, and an end has been acted upon.
+func (s Status) withProgress(known Status) Status {
+	if !s.Phase.Ended() && known.Phase > s.Phase {
+		s.Phase, s.DecidedMillis, s.Reason = known.Phase, known.DecidedMillis, known.Reason
+	}
+	s.Granted, s.Requests = max(s.Granted, known.Granted), max(s.Requests, known.Requests)
+	if s.StartedMillis == 0 {
+		s.StartedMillis = known.StartedMillis
+	}
+	s.Barred = bar(s.Barred, s.Target, known.Barred...)
+	return s
+}
+
 // Object is an order as read from the store.
 type Object struct {
 	// Name is the name of the object, which is that of the service.
