Do not take the word of a restored store for all that was acknowledged

What callers saw: a backend server got requests 5 s and more after its departure was acknowledged.

Cause: a restarted node asks the store what its earlier run had published, and takes the answer for complete. It then believes the second announcement whatever the health check says.

Change: a record names the latest era in which its node knew all that was acknowledged. If the store is in a later one when the record is recalled, an announcement counts only with a passing health check, and each one is checked until announcements have gone on for longer than one can be late. Meanwhile the node reports its backend server as starting, in a record that vouches for no later era.

Why this works: the era of the record outlasts all processes, and shows that something may be missing.

--- a/cmd/monsoonlatch-sidecar/restore_test.go
+++ b/cmd/monsoonlatch-sidecar/restore_test.go
@@ -170,3 +170,19 @@
 		t.Error("the store does not hold the record of the desk's node")
 	}
 }
+
+// Guards against an acknowledged departure that is forgotten: the store loses its record when it comes back from a copy, all nodes are
+// killed at that moment, and several announcements from before arrive late.
+func TestDepartureOutlastsARestoreAndAllNodes(t *testing.T) {
+	store, officeVMs, deskVM := startMesh(t)
+	leaving := officeVMs[0]
+	before := store.Copy()
+	leaving.backendServer.leaving.Store(true)
+	waitFor(t, "an acknowledged departure", func() bool { return leaving.announce("instances.deregister", `{"born":1000}`) })
+	store.SetFaults(metastore.Faults{Away: true})
+	leaving.kill()
+	store.Restore(before)
+	store.SetFaults(metastore.Faults{})
+	killAllNodes(t, leaving.Bounds.Drain, officeVMs[1], deskVM)
+	checkLateHeartbeats(t, store, leaving, deskVM)
+}
--- a/pkg/announce/announce.go
+++ b/pkg/announce/announce.go
@@ -124,10 +124,11 @@
 	// the effect of an announcement, or is made up for by Recall.
 	AcceptsWork func(ctx context.Context, a Announcement) bool
 	// Recall, if set, calls found with the records that an earlier run of the node has published, as the store or other nodes hold
-	// them, each time that one of them has answered, until the store has. Before the first call of found no announcement makes the
-	// backend server ready, since it may be older than a departure that the earlier run has acknowledged. Before the store has
-	// answered, one does so only if the backend server confirms it: other nodes may not have heard of the departure.
-	Recall func(ctx context.Context, found func(records []membership.Instance, stored bool))
+	// them, each time that one of them has answered, and returns once the store has. Before the first call of found no announcement
+	// makes the backend server ready, since it may be older than a departure that the earlier run has acknowledged. As long as settled
+	// is false, one does so only if the backend server confirms it: other nodes may not have heard of the departure, and the store may
+	// have lost it when it came back from a copy.
+	Recall func(ctx context.Context, found func(records []membership.Instance, settled bool))
 	// AwaitStored, if set, blocks until the record would outlast all processes. A drain or a departure is acknowledged only
 	// then.
 	AwaitStored func(ctx context.Context, record membership.Instance) error
@@ -145,9 +146,9 @@
 	lastAnnounced time.Time
 	start         backendStart
 	current       atomic.Pointer[ownState]
-	// recalled is set when the store or other nodes have told the records of an earlier run; settled, when the store has, or the
-	// announcements of a start have gone on for longer than one can be late.
-	recalled, settled bool
+	// recalled is set when the store or other nodes have told the records of an earlier run; settled, when they are certain to be all,
+	// or the announcements of a start have gone on for longer than one can be late. recallEnded is set when no more will be told.
+	recalled, settled, recallEnded bool
 	// checking is set while Run asks the backend server.
 	checking bool
 	// withdrawn is set when the node itself stops.
@@ -156,6 +157,9 @@
 	held *Announcement
 	// announcedSince is the time of the first announcement of the current start to this run of the node.
 	announcedSince time.Time
+	// reportedStarting is set once other nodes have been told that the backend server gets no requests until its announcements are
+	// believed.
+	reportedStarting bool
 	// decided is set once an announcement has been passed to unconfirmed, or a state has been put into effect.
 	decided bool
 	// unconfirmed holds an announcement until Run has asked the backend server. The next one is sent only after that, so that
@@ -422,7 +426,13 @@
 func (t *BackendTracker) hold(a Announcement) {
 	t.noteAnnounced(a)
 	t.held = &a
-	if t.settled || t.lastAnnounced.Sub(t.announcedSince) < t.settings.Timeout {
+	switch {
+	case t.settled:
+		return
+	case t.lastAnnounced.Sub(t.announcedSince) < t.settings.Timeout:
+		if t.recallEnded && !t.checking {
+			t.endRecall() // Only the backend server itself can tell more: it is asked again.
+		}
 		return
 	}
 	event.AnnouncementUnchecked.Write(event.AnnouncementUnchecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).Uint64("sequence", a.Sequence))
@@ -454,17 +464,22 @@
 
 // recall takes over the records of an earlier run.
 func (t *BackendTracker) recall(ctx context.Context) {
-	t.settings.Recall(ctx, func(records []membership.Instance, stored bool) {
+	answered := false
+	t.settings.Recall(ctx, func(records []membership.Instance, settled bool) {
+		answered = true
 		for _, record := range records {
 			t.ObserveOwn(record)
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.settled = t.settled || stored
+		t.settled = t.settled || settled
 		if !t.recalled {
 			t.endRecall()
 		}
 	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recallEnded = answered
 }
 
 // ObserveOwn takes note of the own record as the store or another node holds it. If it says that a start of the backend server
@@ -711,8 +726,8 @@
 
 // confirm asks the backend server whether it accepts new requests, as its first announcement says. If it does not say
 // so, the next announcement decides: it is newer than the first one, and a health check that fails may be wrong. One that
-// arrives meanwhile waits, since the answer also names the limit that the server has. As long as only other nodes have told what
-// an earlier run published, the announcement is held back instead, and checked again.
+// arrives meanwhile waits, since the answer also names the limit that the server has. As long as it is not certain what an earlier
+// run published, the announcement is held back instead, and the next one is checked again.
 func (t *BackendTracker) confirm(ctx context.Context, a Announcement) {
 	accepts := t.settings.AcceptsWork(ctx, a)
 	event.AnnouncementChecked.Write(event.AnnouncementChecked.Log(&t.settings.Log).Str("backend", a.ID).Int64("born", a.Born).
@@ -721,11 +736,12 @@
 	defer t.mu.Unlock()
 	t.checking = false
 	if !accepts && !t.settled && t.stateMachine.Current() == stateStarting {
-		// The other nodes that have answered may not know what the store holds.
+		// The nodes or the store that have answered may not know all that was acknowledged.
 		t.recalled, t.decided = false, false
 		if t.held == nil {
 			t.held = &a
 		}
+		t.reportStarting()
 		return
 	}
 	if t.processHeld(t.apply) || !accepts {
@@ -739,6 +755,18 @@
 	}
 }
 
+// reportStarting tells other nodes that the backend server gets no requests. The record of an earlier run may still say that it is ready.
+func (t *BackendTracker) reportStarting() {
+	if t.reportedStarting {
+		return
+	}
+	t.reportedStarting = true
+	next := *t.current.Load()
+	next.record.Sequence++
+	t.current.Store(&next)
+	t.settings.OnChange(t.published(next.record))
+}
+
 // Run recalls the records of an earlier run, checks the first announcement, and looks for missed ones until ctx ends.
 func (t *BackendTracker) Run(ctx context.Context) {
 	if t.settings.Recall != nil {
--- a/pkg/announce/restart_test.go
+++ b/pkg/announce/restart_test.go
@@ -295,3 +295,38 @@
 		}
 	}
 }
+
+// Guards against late announcements that bring a backend server back after its departure was lost with what a restored store had
+// written: the recall ends without it, and one check that fails does not make the next announcement count. A server whose check fails
+// although it is well must not wait for longer than an announcement can be late.
+func TestAnnouncementsAfterAnUncertainRecall(t *testing.T) {
+	for name, c := range map[string]struct {
+		healthyFrom int // the announcement from which the health check passes
+		announced   int
+		admits      bool
+	}{
+		"left, two late announcements":     {healthyFrom: 100, announced: 2},
+		"left, late ones for long":         {healthyFrom: 100, announced: 5},
+		"well":                             {healthyFrom: 0, announced: 1, admits: true},
+		"well, first check fails":          {healthyFrom: 1, announced: 2, admits: true},
+		"well, all checks fail":            {healthyFrom: 100, announced: 9, admits: true},
+		"well, the second last check fail": {healthyFrom: 3, announced: 4, admits: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := &manualClock{time.Unix(10, 0)}
+			check := 0
+			tracker := New(Settings{Instance: membership.Instance{ID: "n1", Service: "desk", Incarnation: 90}, Clock: clk, Log: zerolog.Nop(), DrainTime: time.Second,
+				AcceptsWork: func(context.Context, Announcement) bool { check++; return check > c.healthyFrom },
+				Recall:      func(_ context.Context, found func([]membership.Instance, bool)) { found(nil, false) }})
+			tracker.recall(context.Background())
+			for i := range c.announced {
+				mustAnnounce(t, tracker, announcement("i-1", 1000, uint64(9+i), Ready))
+				confirmPending(tracker)
+				clk.now = clk.now.Add(DefaultTimeout / 6)
+			}
+			if tracker.Admits(clk.now) != c.admits {
+				t.Errorf("requests are admitted after %d announcements and %d checks: %v", c.announced, check, !c.admits)
+			}
+		})
+	}
+}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -233,7 +233,7 @@
 // putRecord stores the record of an instance, as its node does.
 func putRecord(t *testing.T, m *memoryStore, in membership.Instance) {
 	t.Helper()
-	spec, err := encodeRecord(in)
+	spec, err := encodeRecord(in, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/directory/odd_test.go
+++ b/pkg/directory/odd_test.go
@@ -22,7 +22,7 @@
 // stays in the store in place of a live node's record.
 func TestOddRecordsHideNoNode(t *testing.T) {
 	good := instance("good", 1, 2, membership.StateReady)
-	spec, err := encodeRecord(good)
+	spec, err := encodeRecord(good, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/directory/publisher.go
+++ b/pkg/directory/publisher.go
@@ -55,7 +55,11 @@
 	storedChange chan struct{}
 	// published is the latest record that the store has held in any era. Other nodes know it.
 	published membership.Instance
-	wake      chan struct{}
+	// informed is set once this run of the node has known the state of its backend server. Until then the records that it writes
+	// vouch for no later era than that of the record of the earlier run, recalled; nil means that none was read.
+	informed bool
+	recalled *era.Number
+	wake     chan struct{}
 }
 
 // NewPublisher returns a publisher that has no record yet.
@@ -67,6 +71,7 @@
 func (p *Publisher) Set(in membership.Instance) {
 	p.mu.Lock()
 	p.latest = in
+	p.informed = p.informed || in.State == membership.StateReady || in.BackendLeaving
 	p.mu.Unlock()
 	p.State.Merge(in)
 	p.signal()
@@ -266,6 +271,24 @@
 // Read returns the own record in the store, currently. An object that does not hold a record counts as none. After a conflict it is
 // the record of an earlier run, a late write of it, or one of another writer.
 func (p *Publisher) Read(ctx context.Context, self membership.InstanceID) (in membership.Instance, found bool, err error) {
+	in, found, _, err = p.read(ctx, self)
+	return in, found, err
+}
+
+// vouchedEra returns the latest era of the store in which this node, or its earlier run, has known all that was acknowledged to its
+// backend server.
+func (p *Publisher) vouchedEra() era.Number {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if latest := p.Eras.Latest(); p.informed || p.recalled == nil || *p.recalled > latest {
+		return latest
+	}
+	return *p.recalled
+}
+
+// read is Read. outlived is set if the store has come back from a copy since an era that the record vouches for, so that a departure
+// may be lost.
+func (p *Publisher) read(ctx context.Context, self membership.InstanceID) (in membership.Instance, found, outlived bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readOwnTimeout)
 	defer cancel()
 	obj, err := p.Store.Get(ctx, platform.KindInstance, string(self))
@@ -275,15 +298,21 @@
 		} else {
 			p.ObserveRemoved(p.Eras.Latest())
 		}
-		return in, false, nil
+		return in, false, false, nil
 	}
 	if err != nil {
-		return in, false, err
+		return in, false, false, err
+	}
+	vouched, told := vouchedEraOf(obj)
+	if outlived = told && vouched < obj.Era; told {
+		p.mu.Lock()
+		p.recalled = &vouched
+		p.mu.Unlock()
 	}
 	if in, err = decodeRecord(obj); err != nil {
 		event.RecordRefused.Write(event.RecordRefused.Log(&p.Log).Err(err))
 		p.setStored(membership.Instance{}, versionOf(obj))
-		return membership.Instance{}, false, nil
+		return membership.Instance{}, false, outlived, nil
 	}
 	p.setStored(in, versionOf(obj))
 	if _, rewrite := p.unstored(); rewrite {
@@ -292,7 +321,7 @@
 	if p.OnRead != nil {
 		p.OnRead(in)
 	}
-	return in, true, nil
+	return in, true, outlived, nil
 }
 
 // Write stores a record in place of the object that this node knows. That of a departed instance is kept, since this node may
@@ -300,7 +329,7 @@
 func (p *Publisher) Write(ctx context.Context, in membership.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	spec, err := encodeRecord(in)
+	spec, err := encodeRecord(in, p.vouchedEra())
 	if err != nil {
 		return err
 	}
--- a/pkg/directory/recall.go
+++ b/pkg/directory/recall.go
@@ -21,8 +21,8 @@
 	recallNodes = 3
 )
 
-// Recall finds out what an earlier run of this node has published about its instance. The store holds all that was acknowledged;
-// other nodes also know what the store has not accepted yet.
+// Recall finds out what an earlier run of this node has published about its instance. The store holds all that was acknowledged,
+// unless it has come back from a copy since then; other nodes also know what the store has not accepted yet.
 type Recall struct {
 	Publisher *Publisher
 	Peers     *Peers
@@ -32,13 +32,15 @@
 }
 
 // Run calls found with the records of the own instance that the store and other nodes hold, which may be none, after each round of
-// questions that got an answer. It ends when the store has answered, which stored tells, or ctx ends.
-func (r *Recall) Run(ctx context.Context, found func(records []membership.Instance, stored bool)) {
+// questions that got an answer. settled tells that the store has answered, and has not come back from a copy since it got the record
+// that it holds. Run ends when the store has answered or ctx ends.
+func (r *Recall) Run(ctx context.Context, found func(records []membership.Instance, settled bool)) {
 	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		records, stored, others := r.once(ctx)
+		records, stored, outlived, others := r.once(ctx)
 		if stored || others > 0 {
-			event.RecordRecalled.Write(event.RecordRecalled.Log(&r.Log).Int("records", len(records)).Bool("stored", stored).Int("others", others))
-			found(records, stored)
+			event.RecordRecalled.Write(event.RecordRecalled.Log(&r.Log).Int("records", len(records)).Bool("stored", stored).
+				Bool("restored_since", outlived).Int("others", others))
+			found(records, stored && !outlived)
 		}
 		if stored {
 			return
@@ -47,10 +49,10 @@
 	}
 }
 
-// once asks the store and other nodes once. It reports whether the store has answered, and how many other nodes have. Their answers
-// need not contain a record.
-func (r *Recall) once(ctx context.Context) (records []membership.Instance, stored bool, others int) {
-	own, found, err := r.Publisher.Read(ctx, r.Peers.Self)
+// once asks the store and other nodes once. It reports whether the store has answered, whether it has come back from a copy since it got
+// the record, and how many other nodes have answered. Their answers need not contain a record.
+func (r *Recall) once(ctx context.Context) (records []membership.Instance, stored, outlived bool, others int) {
+	own, found, outlived, err := r.Publisher.read(ctx, r.Peers.Self)
 	stored = err == nil
 	for start := time.Now(); stored && !r.InstancesListed() && time.Since(start) < recallListingWait && ctx.Err() == nil; {
 		clock.Sleep(ctx, minBackoff/10)
@@ -59,7 +61,7 @@
 		records = append(records, own)
 	}
 	known, others := r.Peers.known(ctx)
-	return append(records, known...), stored, others
+	return append(records, known...), stored, outlived, others
 }
 
 // KnownArgs names an instance.
--- a/pkg/directory/record.go
+++ b/pkg/directory/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/fault"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
@@ -27,6 +28,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	Sequence    uint64 `json:"sequence"`
 	State       string `json:"state"`
+	// Era is the latest era of the store in which the node knew what was acknowledged to its backend server; see Publisher.vouchedEra.
+	// It is missing in records of earlier builds.
+	Era *era.Number `json:"storeEra,omitempty"`
 }
 
 var stateByName = map[string]membership.State{
@@ -34,12 +38,22 @@
 	membership.StateDraining.String(): membership.StateDraining, membership.StateDeparted.String(): membership.StateDeparted,
 }
 
-func encodeRecord(instance membership.Instance) ([]byte, error) {
-	return json.Marshal(record{Service: instance.Service, Zone: instance.AvailabilityZone, Region: instance.Region, Peers: instance.PeerAddress,
+// encodeRecord encodes an instance record that holds all that was acknowledged up to the given era of the store.
+func encodeRecord(instance membership.Instance, vouched era.Number) ([]byte, error) {
+	return json.Marshal(record{Era: &vouched, Service: instance.Service, Zone: instance.AvailabilityZone, Region: instance.Region, Peers: instance.PeerAddress,
 		Control: instance.ControlAddress, Backend: instance.BackendID, Started: instance.BackendStarted, Leaving: instance.BackendLeaving, Version: instance.Version, Slots: instance.Slots, Link: instance.Link, Incarnation: instance.Incarnation,
 		Sequence: instance.Sequence, State: instance.State.String()})
 }
 
+// vouchedEraOf returns the era of the store up to which a record holds all that was acknowledged, and false if it does not tell that.
+func vouchedEraOf(obj platform.Object) (era.Number, bool) {
+	var r record
+	if json.Unmarshal(obj.Spec, &r) != nil || r.Era == nil {
+		return 0, false
+	}
+	return *r.Era, true
+}
+
 // decodeRecord decodes an instance record. It returns an error for a record that another program has written or
 // corrupted, since such a record does not describe a usable instance.
 func decodeRecord(obj platform.Object) (membership.Instance, error) {
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -589,3 +590,66 @@
 		})
 	}
 }
+
+// Guards against a recall that takes the store's word for all that was acknowledged, although the store has come back from a copy since,
+// and against a record that vouches for more than its node knows: a further restart would then take it for complete.
+func TestRecallAfterARestore(t *testing.T) {
+	for name, c := range map[string]struct {
+		vouched any // of the record in the store, in era 2; nil if it does not tell
+		set     *membership.Instance
+		settled bool
+		want    float64
+	}{
+		"before the restore":                {vouched: 1, set: ptr(instance("self", 2, 2, membership.StateStarting)), want: 1},
+		"before the restore, node stops":    {vouched: 1, set: ptr(instance("self", 2, 2, membership.StateDraining)), want: 1},
+		"before the restore, known by now":  {vouched: 1, set: ptr(instance("self", 2, 2, membership.StateReady)), want: 2},
+		"before the restore, has left":      {vouched: 1, set: ptr(departed("self", 9)), want: 2},
+		"after the restore":                 {vouched: 2, set: ptr(instance("self", 2, 2, membership.StateStarting)), settled: true, want: 2},
+		"record of an earlier build":        {set: ptr(instance("self", 2, 2, membership.StateStarting)), settled: true, want: 2},
+		"era of another store, ahead of it": {vouched: 7, set: ptr(instance("self", 2, 2, membership.StateStarting)), settled: true, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				spec, err := encodeRecord(instance("self", 1, 1, membership.StateReady), 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				var fields map[string]any
+				if err := json.Unmarshal(spec, &fields); err != nil {
+					t.Fatal(err)
+				}
+				if fields["storeEra"] = c.vouched; c.vouched == nil {
+					delete(fields, "storeEra")
+				}
+				if spec, err = json.Marshal(fields); err != nil {
+					t.Fatal(err)
+				}
+				m.set(platform.KindInstance, "self", string(spec))
+				p, _ := startTrackedPublisher(t, m)
+				m.restore(m.copy())
+				r := &Recall{Publisher: p, Peers: newPeer(&fakeCaller{peers: make(map[string]*Peers)}, "self", "self:81", 0), InstancesListed: func() bool { return true }, Log: zerolog.Nop()}
+				settled := false
+				r.Run(t.Context(), func(_ []membership.Instance, s bool) { settled = s })
+				if settled != c.settled {
+					t.Errorf("settled %v, want %v", settled, c.settled)
+				}
+				if c.set.Incarnation == 1 {
+					c.set.Incarnation = 3
+				}
+				p.Set(*c.set)
+				time.Sleep(2 * time.Second)
+				obj, err := m.Get(t.Context(), platform.KindInstance, "self")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := json.Unmarshal(obj.Spec, &fields); err != nil {
+					t.Fatal(err)
+				}
+				if in, err := decodeRecord(obj); err != nil || in.State != c.set.State || fields["storeEra"] != c.want {
+					t.Errorf("the store holds %s, error %v, want era %v", obj.Spec, err, c.want)
+				}
+			})
+		})
+	}
+}
--- a/pkg/directory/rollouts_test.go
+++ b/pkg/directory/rollouts_test.go
@@ -424,7 +424,7 @@
 func TestVersionInRecords(t *testing.T) {
 	in := instance("a", 1, 1, membership.StateReady)
 	in.Version = "v2"
-	spec, err := encodeRecord(in)
+	spec, err := encodeRecord(in, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -432,7 +432,7 @@
 		t.Errorf("got %+v, error %v", got, err)
 	}
 	in.Version = ""
-	if spec, err = encodeRecord(in); err != nil {
+	if spec, err = encodeRecord(in, 0); err != nil {
 		t.Fatal(err)
 	}
 	var fields map[string]any
