Write departures of gone nodes back to a restored store

What callers would see: after a restore of the store, nodes that start send requests to instances that have left, whose VMs are gone. They are refused and move on, but cost attempts and time.

Cause: a record is written by its own node only, which has gone here.

Change: after a restore the watchers, one after the other, list the instances and replace records by which an instance is in use, if a later one is known that says that it drains or has departed.

Why this works: any node that knew of the departure has it in memory, and the condition of the write is the version listed, so that nothing newer is lost.

Measured: TestDeparturesOfOthersAreRestored; two writes for two owed records with three, two and one watchers left.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -83,6 +83,7 @@
 	nameDirectoryState = "state"
 	nameFollower       = "follower"
 	nameStore          = "store"
+	nameEras           = "eras"
 	namePeers          = "peers"
 	namePublisher      = "publisher"
 	nameGate           = "gate"
@@ -215,6 +216,7 @@
 	follower.OnWatchTimeout = peers.RequestPullFromAny
 	b.Provide(nameRolloutTable, rollout.NewTable(b.vm.Bounds.ExposeShare > 0))
 	b.Provide(nameStore, store)
+	b.Provide(nameEras, eras)
 	b.Provide(nameFollower, follower)
 	b.Provide(namePeers, peers)
 	b.Provide(namePublisher, publisher)
@@ -372,7 +374,9 @@
 	}
 	cleaner := &directory.Cleaner{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Self: b.self(),
 		Clock: b.clock, Log: b.log}
-	b.Register(newBackgroundTasks("duties", cleaner.Run, follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
+	restorer := &directory.Restorer{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Eras: find[*era.Tracker](b, nameEras),
+		Self: b.self(), Log: b.log}
+	b.Register(newBackgroundTasks("duties", cleaner.Run, restorer.Run, follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
 		find[*announce.BackendTracker](b, nameAnnounce).Run, ingress.Run, ingress.Peers.Run, quotas.Run, quotas.RunTransfers, find[*upstream.Pool](b, nameBackendPool).Run))
 }
 
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -653,3 +653,62 @@
 		})
 	}
 }
+
+// Guards against an instance that has left and is offered again to nodes that start after a restore, since its own node, which would
+// write its record, has gone too; against a record of a live instance that is overwritten; and against watchers that all write.
+func TestDeparturesOfOthersAreRestored(t *testing.T) {
+	for _, failing := range []int{0, 1, 2} { // So many watchers have ended.
+		t.Run(fmt.Sprint(failing, " watchers gone"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMemoryStore()
+				m.update(func(m *memoryStore) { m.era = 1 })
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				defer func() { cancel(); wg.Wait() }()
+				records := []membership.Instance{departed("left", 4), instance("lives", 1, 3, membership.StateReady), instance("stops", 1, 3, membership.StateDraining)}
+				for i := range 3 {
+					records = append(records, instance(fmt.Sprintf("%c-watcher", 'a'+i), 1, 1, membership.StateReady))
+				}
+				for _, in := range records {
+					older := in
+					if older.Sequence--; older.State != membership.StateReady {
+						older.State, older.BackendLeaving = membership.StateReady, false
+					}
+					putRecord(t, m, older)
+				}
+				before := m.copy()
+				state := NewState()
+				state.Merge(records...)
+				for _, in := range state.topology().watchers()[failing:] {
+					eras := era.NewTracker()
+					eras.Observe(1)
+					r := &Restorer{State: state, Store: &trackedStore{Store: m, memory: m, eras: eras}, Eras: eras, Self: in.ID, Log: zerolog.Nop()}
+					wg.Go(func() { r.Run(ctx) })
+					time.AfterFunc(time.Second, func() { eras.Observe(2) })
+				}
+				time.Sleep(500 * time.Millisecond)
+				m.restore(before)
+				m.update(func(m *memoryStore) { m.puts = 0 })
+				time.Sleep(500*time.Millisecond + 4*restoreGrace)
+				want := map[string]membership.Instance{"left": records[0], "stops": records[2]}
+				lives := records[1]
+				lives.Sequence--
+				want["lives"] = lives // Its own node writes it.
+				for id, in := range want {
+					obj, err := m.Get(ctx, platform.KindInstance, id)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if got, err := decodeRecord(obj); err != nil || got != in {
+						t.Errorf("the store holds %+v of %s, error %v, want %+v", got, id, err, in)
+					}
+				}
+				m.update(func(m *memoryStore) {
+					if m.puts != 2 {
+						t.Errorf("%d writes, want 2", m.puts)
+					}
+				})
+			})
+		})
+	}
+}
--- a/pkg/era/era.go
+++ b/pkg/era/era.go
@@ -31,8 +31,9 @@
 
 	mu     sync.Mutex
 	latest Number
-	// known is set once an era has been told.
-	known bool
+	// known is set once an era has been told, and restores counts the raises since then.
+	known    bool
+	restores uint64
 	// raised is closed and replaced when latest rises.
 	raised chan struct{}
 }
@@ -47,12 +48,22 @@
 	return t.latest
 }
 
+// Restores returns how often the store was found to have come back from a copy. The first era that becomes known does not count.
+func (t *Tracker) Restores() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.restores
+}
+
 // Observe takes in an era that an answer of the store or another node has told.
 func (t *Tracker) Observe(n Number) {
 	t.mu.Lock()
 	before, first := t.latest, !t.known
 	t.known = true
 	if n > before {
+		if !first {
+			t.restores++
+		}
 		t.latest = n
 		close(t.raised)
 		t.raised = make(chan struct{})
--- a/pkg/era/era_test.go
+++ b/pkg/era/era_test.go
@@ -60,6 +60,9 @@
 					t.Errorf("latest era %d after %d, want %d", tracker.Latest(), n, highest)
 				}
 			}
+			if int(tracker.Restores()) != len(c.raises) {
+				t.Errorf("%d restores, want %d", tracker.Restores(), len(c.raises))
+			}
 			if len(got) != len(c.raises) {
 				t.Fatalf("raises %v, want %v", got, c.raises)
 			}
--- a/pkg/event/directory.go
+++ b/pkg/event/directory.go
@@ -31,6 +31,11 @@
 	StoreRestored = define(1152, "store_restored", zerolog.WarnLevel,
 		"the store has come back from an earlier copy of itself, and has lost what it had written since; each node writes its record again",
 		"Check that the store holds the latest configuration and orders, and write again what is missing.")
+	DeparturesRestored = define(1153, "departures_restored", zerolog.InfoLevel,
+		"the records of instances that have left were compared with those of the restored store, and written where it holds older ones", "")
+	DeparturesNotRestored = define(1154, "departures_not_restored", zerolog.WarnLevel,
+		"the record of an instance that has left could not be written to the restored store",
+		"Check the store; delete the object that the field instance names if its VM is gone.")
 	PeerFormatOld = define(1320, "peer_format_old", zerolog.WarnLevel,
 		"a configuration from a node of an earlier build was ignored, since it may lack the workspaces and their keys",
 		"None while nodes are being upgraded; otherwise upgrade the named node.")
