Read a record before it is removed as that of a departed instance

What callers would see: ten minutes after a departure that the store has lost in a restore, or whose instance has come back, the record of an instance in use is removed, and all nodes take the instance for departed.

Cause: the cleaner removed records without a condition, on what it remembered from before.

Change: the record is read, and removed under its version only if it says departed. What was removed in an earlier era is removed again if the store has it again. One record that cannot be removed no longer holds up the others. Deletions carry a version like the other writes.

A removal costs one read more.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -372,8 +372,8 @@
 	if b.Err != nil {
 		return
 	}
-	cleaner := &directory.Cleaner{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Self: b.self(),
-		Clock: b.clock, Log: b.log}
+	cleaner := &directory.Cleaner{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Eras: find[*era.Tracker](b, nameEras),
+		Self: b.self(), Clock: b.clock, Log: b.log}
 	restorer := &directory.Restorer{State: find[*directory.State](b, nameDirectoryState), Store: find[*platform.Store](b, nameStore), Eras: find[*era.Tracker](b, nameEras),
 		Self: b.self(), Log: b.log}
 	b.Register(newBackgroundTasks("duties", cleaner.Run, restorer.Run, follower.Run, peers.Run, peers.RunForward, find[*directory.Publisher](b, namePublisher).Run,
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -337,11 +337,11 @@
 
 func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request, kind, name string, f Faults) {
 	var o object
-	if r.Method != http.MethodDelete {
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
+	if r.Method == http.MethodDelete {
+		o.Metadata.Revision, _ = strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64) // Without one, any revision is removed.
+	} else if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
 	}
 	apply := func() (int, object) {
 		if name, ok := strings.CutSuffix(name, "/status"); ok && r.Method == http.MethodPut {
--- a/pkg/directory/cleaner_test.go
+++ b/pkg/directory/cleaner_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/monsoonlatch/monsoonlatch/pkg/clock"
+	"github.com/monsoonlatch/monsoonlatch/pkg/era"
 	"github.com/monsoonlatch/monsoonlatch/pkg/membership"
 	"github.com/monsoonlatch/monsoonlatch/pkg/platform"
 )
@@ -21,8 +22,8 @@
 			putRecord(t, m, in)
 			s.Merge(in)
 		}
-		cleaner := &Cleaner{State: s, Store: m, Self: "a1", Clock: clock.System{}, Log: zerolog.Nop()}
-		idle := &Cleaner{State: s, Store: m, Self: "d1", Clock: clock.System{}, Log: zerolog.Nop()}
+		cleaner := &Cleaner{State: s, Store: m, Eras: era.NewTracker(), Self: "a1", Clock: clock.System{}, Log: zerolog.Nop()}
+		idle := &Cleaner{State: s, Store: m, Eras: era.NewTracker(), Self: "d1", Clock: clock.System{}, Log: zerolog.Nop()}
 		count := func() int {
 			l, err := m.List(t.Context(), platform.KindInstance, false)
 			if err != nil {
@@ -56,3 +57,35 @@
 		}
 	})
 }
+
+// Guards against the removal of a record that does not say that its instance has departed: it came back from a copy with the store, or
+// its instance has come back; against one that blocks the removal of the others; and against a record that comes back and stays.
+func TestCleanerReadsBeforeItRemoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, s, eras := newMemoryStore(), NewState(), era.NewTracker()
+		m.update(func(m *memoryStore) { m.era = 1 })
+		eras.Observe(1)
+		watcher := instance("a1", 1, 1, membership.StateReady)
+		s.Merge(watcher, departed("b1", 2), departed("c1", 2))
+		putRecord(t, m, instance("b1", 1, 1, membership.StateReady))
+		putRecord(t, m, departed("c1", 2))
+		before := m.copy()
+		cleaner := &Cleaner{State: s, Store: &trackedStore{Store: m, memory: m, eras: eras}, Eras: eras, Self: "a1", Clock: clock.System{}, Log: zerolog.Nop()}
+		has := func(name string) bool {
+			_, err := m.Get(t.Context(), platform.KindInstance, name)
+			return err == nil
+		}
+		for range 12 {
+			cleaner.clean(t.Context())
+			time.Sleep(cleanPeriod)
+		}
+		if !has("b1") || has("c1") {
+			t.Errorf("the record of an instance in use is there: %v, want true; that of a departed one: %v, want false", has("b1"), has("c1"))
+		}
+		m.restore(before)
+		eras.Observe(2)
+		if cleaner.clean(t.Context()); !has("b1") || has("c1") {
+			t.Errorf("after a restore the record of an instance in use is there: %v, want true; that of a departed one: %v, want false", has("b1"), has("c1"))
+		}
+	})
+}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -209,19 +209,35 @@
 	}
 }
 
-func (m *memoryStore) Delete(_ context.Context, kind platform.ObjectKind, name string) error {
+func (m *memoryStore) Delete(_ context.Context, kind platform.ObjectKind, name string, version Version) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.down {
+	switch _, exists := m.objects[kind][name]; {
+	case m.down:
 		return errStoreDown
+	case !exists:
+		return nil
+	case version != versionOf(m.object(kind, name)):
+		return fault.New(fault.Conflict, "delete "+name, "another version", "")
 	}
+	m.deleteLocked(kind, name)
+	return nil
+}
+
+// remove removes an object on behalf of an operator.
+func (m *memoryStore) remove(kind platform.ObjectKind, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.deleteLocked(kind, name)
+}
+
+func (m *memoryStore) deleteLocked(kind platform.ObjectKind, name string) {
 	o := m.objects[kind][name]
 	delete(m.objects[kind], name)
 	m.revision++
 	m.changes = append(m.changes, memoryChange{m.revision, kind, Change{Removed: true, Object: platform.Object{Kind: kind, Name: name, Spec: []byte(o)}}})
 	close(m.changeNotice)
 	m.changeNotice = make(chan struct{})
-	return nil
 }
 
 // instance returns an instance record. The first letter of the ID names its availability zone.
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -353,9 +353,7 @@
 		if lost != 0 {
 			t.Error("a listing from before the write counts")
 		}
-		if err := m.Delete(t.Context(), platform.KindInstance, "self"); err != nil {
-			t.Fatal(err)
-		}
+		m.remove(platform.KindInstance, "self")
 		p.ObserveMissing(1, time.Now())
 		time.Sleep(time.Second)
 		if lost != 1 || storedRecord(t, m) != instance("self", 1, 2, membership.StateReady) {
--- a/pkg/directory/store.go
+++ b/pkg/directory/store.go
@@ -61,8 +61,9 @@
 	// Put replaces the spec of an object that still has the given version, and returns the new one. The error is of kind Conflict
 	// if the object has another version or the store is in another era by now, and NotFound if there is no such object.
 	Put(ctx context.Context, kind platform.ObjectKind, name string, version Version, spec []byte) (Version, error)
-	// Delete removes an object. A missing object is not an error.
-	Delete(ctx context.Context, kind platform.ObjectKind, name string) error
+	// Delete removes an object that still has the given version. A missing object is not an error. The error is of kind Conflict if the
+	// object has another version or the store is in another era by now.
+	Delete(ctx context.Context, kind platform.ObjectKind, name string, version Version) error
 }
 
 // Schema describes how the configuration is represented in the store.
