--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -108,8 +109,12 @@
 const (
 	gaugeStoreEra      = "store.era"
 	countStoreRestores = "store.restores"
+	countOddEras       = "store.odd_eras"
 )
 
+// oddEraPeriod is the least time between two log lines about answers of the store that name an odd era.
+const oddEraPeriod = time.Minute
+
 // builder assembles the node. Each component finds the components that it needs by name.
 type builder struct {
 	*kernel.Builder
@@ -195,6 +200,7 @@
 // node's instance record.
 func buildDirectory(b *builder) {
 	eras := era.NewTracker()
+	oddEraLog := b.log.Sample(&zerolog.BurstSampler{Burst: 1, Period: oddEraPeriod})
 	store, state := platform.NewStore(b.vm.StoreAddress, eras), find[*directory.State](b, nameDirectoryState)
 	follower := &directory.Follower{State: state, Store: store, Schema: platform.Schema{}, Eras: eras, Self: b.self(), Clock: b.clock, Log: b.log,
 		Metrics: b.metrics()}
@@ -205,6 +211,10 @@
 	}
 	peers := directory.NewPeers(&directory.Peers{State: state, Caller: find[*rpcwire.Pool](b, nameRPCPool), Control: b.controlAddress(),
 		ControlPort: b.controlPort(), Self: b.self(), AvailabilityZone: b.vm.AvailabilityZone, Eras: eras, Log: b.log, Metrics: b.metrics(), StoreSilence: follower.StoreSilence}, server)
+	store.OnOddEra = func(named string, known era.Number) {
+		b.metrics().Counter(countOddEras).Inc(1)
+		event.StoreEraOdd.Write(event.StoreEraOdd.Log(&oddEraLog).Str("named", fmt.Sprintf("%.64s", named)).Uint64("era", uint64(known)))
+	}
 	eras.OnRaise = func(before, now era.Number) {
 		event.StoreRestored.Write(event.StoreRestored.Log(&b.log).Uint64("era_before", uint64(before)).Uint64("era", uint64(now)))
 		b.metrics().Gauge(gaugeStoreEra).Update(int64(now))
--- a/cmd/monsoonlatch/rollout.go
+++ b/cmd/monsoonlatch/rollout.go
@@ -95,6 +95,7 @@
 	if err := e.writeTable("SERVICE VERSION PHASE SHARE HALTED WITHDRAWN", rows); err != nil {
 		return err
 	}
+	e.printf("\nstore era %d, restored %d times since the start of the node\n", r.StoreEra, r.StoreRestores)
 	for _, o := range r.Orders {
 		e.printf("\n%s to %s: %s, %.1f s of %.0f s\n", oneLine(o.Service), oneLine(o.Target), o.Phase, o.AgeSeconds, o.DurationSecs)
 		e.printf("  exposure   %d of %d requests, %d allowed, %d granted\n", o.Exposed, o.Requests, o.Allowed, o.Granted)
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -542,6 +542,10 @@
 	Node string `json:"node"`
 	// Known is false until the node has learnt whether there are orders.
 	Known bool `json:"known"`
+	// StoreEra counts how often the store has come back from a copy, as far as the node knows, and StoreRestores how often the node has
+	// seen that.
+	StoreEra      uint64 `json:"storeEra"`
+	StoreRestores uint64 `json:"storeRestores"`
 	// Decider is the control address of the node that takes up orders.
 	Decider string         `json:"decider"`
 	Plans   []RolloutPlan  `json:"plans"`
@@ -561,7 +565,7 @@
 
 // ServeHTTP writes what this node knows of the orders as JSON.
 func (r *Rollouts) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	out := RolloutReport{Node: string(r.Peers.Self), Known: r.Table.Known(), Plans: []RolloutPlan{}}
+	out := RolloutReport{Node: string(r.Peers.Self), Known: r.Table.Known(), StoreEra: uint64(r.Peers.Eras.Latest()), StoreRestores: r.Peers.Eras.Restores(), Plans: []RolloutPlan{}}
 	if watchers := r.Peers.State.topology().watchers(); len(watchers) > 0 {
 		out.Decider = watchers[0].ControlAddress
 	}
--- a/pkg/event/directory.go
+++ b/pkg/event/directory.go
@@ -36,6 +36,9 @@
 	DeparturesNotRestored = define(1154, "departures_not_restored", zerolog.WarnLevel,
 		"the record of an instance that has left could not be written to the restored store",
 		"Check the store; delete the object that the field instance names if its VM is gone.")
+	StoreEraOdd = define(1155, "store_era_odd", zerolog.WarnLevel,
+		"an answer of the store names no era, or a lower one than an earlier answer; one that names a lower one is not used",
+		"Check what answers at the store's address. If the era was set back for good, restart the nodes.")
 	PeerFormatOld = define(1320, "peer_format_old", zerolog.WarnLevel,
 		"a configuration from a node of an earlier build was ignored, since it may lack the workspaces and their keys",
 		"None while nodes are being upgraded; otherwise upgrade the named node.")
