Go on with an order that is written again after a restore

What callers and operators would see: the operator writes an order again that the store has lost. A bad version that was rolled back gets its share of the requests a second time; a completed one gets none while its order is pending, though the old instances are gone. Where the copy holds the order before in the middle of its course, most requests find no instance.

Cause: nodes knew one order of a service, by the time of creation of its object, and dropped what they knew of it when another one took its place.

Change: the last two plans of other orders, and the run that a restored store has dropped, are kept for a minute after a restore. An order of a later era that equals one of them goes on where that was, with its grants and requests. Within an era an equal order is a new one, as before. An order that the store still lacks after a minute is withdrawn.

A follower now lists again only for an era that is later than its position, so that a store that does not tell its tracker cannot make it list in a loop.

Why this works: orders of two eras are equal only if the operator has written one again, which is done soon after a restore.

--- a/cmd/monsoonlatch-sidecar/node.go
+++ b/cmd/monsoonlatch-sidecar/node.go
@@ -310,7 +310,7 @@
 	follower.OnRollouts, follower.RolloutKind = rollouts.ObserveChanges, platform.RolloutSchema{}.RolloutKind()
 	b.onOwnChange = rollouts.ObserveOwn
 	b.Provide(nameRollouts, rollouts)
-	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter, rollouts.RunReads))
+	b.Register(newBackgroundTasks("rollout-duties", rollouts.RunDecider, rollouts.RunWrites, rollouts.RunForward, rollouts.RunReporter, rollouts.RunReads, rollouts.RunForget))
 }
 
 // versionGate returns the gate of the egress during roll-outs, or nil if there are none.
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -153,7 +153,7 @@
 			clock.Sleep(ctx, skipWatchCheckPeriod)
 			continue
 		}
-		if listed && f.Eras.Latest() != at.Era {
+		if listed && f.Eras.Latest() > at.Era {
 			listed, listCurrent = false, true
 			f.noteHistoryLost(kind, at)
 		}
@@ -181,7 +181,7 @@
 			return
 		}
 		f.Metrics.CountRetry(metric.RetryPlatformRequest)
-		eraEnded := listed && f.Eras.Latest() != at.Era
+		eraEnded := listed && f.Eras.Latest() > at.Era
 		timedOut := listed && !eraEnded && kind == f.Schema.ConfigurationKind() && errors.Is(err, context.Canceled)
 		if fault.Is(err, fault.Stale) || eraEnded {
 			listed, listCurrent = false, true
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -49,6 +49,9 @@
 	reportTimeout = 400 * time.Millisecond
 	// deciderPause is how long a watcher that has not taken a report is passed over, if another one does.
 	deciderPause = 1500 * time.Millisecond
+	// writeAgainTime is the time within which operators write an order again that a restored store has lost. After it the order counts as
+	// removed, and one that equals it as a new one.
+	writeAgainTime = time.Minute
 	// readTimeout limits one read of an order. An instance of a new version is held for this time at most, since it is one that
 	// nobody has ordered if the store does not answer.
 	readTimeout = time.Second
@@ -445,6 +448,59 @@
 	}
 }
 
+// RunForget ends, some time after each restore of the store, what is kept for orders that the store has lost, until ctx ends.
+func (r *Rollouts) RunForget(ctx context.Context) {
+	known, restores := era.Number(0), uint64(0)
+	for {
+		select {
+		case <-r.Peers.Eras.Ended(known):
+		case <-ctx.Done():
+			return
+		}
+		known = r.Peers.Eras.Latest()
+		if r.Peers.Eras.Restores() == restores {
+			continue // The first era that becomes known is no restore.
+		}
+		restores = r.Peers.Eras.Restores()
+		select {
+		case <-time.After(writeAgainTime):
+			r.forget(ctx, known)
+		case <-r.Peers.Eras.Ended(known):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// forget withdraws the orders that nobody has written again in an era. The watchers know that, as they have listed the orders.
+func (r *Rollouts) forget(ctx context.Context, latest era.Number) {
+	r.Table.ForgetPast()
+	r.mu.Lock()
+	r.decider.ForgetLost()
+	r.mu.Unlock()
+	if !r.Peers.State.topology().isWatcher(r.Peers.Self) {
+		return
+	}
+	for _, p := range r.Table.All() {
+		if p.Active() && p.Era < latest {
+			r.readLost(ctx, p.Service)
+		}
+	}
+}
+
+// readLost reads an order that the store may have lost, and withdraws it if it has.
+func (r *Rollouts) readLost(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	stored, err := r.Store.Get(ctx, r.Schema.RolloutKind(), service)
+	switch {
+	case err == nil:
+		r.spread(r.observeObject(r.Schema.Rollout(stored)), true)
+	case fault.Is(err, fault.NotFound):
+		r.spread(r.observeObject(rollout.Object{Name: service, Removed: true}), true)
+	}
+}
+
 func (r *Rollouts) requestRead(service string) {
 	select {
 	case r.reads <- service:
--- a/pkg/directory/rollouts_test.go
+++ b/pkg/directory/rollouts_test.go
@@ -91,6 +91,13 @@
 	return s.shared.object
 }
 
+// lose removes the object, as a restore does.
+func (o *rolloutObject) lose() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.object = platform.Object{}
+}
+
 // order writes an order on behalf of an operator.
 func (s *rolloutStore) order(spec string) {
 	s.shared.mu.Lock()
@@ -182,12 +189,12 @@
 		local := rollout.NewLocal(&rollout.Local{Table: table, Service: "desk", GrantTime: GrantTime(5 * time.Second), Version: func() (string, int64) { return in.Version, in.BackendStarted }})
 		r := NewRollouts(&Rollouts{Table: table, Local: local, Settings: rollout.Settings{ExposeShare: 0.1, ExposeSlack: 50, RollbackTime: 5 * time.Second}, Peers: p,
 			Store: store, Schema: testRolloutSchema{}, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metric.NewSet()})
-		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: era.NewTracker(), Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: p.Metrics,
+		f := &Follower{State: p.State, Store: store, Schema: versionSchema{}, Eras: p.Eras, Self: in.ID, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: p.Metrics,
 			CanSkipWatch: p.CanSkipWatch, OnChange: p.Forward, OnStoreLost: func() { p.Forward(nil) }, OnRollouts: r.ObserveChanges, RolloutKind: testRolloutSchema{}.RolloutKind()}
 		f.SetApplyBound(2 * time.Second)
 		p.StoreSilence, p.AvailabilityZone = f.StoreSilence, in.AvailabilityZone
 		p.State.Merge(in)
-		n := &rolloutNode{r, store, in, []func(context.Context){f.Run, p.Run, p.RunForward, r.RunDecider, r.RunWrites, r.RunForward, r.RunReporter, r.RunReads}}
+		n := &rolloutNode{r, store, in, []func(context.Context){f.Run, p.Run, p.RunForward, r.RunDecider, r.RunWrites, r.RunForward, r.RunReporter, r.RunReads, r.RunForget}}
 		c.nodes[addr] = n
 		nodes = append(nodes, n)
 	}
@@ -446,3 +453,47 @@
 		t.Errorf("got %+v, error %v", got, err)
 	}
 }
+
+// Guards against an order that stays in effect for good although the store has lost it and nobody writes it again, and against one that
+// is withdrawn before the operator can do so.
+func TestOrderThatTheStoreHasLost(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemoryStore()
+			m.update(func(m *memoryStore) { m.era = 1 })
+			m.set(testConfigurationKind, "main", "3")
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			defer func() { cancel(); wg.Wait() }()
+			_, nodes := startRolloutMesh(t, ctx, &wg, m, 8, 2, 0)
+			for _, n := range nodes {
+				n.Peers.Eras.Observe(1)
+			}
+			time.Sleep(5 * time.Second)
+			before := m.copy()
+			const order = `{"Service":"desk","Target":"v2","Duration":600000000000}`
+			nodes[0].store.order(order)
+			time.Sleep(5 * time.Second)
+			nodes[0].store.shared.lose()
+			m.restore(before)
+			for _, n := range nodes {
+				n.Peers.Eras.Observe(2)
+			}
+			check := func(withdrawn bool, phase rollout.Phase, when string) {
+				t.Helper()
+				for _, n := range nodes {
+					if p := n.Table.Get("desk"); p.Withdrawn != withdrawn || p.Phase != phase {
+						t.Errorf("written again %v, %s, node %s: withdrawn %v in phase %v, want %v in %v", again, when, n.record.ID, p.Withdrawn, p.Phase, withdrawn, phase)
+					}
+				}
+			}
+			time.Sleep(writeAgainTime / 2)
+			check(false, rollout.PhaseTrial, "before the time is over")
+			if again {
+				nodes[0].store.order(order)
+			}
+			time.Sleep(writeAgainTime)
+			check(!again, rollout.PhaseTrial, "after it")
+		})
+	}
+}
--- a/pkg/rollout/decider.go
+++ b/pkg/rollout/decider.go
@@ -139,13 +139,15 @@
 	settings Settings
 	id       uint64
 	runs     map[string]*run
+	// lost holds for each service the last run of an order that a restored store did not hold any more.
+	lost map[string]*run
 	// unableUntil is the time until which this node does not decide.
 	unableUntil time.Time
 }
 
 // NewDecider returns a decider without orders. id identifies its process.
 func NewDecider(s Settings, id uint64) *Decider {
-	return &Decider{settings: s, id: id, runs: make(map[string]*run)}
+	return &Decider{settings: s, id: id, runs: make(map[string]*run), lost: make(map[string]*run)}
 }
 
 // run is the state of one order.
@@ -158,6 +160,8 @@
 	ageAtSight time.Duration
 	// owed is set while the store holds less of the order's progress than is known, since it has come back from a copy.
 	owed bool
+	// requestsBefore is the number of requests that were reported under another identity of the order, before it was written again.
+	requestsBefore uint64
 	// withoutOldSince is the time since which no instance of another version is known.
 	withoutOldSince time.Time
 	halted          bool
@@ -270,6 +274,15 @@
 			// The order was taken up before this node learnt of it. Clocks of VMs may differ, so that the age is limited.
 			r.ageAtSight = min(max(0, time.Duration(now.UnixMilli()-s.StartedMillis)*time.Millisecond), o.Order.Duration)
 		}
+		if lost := d.resumed(&o); lost != nil {
+			s = stored.withProgress(lost.object.status())
+			r.seenAt, r.ageAtSight, r.halted, r.reason = lost.seenAt, lost.ageAtSight, lost.halted, lost.reason
+			if lost.object.ID() != o.ID() { // All nodes count anew.
+				r.requestsBefore = s.Requests
+			}
+			r.lifecycle.SetState(s.Phase.String())
+			o.Status = &s
+		}
 		d.runs[o.Name] = r
 	} else if o.At.Era > r.object.At.Era || r.owed {
 		s = stored.withProgress(r.object.status())
@@ -287,6 +300,26 @@
 	r.rebase()
 }
 
+// resumed returns the run of an order that the store had lost and that an object holds again, or nil. It keeps the run that the object
+// replaces, if the store has come back from a copy without its order.
+func (d *Decider) resumed(o *Object) (lost *run) {
+	for _, r := range []*run{d.runs[o.Name], d.lost[o.Name]} {
+		if r != nil && r.object.Order == o.Order && r.object.At.Era < o.At.Era {
+			lost = r
+			break
+		}
+	}
+	if lost != nil {
+		delete(d.lost, o.Name)
+	} else if r := d.runs[o.Name]; r != nil && r.object.At.Era < o.At.Era {
+		d.lost[o.Name] = r
+	}
+	return lost
+}
+
+// ForgetLost drops the runs of orders that the store has lost and nobody has written again.
+func (d *Decider) ForgetLost() { clear(d.lost) }
+
 // rebase derives the plan from the object, and keeps what was chosen within the phase.
 func (r *run) rebase() {
 	old, p := r.plan, PlanOf(&r.object)
@@ -409,6 +442,7 @@
 
 // requests is the number of requests to the service since the order that have been reported.
 func (r *run) requests() (sum uint64) {
+	sum = r.requestsBefore
 	for _, rep := range r.reports {
 		sum += rep.Handled
 	}
--- a/pkg/rollout/faults_test.go
+++ b/pkg/rollout/faults_test.go
@@ -465,3 +465,72 @@
 		}
 	}
 }
+
+// Guards against an order that begins anew, so that a bad version gets its share again or a completed one no requests, since the operator
+// has written it again after a restore: the object has another time of creation if it is younger than the copy, and holds an earlier
+// order until then if that is older.
+func TestOrderIsWrittenAgainAfterARestore(t *testing.T) {
+	for name, answers := range map[string]behaviour{"good": healthy, "bad": failing(0.3)} {
+		for _, held := range []string{"nothing", "an earlier order, completed", "an earlier order, running"} {
+			for at := 3 * time.Second; at <= testDuration+time.Second; at += 3 * time.Second {
+				t.Run(fmt.Sprintf("%s, copy holds %s, at %v", name, held, at), func(t *testing.T) {
+					s := newSim(t, uint64(at/time.Second), 14, 600)
+					s.store.era = 1
+					if held != "nothing" {
+						earlier := Object{Name: simService, Created: "1", Order: Order{Service: simService, Target: simOld, Duration: time.Minute}}
+						earlier.Status = &Status{Order: earlier.ID(), Target: simOld, Phase: PhaseTrial, Granted: 30}
+						s.store.put(earlier)
+					}
+					before := s.store.copy()
+					if held != "nothing" {
+						completed := s.store.object
+						completed.Status = &Status{Order: completed.ID(), Target: simOld, Phase: PhaseCompleted, DecidedMillis: s.now.Add(-time.Minute).UnixMilli()}
+						s.store.put(completed)
+						if held == "an earlier order, completed" {
+							before = s.store.copy()
+						}
+						s.spread()
+					}
+					s.order(testDuration, 14, answers)
+					order := s.store.object
+					order.Status = nil
+					var end Phase
+					s.onStep = func() {
+						switch s.now.Sub(s.orderAt) {
+						case at:
+							s.store.restore(before)
+						case at + time.Second:
+							again := order
+							again.Status = s.store.object.Status
+							if held == "nothing" {
+								again.Created = "2"
+							}
+							s.store.put(again)
+						}
+						plan := s.instances[0].local.Table.Get(simService)
+						if plan.Target == simNew && plan.Phase.Ended() {
+							if end != PhasePending && plan.Phase != end {
+								t.Errorf("the plan went from %v to %v", end, plan.Phase)
+							}
+							end = plan.Phase
+						} else if plan.Target == simNew && end != PhasePending {
+							t.Errorf("the plan went from %v to %v", end, plan.Phase)
+							end = PhasePending
+						}
+					}
+					s.run(testDuration + 10*time.Second)
+					want := map[string]Phase{"good": PhaseCompleted, "bad": PhaseRolledBack}[name]
+					if s.phase() != want || end != want {
+						t.Errorf("the store holds phase %v (%s) and the nodes follow %v, want %v", s.phase(), s.reason(), end, want)
+					}
+					if name == "bad" {
+						s.mustKeepExposure()
+					}
+					if s.refused > 0 {
+						t.Errorf("%d requests found no instance", s.refused)
+					}
+				})
+			}
+		}
+	}
+}
--- a/pkg/rollout/order.go
+++ b/pkg/rollout/order.go
@@ -61,6 +61,9 @@
 	return OrderID(strconv.FormatUint(h.Sum64(), 16))
 }
 
+// Spec returns what identifies an order that is written again after a restore of the store: all but the time of its creation.
+func (o Order) Spec() OrderID { return o.ID("") }
+
 // Phase is a step in the life of an order.
 type Phase uint8
 
--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -12,7 +12,9 @@
 type Plan struct {
 	Service string
 	Order   OrderID
-	Target  string
+	// Spec is Order.Spec; it is missing in plans of earlier builds.
+	Spec   OrderID
+	Target string
 	// Era and Revision are the latest known position of the order's object. It tells which of two orders is the later one.
 	Era      era.Number
 	Revision uint64
@@ -46,7 +48,17 @@
 // PlanOf returns the plan that follows from an object alone.
 func PlanOf(o *Object) Plan {
 	s := o.status()
-	return Plan{Service: o.Name, Order: s.Order, Target: s.Target, Era: o.At.Era, Revision: o.At.Revision, Phase: s.Phase, Barred: s.Barred, DecidedMillis: s.DecidedMillis}
+	return Plan{Service: o.Name, Order: s.Order, Spec: o.Order.Spec(), Target: s.Target, Era: o.At.Era, Revision: o.At.Revision, Phase: s.Phase, Barred: s.Barred, DecidedMillis: s.DecidedMillis}
+}
+
+// continuing returns the plan of an order that goes on where an earlier plan of the same order was, which the store has lost.
+func (p Plan) continuing(lost Plan) Plan {
+	if lost.Phase > p.Phase {
+		p.Phase, p.Step, p.Share, p.Trial, p.DecidedMillis = lost.Phase, lost.Step, lost.Share, lost.Trial, lost.DecidedMillis
+	}
+	p.Halted = (p.Halted || lost.Halted) && p.Phase != PhaseCompleted
+	p.Barred = bar(p.Barred, p.Target, lost.Barred...)
+	return p
 }
 
 // merge returns what follows from two plans of one service, and whether nodes must learn of the result. Of two orders, that with
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -202,3 +202,41 @@
 		}
 	}
 }
+
+// Guards against an order that is taken for an earlier equal one and not carried out: it is one only if the store has come back from a copy
+// and the operator writes it again.
+func TestEqualOrderIsANewOneWithoutARestore(t *testing.T) {
+	object := func(at era.Position, created, target string, phase Phase) Plan {
+		o := Object{Name: simService, Created: created, At: at, Order: Order{Service: simService, Target: target, Duration: time.Minute}}
+		o.Status = &Status{Order: o.ID(), Target: target, Phase: phase}
+		return PlanOf(&o)
+	}
+	ended, other := object(era.Position{Era: 1, Revision: 10}, "5", simNew, PhaseRolledBack), object(era.Position{Era: 1, Revision: 20}, "5", simOld, PhaseCompleted)
+	for name, c := range map[string]struct {
+		forget bool
+		before []Plan
+		again  Plan
+		want   Phase
+	}{
+		"same era, after another order":     {before: []Plan{ended, other}, again: object(era.Position{Era: 1, Revision: 30}, "5", simNew, PhasePending), want: PhasePending},
+		"same era, removed and given again": {before: []Plan{ended}, again: object(era.Position{Era: 1, Revision: 30}, "30", simNew, PhasePending), want: PhasePending},
+		"written again after a restore":     {before: []Plan{ended}, again: object(era.Position{Era: 2, Revision: 8}, "8", simNew, PhasePending), want: PhaseRolledBack},
+		"the same, after another order": {before: []Plan{object(era.Position{Era: 1, Revision: 5}, "5", simOld, PhaseCompleted), ended, object(era.Position{Era: 2, Revision: 7}, "5", simOld, PhaseTrial)},
+			again: object(era.Position{Era: 2, Revision: 8}, "5", simNew, PhasePending), want: PhaseRolledBack},
+		"long after a restore": {forget: true, before: []Plan{ended, object(era.Position{Era: 2, Revision: 7}, "5", simOld, PhaseCompleted)},
+			again: object(era.Position{Era: 2, Revision: 80}, "5", simNew, PhasePending), want: PhasePending},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(true)
+			for _, p := range c.before {
+				table.Merge(p)
+			}
+			if c.forget {
+				table.ForgetPast()
+			}
+			if table.Merge(c.again); table.Get(simService).Phase != c.want {
+				t.Errorf("phase %v, want %v", table.Get(simService).Phase, c.want)
+			}
+		})
+	}
+}
--- a/pkg/rollout/table.go
+++ b/pkg/rollout/table.go
@@ -26,11 +26,17 @@
 	asked atomic.Pointer[time.Time]
 	// unused is set if no roll-outs are in force on this platform.
 	unused bool
+	// past holds for each service the last plans of other orders, latest first. They count when the store has come back from a copy that
+	// is older than the present order: it then holds an earlier one, until the operator writes the present one again.
+	past map[string][]Plan
 }
 
+// maxPast is the number of past plans of each service that are kept.
+const maxPast = 2
+
 // NewTable returns an empty table. With enabled false there are no roll-outs, and no plan is taken in.
 func NewTable(enabled bool) *Table {
-	t := &Table{unused: !enabled}
+	t := &Table{unused: !enabled, past: make(map[string][]Plan)}
 	t.plans.Store(&map[string]Plan{})
 	t.known.Store(!enabled)
 	return t
@@ -83,6 +89,9 @@
 		known, ok := next[in.Service]
 		out, differs := in, true
 		if ok {
+			if known.Order != in.Order && in.at().Compare(known.at()) > 0 {
+				in = t.replace(known, in)
+			}
 			out, differs = merge(known, in)
 		}
 		next[in.Service] = out // Also if only its revision has changed, which other nodes need not learn.
@@ -94,6 +103,26 @@
 	return changed
 }
 
+// replace returns the plan of a later order that takes the place of the known one. If the store has come back from a copy since a past
+// plan of the same order, that goes on. The caller holds mu.
+func (t *Table) replace(known, in Plan) Plan {
+	past := append([]Plan{known}, t.past[in.Service]...)
+	i := slices.IndexFunc(past, func(p Plan) bool { return p.Spec == in.Spec && p.Spec != "" && p.Era < in.Era })
+	if i >= 0 {
+		in = in.continuing(past[i])
+		past = slices.Delete(past, i, i+1)
+	}
+	t.past[in.Service] = past[:min(len(past), maxPast)]
+	return in
+}
+
+// ForgetPast drops the plans of other orders. An order that is given from then on is a new one, also if it equals an earlier one.
+func (t *Table) ForgetPast() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.past)
+}
+
 // Withdraw ends the plan of a service whose order was removed. It returns the changed plan, if any.
 func (t *Table) Withdraw(service string) []Plan {
 	p := t.Get(service)
