Let the soak restore the store from a copy

A step takes a copy, brings the store back from it up to 3 s later, after up to 1 s away, and writes the latest configuration again. One step in two does so twice within 0.7 to 1.7 s. The steps are drawn apart from the others, so that a seed keeps its plan.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 	actStoreDropsResponses action = "store drops responses to writes"
 	actWatchesSilent       action = "store does not respond to watches"
 	actStoreCompacts       action = "store compacts its history"
+	actStoreRestored       action = "store restored from a copy"
 	actPause               action = "node paused"
 	actKill                action = "node killed"
 	actCrash               action = "backend server crashed"
@@ -35,6 +37,10 @@
 var faultActions = []action{actLinkSlow, actLinkStalled, actLinkOneWay, actLinkReset, actStoreErrors, actStoreSilent,
 	actStoreDropsResponses, actWatchesSilent, actStoreCompacts, actPause, actKill, actCrash, actFaultyResponses}
 
+// restoresPerThousand is how many of 1000 phases with faults have a restore of the store. Restores are drawn apart from the other
+// actions, so that a seed keeps its other steps.
+const restoresPerThousand = 600
+
 // plannedActions are the operators' actions, which must not make requests fail. Listing actChange twice doubles its
 // weight.
 var plannedActions = []action{actStop, actReload, actReplace, actChange, actChange}
@@ -85,5 +91,19 @@
 			at += time.Duration(r.ExpFloat64() * float64(pause))
 		}
 	}
+	plan = append(plan, restores(seed, length)...)
+	slices.SortStableFunc(plan, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return plan
 }
+
+// restores returns the steps in which the store comes back from a copy. The duration is the age of the copy when the store goes away.
+func restores(seed uint64, length time.Duration) (steps []step) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	for phase := time.Duration(0); phase < length; phase += faultPhase + calmPhase {
+		at, duration, variant := phase+time.Second+time.Duration(r.Int64N(int64(faultPhase-time.Second))), minDuration+time.Duration(r.Int64N(int64(maxDuration-minDuration))), r.IntN(1000)
+		if r.IntN(1000) < restoresPerThousand && at < length {
+			steps = append(steps, step{at: at, action: actStoreRestored, variant: variant, duration: duration})
+		}
+	}
+	return steps
+}
--- a/internal/soak/publisher.go
+++ b/internal/soak/publisher.go
@@ -43,6 +43,13 @@
 	p.published = time.Now()
 }
 
+// publishAgain writes the latest generation to the store once more.
+func (p *publisher) publishAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.store.Put("config", "main", configDocument(p.generation))
+}
+
 // latest returns the latest generation and when it was published.
 func (p *publisher) latest() (int, time.Time) {
 	p.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -171,7 +171,7 @@
 // injectFault injects the fault of a step and returns when the fault has ended.
 func (r *run) injectFault(ctx context.Context, s step, v *vm) error {
 	affected := []*disturbance{&v.disturbance}
-	allVMs := s.variant%3 == 0 // A fault of the store then affects all VMs.
+	allVMs := s.variant%3 == 0 || s.action == actStoreRestored // A fault of the store then affects all VMs.
 	if allVMs {
 		affected = r.vmDisturbances()
 	}
@@ -221,6 +221,8 @@
 		faultStore(metastore.Faults{HangWatches: true})
 	case actStoreCompacts:
 		r.store.Compact()
+	case actStoreRestored:
+		r.restoreStore(ctx, s)
 	case actPause:
 		v.pause(s.duration)
 	case actKill:
@@ -234,6 +236,29 @@
 	return nil
 }
 
+// maxRestoreAway is how long the store is away at most before it comes back from a copy, and secondRestoreGap the time until it does so
+// again in one step of two.
+const (
+	maxRestoreAway   = time.Second
+	secondRestoreGap = 700 * time.Millisecond
+)
+
+// restoreStore takes a copy of the store, brings the store back from it later, and writes the configuration again as operators do.
+func (r *run) restoreStore(ctx context.Context, s step) {
+	before := r.store.Copy()
+	clock.Sleep(ctx, s.duration)
+	for again := range 1 + s.variant%2 {
+		if again > 0 {
+			clock.Sleep(ctx, secondRestoreGap)
+		}
+		r.store.SetFaults(metastore.Faults{Away: true})
+		clock.Sleep(ctx, time.Duration(s.variant)*maxRestoreAway/1000)
+		r.store.Restore(before)
+		r.store.SetFaults(metastore.Faults{})
+		r.publisher.publishAgain()
+	}
+}
+
 func setStoreFaults(stores []*storeFrontend, silent bool, status int64) {
 	for _, store := range stores {
 		store.silent.Store(silent)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,12 +30,12 @@
 	for seed := range uint64(20) {
 		for _, s := range newPlan(seed, time.Minute, 6) {
 			seen[s.action] = true
-			if at := s.at % (faultPhase + calmPhase); at >= faultPhase && slices.Contains(faultActions, s.action) {
+			if at := s.at % (faultPhase + calmPhase); at >= faultPhase && !slices.Contains(plannedActions, s.action) {
 				t.Errorf("fault %q at %v, in a calm phase", s.action, s.at)
 			}
 		}
 	}
-	for _, k := range slices.Concat(faultActions, plannedActions) {
+	for _, k := range slices.Concat(faultActions, plannedActions, []action{actStoreRestored}) {
 		if !seen[k] {
 			t.Errorf("none of 20 plans has the action %q", k)
 		}
