--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -103,6 +103,9 @@
 	return &Copy{s.revision, cloneObjects(s.objects), slices.Clone(s.history), s.compacted}
 }
 
+// Get returns the spec of an object in the copy, or an empty string if there is no such object.
+func (c *Copy) Get(kind, name string) string { return string(c.objects[kind][name].Spec) }
+
 // Restore brings the store back from a copy: what was written since is gone, and its revisions are given out again. Pending
 // watches end without a response. It may be called several times with the same copy.
 func (s *Store) Restore(c *Copy) {
