Handle each restore of the store in one place

The duties that follow a restore waited for it with two copies of one loop. Tracker.EachRestore has it, with a test that no restore is missed.

--- a/pkg/directory/restorer.go
+++ b/pkg/directory/restorer.go
@@ -27,21 +27,7 @@
 }
 
 // Run restores records after each restore of the store until ctx ends.
-func (r *Restorer) Run(ctx context.Context) {
-	known, restores := era.Number(0), uint64(0)
-	for {
-		select {
-		case <-r.Eras.Ended(known):
-		case <-ctx.Done():
-			return
-		}
-		known = r.Eras.Latest()
-		if n := r.Eras.Restores(); n != restores {
-			restores = n
-			r.restore(ctx, known)
-		}
-	}
-}
+func (r *Restorer) Run(ctx context.Context) { r.Eras.EachRestore(ctx, r.restore) }
 
 // restore waits until the nodes that live have written their own records, and for its turn among the watchers, and then writes what is
 // still missing in an era of the store.
--- a/pkg/directory/rollouts.go
+++ b/pkg/directory/rollouts.go
@@ -450,26 +450,14 @@
 
 // RunForget ends, some time after each restore of the store, what is kept for orders that the store has lost, until ctx ends.
 func (r *Rollouts) RunForget(ctx context.Context) {
-	known, restores := era.Number(0), uint64(0)
-	for {
-		select {
-		case <-r.Peers.Eras.Ended(known):
-		case <-ctx.Done():
-			return
-		}
-		known = r.Peers.Eras.Latest()
-		if r.Peers.Eras.Restores() == restores {
-			continue // The first era that becomes known is no restore.
-		}
-		restores = r.Peers.Eras.Restores()
+	r.Peers.Eras.EachRestore(ctx, func(ctx context.Context, now era.Number) {
 		select {
 		case <-time.After(writeAgainTime):
-			r.forget(ctx, known)
-		case <-r.Peers.Eras.Ended(known):
+			r.forget(ctx, now)
+		case <-r.Peers.Eras.Ended(now):
 		case <-ctx.Done():
-			return
 		}
-	}
+	})
 }
 
 // forget withdraws the orders that nobody has written again in an era. The watchers know that, as they have listed the orders.
--- a/pkg/era/era.go
+++ b/pkg/era/era.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"sync"
 )
 
@@ -43,16 +44,14 @@
 
 // Latest returns the latest known era, or zero if none is known.
 func (t *Tracker) Latest() Number {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.latest
+	latest, _ := t.state()
+	return latest
 }
 
 // Restores returns how often the store was found to have come back from a copy. The first era that becomes known does not count.
 func (t *Tracker) Restores() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.restores
+	_, restores := t.state()
+	return restores
 }
 
 // Observe takes in an era that an answer of the store or another node has told.
@@ -85,3 +84,26 @@
 	}
 	return t.raised
 }
+
+// EachRestore calls handle after each restore of the store, with the era that began with it, until ctx ends. Restores that follow while
+// handle runs are taken together.
+func (t *Tracker) EachRestore(ctx context.Context, handle func(ctx context.Context, now Number)) {
+	known, handled := t.state()
+	for {
+		select {
+		case <-t.Ended(known):
+		case <-ctx.Done():
+			return
+		}
+		before := handled
+		if known, handled = t.state(); handled != before { // The first era that becomes known is no restore.
+			handle(ctx, known)
+		}
+	}
+}
+
+func (t *Tracker) state() (latest Number, restores uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latest, t.restores
+}
--- a/pkg/era/era_test.go
+++ b/pkg/era/era_test.go
@@ -1,8 +1,12 @@
 package era
 
 import (
+	"context"
 	"math"
+	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // Guards against a position that is passed by revisions which a restored store gives out again.
@@ -74,3 +78,33 @@
 		})
 	}
 }
+
+// Guards against a duty that misses a restore, also one that comes while it deals with an earlier one or before an era is known to it, and
+// against one that takes the first known era for a restore.
+func TestEachRestoreIsHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range []Number{0, 4} {
+			tracker := NewTracker()
+			ctx, cancel := context.WithCancel(t.Context())
+			var handled []Number
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				tracker.EachRestore(ctx, func(_ context.Context, now Number) {
+					time.Sleep(time.Second)
+					handled = append(handled, now)
+				})
+			}()
+			for _, n := range []Number{first, first, first + 1, first + 2} {
+				time.Sleep(100 * time.Millisecond)
+				tracker.Observe(n)
+			}
+			time.Sleep(5 * time.Second)
+			cancel()
+			<-done
+			if want := []Number{first + 1, first + 2}; !slices.Equal(handled, want) {
+				t.Errorf("handled %v, want %v", handled, want)
+			}
+		}
+	})
+}
